--- /dev/null
+++ b/commands/config.go
@@ -0,0 +1,180 @@
+package commands
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/google/uuid"
+
+	"knapweedproxy/core/kwcode"
+	"knapweedproxy/core/kwconfig"
+	"knapweedproxy/core/kwid"
+	"knapweedproxy/io/kwcontrol"
+)
+
+type configCmd struct {
+	Check configCheckCmd `cmd:"" help:"Check a declaration without a running fleet."`
+	Diff  configDiffCmd  `cmd:"" help:"Compare a declaration with the one in force."`
+	Apply configApplyCmd `cmd:"" help:"Put a declaration in force."`
+	Show  configShowCmd  `cmd:"" help:"Show the declaration in force."`
+}
+
+// sourceFlags name the files of a declaration.
+type sourceFlags struct {
+	Base    string   `required:"" type:"path" help:"The base file that all sites share."`
+	Overlay []string `required:"" type:"path" help:"The overlay of each site."`
+}
+
+func (f sourceFlags) load() (kwconfig.Source, *kwconfig.Fleet, error) {
+	var src kwconfig.Source
+	base, err := readFile(f.Base)
+	if err != nil {
+		return src, nil, err
+	}
+	src.Base = base
+	for _, path := range f.Overlay {
+		overlay, err := readFile(path)
+		if err != nil {
+			return src, nil, err
+		}
+		src.Overlays = append(src.Overlays, overlay)
+	}
+	fleet, err := kwconfig.Load(src)
+	return src, fleet, err
+}
+
+func readFile(path string) (kwconfig.File, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return kwconfig.File{}, kwcode.New(kwcode.SettingsFile, "%v", err)
+	}
+	return kwconfig.File{Name: path, Text: string(text)}, nil
+}
+
+type configCheckCmd struct {
+	sourceFlags
+}
+
+// Run checks the files and prints what they declare.
+func (c *configCheckCmd) Run(s *streams) error {
+	_, fleet, err := c.load()
+	if err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(s.out, "fleet %q: %d models, %d services, %d sites\n", fleet.Name, len(fleet.Models), len(fleet.Services), len(fleet.Sites))
+	for _, site := range fleet.Sites {
+		servers, records := 0, 0
+		for _, p := range site.Pools {
+			servers += p.Servers
+		}
+		for _, p := range site.Servers {
+			records += p.Servers
+		}
+		_, _ = fmt.Fprintf(s.out, "site %q: %d availability zones, %d model servers, %d service servers, %d workspaces\n",
+			site.Site, len(site.AvailabilityZones), servers, records, len(site.Workspaces))
+	}
+	return nil
+}
+
+type configDiffCmd struct {
+	adminFlags
+	sourceFlags
+}
+
+// Run prints the lines that differ, by file.
+func (c *configDiffCmd) Run(s *streams) error {
+	src, _, err := c.load()
+	if err != nil {
+		return err
+	}
+	var present kwcontrol.ConfigBody
+	if err := c.call(http.MethodGet, "/admin/config", nil, &present); err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(s.out, "against revision %d\n", present.Revision)
+	diffFile(s, "base", present.Base.Text, src.Base.Text)
+	for i := range max(len(present.Overlays), len(src.Overlays)) {
+		var before, after string
+		if i < len(present.Overlays) {
+			before = present.Overlays[i].Text
+		}
+		if i < len(src.Overlays) {
+			after = src.Overlays[i].Text
+		}
+		diffFile(s, fmt.Sprintf("overlay %d", i+1), before, after)
+	}
+	return nil
+}
+
+// diffFile prints removed and added lines in file order.
+func diffFile(s *streams, name, before, after string) {
+	if before == after {
+		_, _ = fmt.Fprintf(s.out, "%s: equal\n", name)
+		return
+	}
+	_, _ = fmt.Fprintf(s.out, "%s:\n", name)
+	old, now := strings.Split(before, "\n"), strings.Split(after, "\n")
+	for _, line := range old {
+		if !slices.Contains(now, line) {
+			_, _ = fmt.Fprintf(s.out, "- %s\n", line)
+		}
+	}
+	for _, line := range now {
+		if !slices.Contains(old, line) {
+			_, _ = fmt.Fprintf(s.out, "+ %s\n", line)
+		}
+	}
+}
+
+type configApplyCmd struct {
+	adminFlags
+	sourceFlags
+	Edited   kwid.Revision `required:"" help:"The revision that was edited; 0 for the first."`
+	ChangeID string        `help:"Name of this change; give the same name again to learn the outcome of a lost answer."`
+}
+
+// Run applies the declaration and waits until it is in force everywhere.
+func (c *configApplyCmd) Run(s *streams) error {
+	src, _, err := c.load()
+	if err != nil {
+		return err
+	}
+	if c.ChangeID == "" {
+		c.ChangeID = uuid.NewString()
+	}
+	body := kwcontrol.ConfigBody{
+		Revision: c.Edited,
+		ChangeID: c.ChangeID,
+		Base:     kwcontrol.FileBody(src.Base),
+		WaitMS:   (c.Timeout - c.Timeout/10).Milliseconds(),
+	}
+	for _, o := range src.Overlays {
+		body.Overlays = append(body.Overlays, kwcontrol.FileBody(o))
+	}
+	var out kwcontrol.ApplyReply
+	if err := c.call(http.MethodPost, "/admin/config", body, &out); err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(s.out, "change %s accepted as revision %d; in force everywhere: %t\n", c.ChangeID, out.Revision, out.InForce)
+	return nil
+}
+
+type configShowCmd struct {
+	adminFlags
+}
+
+// Run prints the files in force.
+func (c *configShowCmd) Run(s *streams) error {
+	var out kwcontrol.ConfigBody
+	if err := c.call(http.MethodGet, "/admin/config", nil, &out); err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(s.out, "# revision %d\n# base %s\n%s\n", out.Revision, out.Base.Name, out.Base.Text)
+	for _, o := range out.Overlays {
+		_, _ = fmt.Fprintf(s.out, "# overlay %s\n%s\n", o.Name, o.Text)
+	}
+	return nil
+}
--- /dev/null
+++ b/commands/doc.go
@@ -0,0 +1,2 @@
+// Package commands is the command line: one file a command.
+package commands
--- /dev/null
+++ b/commands/keys.go
@@ -0,0 +1,85 @@
+package commands
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"time"
+
+	"knapweedproxy/core/kwcode"
+	"knapweedproxy/core/kwid"
+	"knapweedproxy/io/kwkeys"
+)
+
+type keysCmd struct {
+	Init  keysInitCmd  `cmd:"" help:"Make the fleet's certificate authority."`
+	Issue keysIssueCmd `cmd:"" help:"Issue or renew the key of a process; running processes take a renewed key up by themselves."`
+	List  keysListCmd  `cmd:"" help:"List the keys with their expiry."`
+	Token keysTokenCmd `cmd:"" help:"Make a bearer token and the digest for the settings."`
+}
+
+type keysInitCmd struct {
+	Folder string `required:"" type:"path" help:"The key folder."`
+}
+
+// Run makes the authority.
+func (c *keysInitCmd) Run(s *streams) error {
+	if err := kwkeys.Init(c.Folder, time.Now()); err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(s.out, "authority made in %s; keep %s away from every VM\n", c.Folder, kwkeys.AuthorityKey)
+	return nil
+}
+
+type keysIssueCmd struct {
+	Folder   string        `required:"" type:"path" help:"The key folder."`
+	Node     kwid.NodeID   `required:"" help:"The process's node name."`
+	Role     kwkeys.Role   `required:"" enum:"entry,control,agent" help:"The process's role: entry, control or agent."`
+	Validity time.Duration `default:"2160h" help:"How long the key is valid."`
+}
+
+// Run issues a key.
+func (c *keysIssueCmd) Run(s *streams) error {
+	if c.Validity <= 0 {
+		return kwcode.New(kwcode.Usage, "--validity: want more than 0")
+	}
+	req := kwkeys.Request{Folder: c.Folder, Node: c.Node, Role: c.Role, Validity: c.Validity}
+	if err := kwkeys.Issue(req, time.Now()); err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(s.out, "key of %s (%s) issued, valid for %s\n", c.Node, c.Role, c.Validity)
+	return nil
+}
+
+type keysListCmd struct {
+	Folder string `required:"" type:"path" help:"The key folder."`
+}
+
+// Run lists the keys.
+func (c *keysListCmd) Run(s *streams) error {
+	all, err := kwkeys.List(c.Folder)
+	if err != nil {
+		return err
+	}
+	for _, id := range all {
+		_, _ = fmt.Fprintf(s.out, "%-24s %-8s expires %s\n", id.Node, id.Role, id.Expires.Format(time.RFC3339))
+	}
+	return nil
+}
+
+type keysTokenCmd struct{}
+
+const tokenBytes = 24
+
+// Run prints a token and its digest.
+func (c *keysTokenCmd) Run(s *streams) error {
+	raw := make([]byte, tokenBytes)
+	if _, err := rand.Read(raw); err != nil {
+		return kwcode.New(kwcode.OperationFailed, "%v", err)
+	}
+	token := hex.EncodeToString(raw)
+	sum := sha256.Sum256([]byte(token))
+	_, _ = fmt.Fprintf(s.out, "token  = %s\nsha256 = %s\n", token, hex.EncodeToString(sum[:]))
+	return nil
+}
--- /dev/null
+++ b/commands/operate.go
@@ -0,0 +1,208 @@
+package commands
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"time"
+
+	"knapweedproxy/core/kwcode"
+	"knapweedproxy/core/kwid"
+	"knapweedproxy/core/kwstate"
+	"knapweedproxy/io/kwcontrol"
+	"knapweedproxy/io/kwevent"
+)
+
+type statusCmd struct {
+	adminFlags
+	JSON bool `help:"Print JSON."`
+}
+
+// Run prints the state of each control process that answers, and the leader's tables.
+func (c *statusCmd) Run(s *streams) error {
+	var leader *kwcontrol.StatusReply
+	var last error
+	for _, base := range c.Admin {
+		var out kwcontrol.StatusReply
+		if err := c.once(http.MethodGet, base+"/admin/status", nil, &out); err != nil {
+			last = err
+			_, _ = fmt.Fprintf(s.err, "%s: %v\n", base, err)
+			continue
+		}
+		if leader == nil || out.Leading {
+			leader = &out
+		}
+	}
+	if leader == nil {
+		return last
+	}
+	if c.JSON {
+		return writeJSON(s.out, leader)
+	}
+	printStatus(s.out, leader)
+	return nil
+}
+
+func writeJSON(w io.Writer, v any) error {
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	if err := enc.Encode(v); err != nil {
+		return kwcode.New(kwcode.OperationFailed, "%v", err)
+	}
+	return nil
+}
+
+func printStatus(w io.Writer, st *kwcontrol.StatusReply) {
+	p := func(format string, args ...any) { _, _ = fmt.Fprintf(w, format, args...) }
+	p("control %s leading=%t term=%d voters=%v learners=%v\n", st.Node, st.Leading, st.Log.Term, st.Log.Members.Voters, st.Log.Members.Learners)
+	p("revision %d  fence %d  open journal rows %d  key expires %s\n", st.Revision, st.Fence, st.OpenRows, st.KeyExpiry.Format(time.RFC3339))
+	if st.Notice != "" {
+		p("NOTICE: %s\n", st.Notice)
+	}
+	p("\nentries:\n")
+	for _, e := range st.Entries {
+		p("  %-16s site=%s revision=%d\n", e.ID, e.Site, e.Revision)
+	}
+	p("\nendpoints:\n")
+	for _, e := range st.Endpoints {
+		holds := "service " + string(e.Service)
+		if e.Model != "" {
+			holds = fmt.Sprintf("%s layers %d-%d", e.Model, e.Layers.From, e.Layers.To-1)
+		}
+		p("  %-20s %-8s %s/%s  %s  load=%d\n", e.ID, e.State, e.Site, e.Zone, holds, e.Load)
+	}
+}
+
+type drainCmd struct {
+	adminFlags
+	Endpoint kwid.EndpointID `arg:"" help:"The endpoint."`
+	Off      bool            `help:"Take the endpoint back into service."`
+}
+
+// Run sets or clears the draining mark.
+func (c *drainCmd) Run(s *streams) error {
+	var out kwcontrol.DrainBody
+	if err := c.call(http.MethodPost, "/admin/drain", kwcontrol.DrainBody{Endpoint: c.Endpoint, On: !c.Off}, &out); err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(s.out, "%s draining: %t\n", out.Endpoint, out.On)
+	return nil
+}
+
+type journalCmd struct {
+	List   journalListCmd   `cmd:"" help:"List journal rows."`
+	Show   journalShowCmd   `cmd:"" help:"Show one journal row."`
+	Settle journalSettleCmd `cmd:"" help:"Settle a row whose outcome is unknown."`
+}
+
+type journalListCmd struct {
+	adminFlags
+	State string `enum:",granted,done,fenced,unknown" default:"" help:"Only rows in this state."`
+}
+
+func (f adminFlags) rows(state string) ([]kwstate.Row, error) {
+	var rows []kwstate.Row
+	err := f.call(http.MethodGet, "/admin/journal?state="+url.QueryEscape(state), nil, &rows)
+	return rows, err
+}
+
+// Run lists the rows.
+func (c *journalListCmd) Run(s *streams) error {
+	rows, err := c.rows(c.State)
+	if err != nil {
+		return err
+	}
+	for _, r := range rows {
+		_, _ = fmt.Fprintf(s.out, "%-8s %s %s %s %s attempt=%d at=%s %s\n", r.State, r.Scope.Workspace, r.Scope.Service, r.Scope.Key, r.Call, r.Grant.Attempt, r.Grant.Endpoint, r.Note)
+	}
+	return nil
+}
+
+// scopeArgs name a journal row.
+type scopeArgs struct {
+	Workspace kwid.WorkspaceName `arg:"" help:"The workspace."`
+	Service   kwid.ServiceName   `arg:"" help:"The service."`
+	Key       string             `arg:"" help:"The key, as journal list shows it."`
+}
+
+func (a scopeArgs) scope() kwstate.Scope {
+	return kwstate.Scope{Workspace: a.Workspace, Service: a.Service, Key: a.Key}
+}
+
+type journalShowCmd struct {
+	adminFlags
+	scopeArgs
+}
+
+// Run shows the row.
+func (c *journalShowCmd) Run(s *streams) error {
+	rows, err := c.rows("")
+	if err != nil {
+		return err
+	}
+	for _, r := range rows {
+		if r.Scope == c.scope() {
+			return writeJSON(s.out, r)
+		}
+	}
+	return kwcode.New(kwcode.NotFound, "no row for key %q", c.Key)
+}
+
+type journalSettleCmd struct {
+	adminFlags
+	scopeArgs
+	Verdict  kwstate.Verdict `required:"" enum:"ran,not-run" help:"What was found: ran, or not-run (the next resend then runs)."`
+	Operator string          `required:"" help:"Who found it."`
+}
+
+// Run settles the row.
+func (c *journalSettleCmd) Run(s *streams) error {
+	var row kwstate.Row
+	body := kwcontrol.SettleBody{Scope: c.scope(), Verdict: c.Verdict, Operator: c.Operator}
+	if err := c.call(http.MethodPost, "/admin/journal/settle", body, &row); err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(s.out, "key %s is now %s\n", row.Scope.Key, row.State)
+	return nil
+}
+
+type timelineCmd struct {
+	Files []string `arg:"" type:"existingfile" help:"The events files of the processes."`
+	JSON  bool     `help:"Print JSON lines."`
+}
+
+// Run merges the files.
+func (c *timelineCmd) Run(s *streams) error {
+	var lists [][]kwevent.Record
+	for _, path := range c.Files {
+		file, err := os.Open(path)
+		if err != nil {
+			return kwcode.New(kwcode.SettingsFile, "%v", err)
+		}
+		records, err := kwevent.Read(path, file)
+		_ = file.Close()
+		if err != nil {
+			return err
+		}
+		lists = append(lists, records)
+	}
+	merged := kwevent.Merge(lists...)
+	if c.JSON {
+		return kwevent.WriteJSON(s.out, merged)
+	}
+	return kwevent.WriteText(s.out, merged)
+}
+
+type versionCmd struct{}
+
+// Version is the release number.
+const Version = "0.1.0"
+
+// Run prints the version.
+func (c *versionCmd) Run(s *streams) error {
+	_, _ = fmt.Fprintf(s.out, "knapweedproxy %s\n", Version)
+	return nil
+}
--- /dev/null
+++ b/commands/root.go
@@ -0,0 +1,103 @@
+package commands
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/alecthomas/kong"
+
+	"knapweedproxy/core/kwcode"
+)
+
+// Exit codes of the program; docs/operators/command-line.md lists them.
+const (
+	ExitOK          = 0
+	ExitFailed      = 1
+	ExitUsage       = 2
+	ExitSettings    = 3
+	ExitRefused     = 4
+	ExitWrongAnswer = 5
+	ExitUnreachable = 6
+)
+
+// Blocks of result codes, by thousands.
+const (
+	blockSize     = 1000
+	blockSettings = 4
+	blockControl  = 5
+	blockWire     = 6
+)
+
+// root is the whole command line.
+type root struct {
+	Demo     demoCmd     `cmd:"" help:"Run a whole small fleet in this process and check what it answers."`
+	Entry    entryCmd    `cmd:"" help:"Run an entry: the role that callers talk to."`
+	Control  controlCmd  `cmd:"" help:"Run a control process: configuration, membership and the idempotency journal."`
+	Agent    agentCmd    `cmd:"" help:"Run the agent beside an endpoint."`
+	StandIn  standInCmd  `cmd:"" help:"Run a stand-in of a model engine or of a records service."`
+	Config   configCmd   `cmd:"" help:"Check, compare, apply and show the fleet declaration."`
+	Keys     keysCmd     `cmd:"" help:"Make the fleet's authority and the keys of its processes."`
+	Status   statusCmd   `cmd:"" help:"Show the state of the fleet."`
+	Drain    drainCmd    `cmd:"" help:"Take an endpoint out of service gracefully, or back in."`
+	Journal  journalCmd  `cmd:"" help:"List, show and settle the calls that must run at most once."`
+	Timeline timelineCmd `cmd:"" help:"Merge the events of all processes into one time line."`
+	Version  versionCmd  `cmd:"" help:"Show the version."`
+}
+
+// streams are where a command writes.
+type streams struct {
+	out io.Writer
+	err io.Writer
+}
+
+// Main runs the program and returns its exit code.
+func Main(args []string, stdout, stderr io.Writer) int {
+	var cli root
+	exited := -1
+	parser, err := kong.New(
+		&cli,
+		kong.Name("knapweedproxy"),
+		kong.Description("A router for language-model pipelines and services over mixed accelerators.\n\nStart with: knapweedproxy demo"),
+		kong.Writers(stdout, stderr),
+		kong.Exit(func(code int) { exited = code }),
+		kong.UsageOnError(),
+		kong.ConfigureHelp(kong.HelpOptions{Compact: true}),
+	)
+	if err != nil {
+		return report(stderr, kwcode.New(kwcode.Usage, "%v", err))
+	}
+	ctx, err := parser.Parse(args)
+	if exited >= 0 {
+		return exited
+	}
+	if err != nil {
+		return report(stderr, kwcode.New(kwcode.Usage, "%v; see knapweedproxy --help", err))
+	}
+	return report(stderr, ctx.Run(&streams{out: stdout, err: stderr}))
+}
+
+// report writes an error and returns its exit code.
+func report(w io.Writer, err error) int {
+	if err == nil {
+		return ExitOK
+	}
+	coded := kwcode.Of(err)
+	_, _ = fmt.Fprintf(w, "knapweedproxy: %s\n", coded.Error())
+	return exitCode(coded.Code)
+}
+
+func exitCode(c kwcode.Code) int {
+	switch {
+	case c == kwcode.Usage:
+		return ExitUsage
+	case c == kwcode.WrongAnswer:
+		return ExitWrongAnswer
+	case c == kwcode.PeerUnreachable:
+		return ExitUnreachable
+	case c/blockSize == blockSettings || c == kwcode.KeyFileBad:
+		return ExitSettings
+	case c/blockSize == blockControl || c/blockSize == 1 || c/blockSize == blockWire:
+		return ExitRefused
+	}
+	return ExitFailed
+}
--- /dev/null
+++ b/commands/standin.go
@@ -0,0 +1,80 @@
+package commands
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"knapweedproxy/core/kwid"
+	"knapweedproxy/io/kwstandin"
+)
+
+type standInCmd struct {
+	Engine  standInEngineCmd  `cmd:"" help:"Run a stand-in of a model engine that holds a range of layers."`
+	Records standInRecordsCmd `cmd:"" help:"Run a stand-in of a records server that counts its writes."`
+}
+
+type standInEngineCmd struct {
+	Listen       string         `default:"127.0.0.1:0" help:"HTTP address."`
+	Model        kwid.ModelName `default:"drafting" help:"Model name."`
+	ModelLayers  int            `default:"12" help:"Layers of the whole model."`
+	FirstLayer   kwid.Layer     `default:"0" help:"First layer that this engine holds."`
+	LastLayer    kwid.Layer     `default:"11" help:"Last layer that this engine holds."`
+	Rate         float64        `default:"4000" help:"Tokens a second at full batches."`
+	MaxBatch     int            `default:"256" help:"Tokens in one iteration."`
+	KVTokens     int            `default:"1048576" help:"KV memory in tokens."`
+	PrefixTokens int            `default:"16384" help:"Prefix cache in tokens."`
+	LoadLag      time.Duration  `default:"200ms" help:"Age of the load report."`
+	ChecksFence  bool           `help:"Refuse orders with an old fencing number."`
+}
+
+// Run serves until an interrupt.
+func (c *standInEngineCmd) Run(s *streams) error {
+	interrupt := onInterrupt()
+	e, err := kwstandin.NewEngine(kwstandin.EngineConfig{
+		Listen:       c.Listen,
+		Model:        c.Model,
+		ModelLayers:  c.ModelLayers,
+		Layers:       kwid.LayerRange{From: c.FirstLayer, To: c.LastLayer + 1},
+		TokenRate:    c.Rate,
+		MaxBatch:     c.MaxBatch,
+		KVTokens:     c.KVTokens,
+		PrefixTokens: c.PrefixTokens,
+		LoadLag:      c.LoadLag,
+		ChecksFence:  c.ChecksFence,
+	})
+	if err != nil {
+		return err
+	}
+	defer e.Close()
+	_, _ = fmt.Fprintln(s.out, e.URL())
+	<-interrupt
+	return nil
+}
+
+type standInRecordsCmd struct {
+	Listen string `default:"127.0.0.1:0" help:"HTTP address."`
+	Name   string `default:"records" help:"Server name."`
+}
+
+// Run serves until an interrupt.
+func (c *standInRecordsCmd) Run(s *streams) error {
+	interrupt := onInterrupt()
+	r, err := kwstandin.NewRecords(kwstandin.RecordsConfig{Listen: c.Listen, Name: c.Name})
+	if err != nil {
+		return err
+	}
+	defer r.Close()
+	_, _ = fmt.Fprintf(s.out, "%s\n%s\n", r.URL(), r.CountsURL())
+	<-interrupt
+	return nil
+}
+
+// onInterrupt returns a channel that gets the signal to stop.
+func onInterrupt() <-chan os.Signal {
+	interrupt := make(chan os.Signal, 1)
+	signal.Notify(interrupt, os.Interrupt, syscall.SIGTERM)
+	return interrupt
+}
--- /dev/null
+++ b/core/kwcall/table.go
@@ -0,0 +1,124 @@
+package kwcall
+
+import (
+	"time"
+
+	"knapweedproxy/core/kwcode"
+	"knapweedproxy/core/kwid"
+	"knapweedproxy/core/kwstate"
+)
+
+// ID names one attempt of one idempotency key.
+type ID struct {
+	Scope   kwstate.Scope
+	Attempt kwid.Attempt
+}
+
+// State is what the agent knows about an attempt.
+type State string
+
+const (
+	// Absent means that the attempt never arrived.
+	Absent State = "absent"
+	// Running means that the call is at the service.
+	Running State = "running"
+	// Done means that the response is kept.
+	Done State = "done"
+	// Fenced means that the attempt has not run and never will.
+	Fenced State = "fenced"
+	// Lost means that the call may have run and its response will not come.
+	Lost State = "lost"
+)
+
+type entry struct {
+	state    State
+	response kwstate.Response
+	expires  time.Time
+}
+
+// Table is the agent's record; it is owned by one lock holder.
+type Table struct {
+	keep    time.Duration
+	entries map[ID]*entry
+	sweep   time.Time
+}
+
+// New returns an empty table that keeps ended attempts for the given time.
+func New(keep time.Duration) *Table {
+	return &Table{keep: keep, entries: make(map[ID]*entry)}
+}
+
+// Begin admits an attempt; false means that it arrived before and must not run again.
+func (t *Table) Begin(now time.Time, id ID) (bool, error) {
+	t.expire(now)
+	e, ok := t.entries[id]
+	if !ok {
+		t.entries[id] = &entry{state: Running}
+		return true, nil
+	}
+	if e.state == Fenced {
+		return false, kwcode.New(kwcode.AttemptFenced, "attempt %d of key %q is fenced", id.Attempt, id.Scope.Key)
+	}
+	return false, nil
+}
+
+// End records the response of a running attempt.
+func (t *Table) End(now time.Time, id ID, response kwstate.Response) {
+	t.entries[id] = &entry{state: Done, response: response, expires: now.Add(t.keep)}
+}
+
+// Abandon records that a running attempt never reached the service.
+func (t *Table) Abandon(now time.Time, id ID) {
+	t.entries[id] = &entry{state: Fenced, expires: now.Add(t.keep)}
+}
+
+// Lose records that a running attempt may have run and will give no response.
+func (t *Table) Lose(now time.Time, id ID) {
+	t.entries[id] = &entry{state: Lost, expires: now.Add(t.keep)}
+}
+
+// Fence bars an attempt that has not arrived and returns what is known of it.
+func (t *Table) Fence(now time.Time, id ID) (State, kwstate.Response) {
+	t.expire(now)
+	e, ok := t.entries[id]
+	if !ok {
+		t.entries[id] = &entry{state: Fenced, expires: now.Add(t.keep)}
+		return Fenced, kwstate.Response{}
+	}
+	return e.state, e.response
+}
+
+// Look returns what is known of an attempt without changing it.
+func (t *Table) Look(id ID) (State, kwstate.Response) {
+	e, ok := t.entries[id]
+	if !ok {
+		return Absent, kwstate.Response{}
+	}
+	return e.state, e.response
+}
+
+// Active returns how many attempts are running.
+func (t *Table) Active() int {
+	n := 0
+	for _, e := range t.entries {
+		if e.state == Running {
+			n++
+		}
+	}
+	return n
+}
+
+// sweepPeriod is the least time between two sweeps of ended attempts.
+const sweepPeriod = time.Minute
+
+func (t *Table) expire(now time.Time) {
+	if now.Before(t.sweep) {
+		return
+	}
+	t.sweep = now.Add(sweepPeriod)
+	for id, e := range t.entries {
+		if e.state != Running && now.After(e.expires) {
+			delete(t.entries, id)
+		}
+	}
+}
--- /dev/null
+++ b/core/kwconfig/fleet.go
@@ -0,0 +1,226 @@
+package kwconfig
+
+import (
+	"strings"
+	"time"
+
+	"knapweedproxy/core/kwid"
+)
+
+// Format is the value of the format key of every fleet file.
+const Format = "knapweedproxy-fleet-1"
+
+// Duration is a time span written with its unit, such as "250ms".
+type Duration time.Duration
+
+// UnmarshalText parses a span; a number without a unit is an error.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	if err != nil {
+		return err
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// MarshalText writes the span with its unit.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
+}
+
+// Std returns the span as a time.Duration.
+func (d Duration) Std() time.Duration {
+	return time.Duration(d)
+}
+
+// RetryRule says whether a service call may be repeated.
+type RetryRule string
+
+const (
+	// Idempotent calls may be sent again after any failure.
+	Idempotent RetryRule = "idempotent"
+	// AtMostOnce calls go through the idempotency journal.
+	AtMostOnce RetryRule = "at-most-once"
+)
+
+// Priority orders requests at an engine.
+type Priority string
+
+const (
+	// Interactive requests go before batch requests.
+	Interactive Priority = "interactive"
+	// Batch requests give way to interactive requests.
+	Batch Priority = "batch"
+)
+
+// Base is the base file that all sites share.
+type Base struct {
+	Format     string      `toml:"format"`
+	Name       string      `toml:"name"`
+	Models     []Model     `toml:"models"`
+	Services   []Service   `toml:"services"`
+	Workspaces []Workspace `toml:"workspaces"`
+}
+
+// Model is a language model that is split by layers.
+type Model struct {
+	Name           kwid.ModelName `toml:"name" cbor:"1,keyasint"`
+	Layers         int            `toml:"layers" cbor:"2,keyasint"`
+	MaxTokens      int            `toml:"max-tokens" cbor:"3,keyasint"`
+	RequestTimeout Duration       `toml:"request-timeout" cbor:"4,keyasint"`
+}
+
+// Service is a plain service that the system routes to.
+type Service struct {
+	Name    kwid.ServiceName `toml:"name" cbor:"1,keyasint"`
+	Timeout Duration         `toml:"timeout" cbor:"2,keyasint"`
+	Calls   []Call           `toml:"calls" cbor:"3,keyasint"`
+}
+
+// Call is one kind of request to a service; a path segment "*" matches any one segment.
+type Call struct {
+	Method       string    `toml:"method" cbor:"1,keyasint"`
+	Path         string    `toml:"path" cbor:"2,keyasint"`
+	Retry        RetryRule `toml:"retry" cbor:"3,keyasint"`
+	RepeatWindow Duration  `toml:"repeat-window" cbor:"4,keyasint"`
+}
+
+// Matches tells whether the call's rule covers a method and a path.
+func (c Call) Matches(method, path string) bool {
+	if c.Method != method {
+		return false
+	}
+	want := strings.Split(strings.Trim(c.Path, "/"), "/")
+	got := strings.Split(strings.Trim(path, "/"), "/")
+	if len(want) != len(got) {
+		return false
+	}
+	for i := range want {
+		if want[i] != "*" && want[i] != got[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// Rule returns the call that covers a method and a path, or false.
+func (s Service) Rule(method, path string) (Call, bool) {
+	for _, call := range s.Calls {
+		if call.Matches(method, path) {
+			return call, true
+		}
+	}
+	return Call{}, false
+}
+
+// Workspace is one caller group with its limits; TokenSHA256 is the hex digest of its bearer token.
+type Workspace struct {
+	Name             kwid.WorkspaceName `toml:"name" cbor:"1,keyasint"`
+	TokenSHA256      string             `toml:"token-sha256" cbor:"2,keyasint"`
+	Weight           int                `toml:"weight" cbor:"3,keyasint"`
+	RequestsInFlight int                `toml:"requests-in-flight" cbor:"4,keyasint"`
+	Priority         Priority           `toml:"priority" cbor:"5,keyasint"`
+}
+
+// Overlay is the file of one site.
+type Overlay struct {
+	Format            string              `toml:"format"`
+	Site              kwid.Site           `toml:"site"`
+	AvailabilityZones []AvailabilityZone  `toml:"availability-zones"`
+	Links             []Link              `toml:"links"`
+	Pools             []Pool              `toml:"pools"`
+	Servers           []ServicePool       `toml:"service-pools"`
+	Workspaces        []WorkspaceOverride `toml:"workspaces"`
+}
+
+// AvailabilityZone is a failure domain inside a site.
+type AvailabilityZone struct {
+	Name kwid.AvailabilityZone `toml:"name" cbor:"1,keyasint"`
+}
+
+// Link is the path between two availability zones, both ways.
+type Link struct {
+	From      kwid.AvailabilityZone `toml:"from" cbor:"1,keyasint"`
+	To        kwid.AvailabilityZone `toml:"to" cbor:"2,keyasint"`
+	Latency   Duration              `toml:"latency" cbor:"3,keyasint"`
+	Bandwidth float64               `toml:"bandwidth-megabits-per-second" cbor:"4,keyasint"`
+}
+
+// Pool is a group of equal model servers that hold the same range of layers.
+type Pool struct {
+	Name             string                `toml:"name" cbor:"1,keyasint"`
+	Model            kwid.ModelName        `toml:"model" cbor:"2,keyasint"`
+	AvailabilityZone kwid.AvailabilityZone `toml:"availability-zone" cbor:"3,keyasint"`
+	Accelerator      string                `toml:"accelerator" cbor:"4,keyasint"`
+	FirstLayer       kwid.Layer            `toml:"first-layer" cbor:"5,keyasint"`
+	LastLayer        kwid.Layer            `toml:"last-layer" cbor:"6,keyasint"`
+	Servers          int                   `toml:"servers" cbor:"7,keyasint"`
+	TokenRate        float64               `toml:"rate-tokens-per-second" cbor:"8,keyasint"`
+}
+
+// Layers returns the pool's layers as a half-open range.
+func (p Pool) Layers() kwid.LayerRange {
+	return kwid.LayerRange{From: p.FirstLayer, To: p.LastLayer + 1}
+}
+
+// ServicePool is a group of equal servers of one service.
+type ServicePool struct {
+	Service          kwid.ServiceName      `toml:"service" cbor:"1,keyasint"`
+	AvailabilityZone kwid.AvailabilityZone `toml:"availability-zone" cbor:"2,keyasint"`
+	Servers          int                   `toml:"servers" cbor:"3,keyasint"`
+}
+
+// WorkspaceOverride changes limits of a workspace at one site; zero fields keep the base value.
+type WorkspaceOverride struct {
+	Name             kwid.WorkspaceName `toml:"name"`
+	Weight           int                `toml:"weight"`
+	RequestsInFlight int                `toml:"requests-in-flight"`
+}
+
+// SiteFleet is the merged and checked declaration of one site.
+type SiteFleet struct {
+	Site              kwid.Site          `cbor:"1,keyasint"`
+	AvailabilityZones []AvailabilityZone `cbor:"2,keyasint"`
+	Links             []Link             `cbor:"3,keyasint"`
+	Pools             []Pool             `cbor:"4,keyasint"`
+	Servers           []ServicePool      `cbor:"5,keyasint"`
+	Workspaces        []Workspace        `cbor:"6,keyasint"`
+}
+
+// Fleet is the whole declaration that a revision carries.
+type Fleet struct {
+	Name     string      `cbor:"1,keyasint"`
+	Models   []Model     `cbor:"2,keyasint"`
+	Services []Service   `cbor:"3,keyasint"`
+	Sites    []SiteFleet `cbor:"4,keyasint"`
+}
+
+// Model returns the named model, or false.
+func (f *Fleet) Model(name kwid.ModelName) (Model, bool) {
+	for _, m := range f.Models {
+		if m.Name == name {
+			return m, true
+		}
+	}
+	return Model{}, false
+}
+
+// Service returns the named service, or false.
+func (f *Fleet) Service(name kwid.ServiceName) (Service, bool) {
+	for _, s := range f.Services {
+		if s.Name == name {
+			return s, true
+		}
+	}
+	return Service{}, false
+}
+
+// SiteOf returns the declaration of a site, or false.
+func (f *Fleet) SiteOf(name kwid.Site) (SiteFleet, bool) {
+	for _, s := range f.Sites {
+		if s.Site == name {
+			return s, true
+		}
+	}
+	return SiteFleet{}, false
+}
--- /dev/null
+++ b/core/kwid/ids.go
@@ -0,0 +1,57 @@
+package kwid
+
+// WorkspaceName identifies a workspace of the fleet declaration.
+type WorkspaceName string
+
+// ServiceName identifies a plain service of the fleet declaration.
+type ServiceName string
+
+// ModelName identifies a language model of the fleet declaration.
+type ModelName string
+
+// NodeID identifies one process of the system.
+type NodeID string
+
+// EndpointID identifies a model server or service server.
+type EndpointID string
+
+// AvailabilityZone names a failure domain inside a site.
+type AvailabilityZone string
+
+// Site names a data centre that has its own overlay file.
+type Site string
+
+// RequestID identifies one caller request over all its attempts.
+type RequestID string
+
+// Attempt counts the tries of one request, starting at 1.
+type Attempt uint32
+
+// Incarnation tells apart successive lives of one process; a later life has a larger number.
+type Incarnation uint64
+
+// Revision numbers accepted fleet configurations, starting at 1.
+type Revision uint64
+
+// Fence is a fencing number; a holder refuses any number below the largest it has seen.
+type Fence uint64
+
+// Layer is the index of a model layer, starting at 0.
+type Layer int
+
+// Position is the index of a token in a sequence, starting at 0.
+type Position int
+
+// Token is an entry of the model's vocabulary.
+type Token uint32
+
+// LayerRange is the half-open range of layers [From, To).
+type LayerRange struct {
+	From Layer `cbor:"1,keyasint" json:"from"`
+	To   Layer `cbor:"2,keyasint" json:"to"`
+}
+
+// Len returns the number of layers in the range.
+func (r LayerRange) Len() int {
+	return int(r.To - r.From)
+}
--- /dev/null
+++ b/core/kwmember/table.go
@@ -0,0 +1,199 @@
+package kwmember
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"knapweedproxy/core/kwcode"
+	"knapweedproxy/core/kwid"
+)
+
+// State is the state of an endpoint.
+type State string
+
+const (
+	// Live endpoints take new work.
+	Live State = "live"
+	// Leaving endpoints finish their work and take no more.
+	Leaving State = "leaving"
+	// Lost endpoints let their lease run out.
+	Lost State = "lost"
+	// Gone endpoints left after a graceful shutdown.
+	Gone State = "gone"
+)
+
+// Endpoint is what an agent announces about its endpoint.
+type Endpoint struct {
+	ID          kwid.EndpointID       `cbor:"1,keyasint" json:"id"`
+	Agent       kwid.NodeID           `cbor:"2,keyasint" json:"agent"`
+	Incarnation kwid.Incarnation      `cbor:"3,keyasint" json:"incarnation"`
+	Address     string                `cbor:"4,keyasint" json:"address"`
+	Site        kwid.Site             `cbor:"5,keyasint" json:"site"`
+	Zone        kwid.AvailabilityZone `cbor:"6,keyasint" json:"availability-zone"`
+	Model       kwid.ModelName        `cbor:"7,keyasint,omitempty" json:"model,omitempty"`
+	Layers      kwid.LayerRange       `cbor:"8,keyasint" json:"layers"`
+	TokenRate   float64               `cbor:"9,keyasint" json:"rate-tokens-per-second"`
+	Service     kwid.ServiceName      `cbor:"10,keyasint,omitempty" json:"service,omitempty"`
+	State       State                 `cbor:"11,keyasint" json:"state"`
+	Load        uint8                 `cbor:"12,keyasint" json:"load"`
+	Version     uint64                `cbor:"13,keyasint" json:"version"`
+}
+
+// Entry is what an entry announces; Seen is the newest view version that it serves with.
+type Entry struct {
+	ID          kwid.NodeID      `cbor:"1,keyasint" json:"id"`
+	Incarnation kwid.Incarnation `cbor:"2,keyasint" json:"incarnation"`
+	Site        kwid.Site        `cbor:"3,keyasint" json:"site"`
+	Revision    kwid.Revision    `cbor:"4,keyasint" json:"revision"`
+	Seen        uint64           `cbor:"5,keyasint" json:"seen-version"`
+}
+
+type endpointRow struct {
+	endpoint Endpoint
+	expires  time.Time
+}
+
+type entryRow struct {
+	entry   Entry
+	expires time.Time
+}
+
+// Config sets the lease spans of endpoints and of entries.
+type Config struct {
+	Lease      time.Duration
+	EntryLease time.Duration
+}
+
+// Table is the membership; it is owned by the control goroutine.
+type Table struct {
+	cfg       Config
+	version   uint64
+	endpoints map[kwid.EndpointID]*endpointRow
+	entries   map[kwid.NodeID]*entryRow
+}
+
+// New returns an empty table.
+func New(cfg Config) *Table {
+	return &Table{
+		cfg:       cfg,
+		endpoints: make(map[kwid.EndpointID]*endpointRow),
+		entries:   make(map[kwid.NodeID]*entryRow),
+	}
+}
+
+// Version rises with every change of an endpoint row.
+func (t *Table) Version() uint64 { return t.version }
+
+// Announce renews an endpoint's lease; drained forces the leaving state. It refuses a smaller incarnation.
+func (t *Table) Announce(now time.Time, e Endpoint, drained bool) error {
+	row, ok := t.endpoints[e.ID]
+	if ok && e.Incarnation < row.endpoint.Incarnation {
+		return kwcode.New(kwcode.WrongIncarnation, "endpoint %q has a newer incarnation", e.ID)
+	}
+	if drained && e.State == Live {
+		e.State = Leaving
+	}
+	if !ok {
+		row = &endpointRow{}
+		t.endpoints[e.ID] = row
+	}
+	row.expires = now.Add(t.cfg.Lease)
+	t.store(row, e)
+	return nil
+}
+
+// store replaces a row and raises the version unless only the load changed.
+func (t *Table) store(row *endpointRow, e Endpoint) {
+	e.Version = row.endpoint.Version
+	loaded := row.endpoint
+	loaded.Load = e.Load
+	if loaded == e {
+		row.endpoint = e
+		return
+	}
+	t.version++
+	e.Version = t.version
+	row.endpoint = e
+}
+
+// Mark sets the state of an endpoint that is known; it returns false otherwise.
+func (t *Table) Mark(id kwid.EndpointID, s State) bool {
+	row, ok := t.endpoints[id]
+	if !ok {
+		return false
+	}
+	e := row.endpoint
+	e.State = s
+	t.store(row, e)
+	return true
+}
+
+// Renew renews an entry's lease.
+func (t *Table) Renew(now time.Time, e Entry) {
+	t.entries[e.ID] = &entryRow{entry: e, expires: now.Add(t.cfg.EntryLease)}
+}
+
+// forgetAfter is how many lease spans a lost or gone endpoint stays listed.
+const forgetAfter = 100
+
+// Expire marks endpoints whose lease ran out as lost and forgets old rows; it returns the newly lost ones.
+func (t *Table) Expire(now time.Time) []Endpoint {
+	var lost []Endpoint
+	for id, row := range t.endpoints {
+		if now.Before(row.expires) {
+			continue
+		}
+		if row.endpoint.State == Live || row.endpoint.State == Leaving {
+			t.Mark(id, Lost)
+			lost = append(lost, row.endpoint)
+		}
+		if now.Sub(row.expires) > forgetAfter*t.cfg.Lease {
+			delete(t.endpoints, id)
+		}
+	}
+	for id, row := range t.entries {
+		if now.After(row.expires) {
+			delete(t.entries, id)
+		}
+	}
+	slices.SortFunc(lost, func(a, b Endpoint) int { return cmp.Compare(a.ID, b.ID) })
+	return lost
+}
+
+// Since returns the endpoint rows that changed after a version, in version order.
+func (t *Table) Since(version uint64) []Endpoint {
+	var out []Endpoint
+	for _, row := range t.endpoints {
+		if row.endpoint.Version > version {
+			out = append(out, row.endpoint)
+		}
+	}
+	slices.SortFunc(out, func(a, b Endpoint) int { return cmp.Compare(a.Version, b.Version) })
+	return out
+}
+
+// Endpoint returns one endpoint row, or false.
+func (t *Table) Endpoint(id kwid.EndpointID) (Endpoint, bool) {
+	row, ok := t.endpoints[id]
+	if !ok {
+		return Endpoint{}, false
+	}
+	return row.endpoint, true
+}
+
+// Entries returns the live entries in id order.
+func (t *Table) Entries() []Entry {
+	out := make([]Entry, 0, len(t.entries))
+	for _, row := range t.entries {
+		out = append(out, row.entry)
+	}
+	slices.SortFunc(out, func(a, b Entry) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+// EntryAlive tells whether an entry holds its lease.
+func (t *Table) EntryAlive(id kwid.NodeID) bool {
+	_, ok := t.entries[id]
+	return ok
+}
--- /dev/null
+++ b/core/kwretry/budget.go
@@ -0,0 +1,72 @@
+package kwretry
+
+import (
+	"sync"
+
+	"knapweedproxy/core/kwcode"
+)
+
+// Config sets the budget: Ratio retries are earned by each first try, up to Burst.
+type Config struct {
+	Ratio float64
+	Burst float64
+}
+
+// DefaultConfig allows one paid retry for five first tries and a burst of 20.
+func DefaultConfig() Config {
+	return Config{Ratio: 0.2, Burst: 20}
+}
+
+// Budget bounds retries to a share of first tries; it is safe for concurrent use.
+type Budget struct {
+	mu     sync.Mutex
+	cfg    Config
+	tokens float64
+}
+
+// NewBudget returns a full Budget.
+func NewBudget(cfg Config) *Budget {
+	return &Budget{cfg: cfg, tokens: cfg.Burst}
+}
+
+// First earns credit for a first try.
+func (b *Budget) First() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens = min(b.cfg.Burst, b.tokens+b.cfg.Ratio)
+}
+
+// Spend takes the credit of one retry, or returns false.
+func (b *Budget) Spend() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// freeTries is how many tries of one request do not draw on the budget, so that one lost endpoint with many
+// requests in progress cuts none of them off.
+const freeTries = 2
+
+// Again takes the credit of the try after the given number of tries, or returns false.
+func (b *Budget) Again(tries int) bool {
+	return tries <= freeTries || b.Spend()
+}
+
+// MaxTries bounds the attempts of one request.
+const MaxTries = 6
+
+// Allowed tells whether a failure may be tried again: the call is idempotent or it provably has not run.
+func Allowed(err error, idempotent bool, tries int) bool {
+	if tries >= MaxTries {
+		return false
+	}
+	if idempotent {
+		return true
+	}
+	coded := kwcode.Of(err)
+	return kwcode.Describe(coded.Code).Outcome == kwcode.NotRun
+}
--- /dev/null
+++ b/core/kwstate/command.go
@@ -0,0 +1,125 @@
+package kwstate
+
+import (
+	"knapweedproxy/core/kwcode"
+	"knapweedproxy/core/kwconfig"
+	"knapweedproxy/core/kwid"
+)
+
+// Command is one log record; exactly one pointer is set. Time is Unix time in milliseconds.
+type Command struct {
+	Time    int64          `cbor:"1,keyasint"`
+	Boot    *Boot          `cbor:"2,keyasint,omitempty"`
+	Apply   *ApplyConfig   `cbor:"3,keyasint,omitempty"`
+	Claim   *Claim         `cbor:"4,keyasint,omitempty"`
+	Outcome *RecordOutcome `cbor:"5,keyasint,omitempty"`
+	Fenced  *RecordFenced  `cbor:"6,keyasint,omitempty"`
+	Unknown *RecordUnknown `cbor:"7,keyasint,omitempty"`
+	Settle  *Settle        `cbor:"8,keyasint,omitempty"`
+	Drain   *Drain         `cbor:"9,keyasint,omitempty"`
+}
+
+// Boot raises the fencing number; a control leader logs it before it gives orders.
+type Boot struct {
+	Node kwid.NodeID `cbor:"1,keyasint"`
+}
+
+// ApplyConfig replaces the fleet declaration if Edited is the present revision.
+type ApplyConfig struct {
+	ChangeID string          `cbor:"1,keyasint"`
+	Edited   kwid.Revision   `cbor:"2,keyasint"`
+	Source   kwconfig.Source `cbor:"3,keyasint"`
+	Digest   string          `cbor:"4,keyasint"`
+}
+
+// Scope names one idempotency key of one workspace at one service.
+type Scope struct {
+	Workspace kwid.WorkspaceName `cbor:"1,keyasint" json:"workspace"`
+	Service   kwid.ServiceName   `cbor:"2,keyasint" json:"service"`
+	Key       string             `cbor:"3,keyasint" json:"key"`
+}
+
+// Grant names who may run an attempt.
+type Grant struct {
+	Attempt     kwid.Attempt     `cbor:"1,keyasint" json:"attempt"`
+	Request     kwid.RequestID   `cbor:"2,keyasint" json:"request"`
+	Entry       kwid.NodeID      `cbor:"3,keyasint" json:"entry"`
+	Agent       kwid.NodeID      `cbor:"4,keyasint" json:"agent"`
+	Address     string           `cbor:"5,keyasint" json:"address"`
+	Endpoint    kwid.EndpointID  `cbor:"6,keyasint" json:"endpoint"`
+	Incarnation kwid.Incarnation `cbor:"7,keyasint" json:"incarnation"`
+}
+
+// Claim asks for the right to run a call once; Window in milliseconds bounds a derived key's life.
+type Claim struct {
+	Scope  Scope  `cbor:"1,keyasint"`
+	Digest string `cbor:"2,keyasint"`
+	Grant  Grant  `cbor:"3,keyasint"`
+	Window int64  `cbor:"4,keyasint,omitempty"`
+	Call   string `cbor:"5,keyasint,omitempty"`
+}
+
+// Header is one header line of a recorded response.
+type Header struct {
+	Name  string `cbor:"1,keyasint" json:"name"`
+	Value string `cbor:"2,keyasint" json:"value"`
+}
+
+// Response is the recorded answer of a call.
+type Response struct {
+	Status  int      `cbor:"1,keyasint" json:"status"`
+	Headers []Header `cbor:"2,keyasint" json:"headers"`
+	Body    []byte   `cbor:"3,keyasint" json:"body"`
+}
+
+// RecordOutcome ends an attempt with the response of the call.
+type RecordOutcome struct {
+	Scope    Scope        `cbor:"1,keyasint"`
+	Attempt  kwid.Attempt `cbor:"2,keyasint"`
+	Response Response     `cbor:"3,keyasint"`
+}
+
+// RecordFenced says that an attempt has not run and never will.
+type RecordFenced struct {
+	Scope   Scope        `cbor:"1,keyasint"`
+	Attempt kwid.Attempt `cbor:"2,keyasint"`
+}
+
+// RecordUnknown says that nobody can tell whether an attempt ran.
+type RecordUnknown struct {
+	Scope   Scope        `cbor:"1,keyasint"`
+	Attempt kwid.Attempt `cbor:"2,keyasint"`
+	Reason  string       `cbor:"3,keyasint"`
+}
+
+// Verdict is an operator's finding about a row whose outcome is unknown.
+type Verdict string
+
+const (
+	// VerdictRan keeps the call from ever running again.
+	VerdictRan Verdict = "ran"
+	// VerdictNotRun lets the next resend run the call.
+	VerdictNotRun Verdict = "not-run"
+)
+
+// Settle ends a row whose outcome is unknown.
+type Settle struct {
+	Scope    Scope   `cbor:"1,keyasint"`
+	Verdict  Verdict `cbor:"2,keyasint"`
+	Operator string  `cbor:"3,keyasint"`
+}
+
+// Drain sets or clears the draining mark of an endpoint.
+type Drain struct {
+	Endpoint kwid.EndpointID `cbor:"1,keyasint"`
+	On       bool            `cbor:"2,keyasint"`
+}
+
+// Reply is the answer to a command; Err is nil on success.
+type Reply struct {
+	Err      *kwcode.Error `cbor:"1,keyasint,omitempty"`
+	Revision kwid.Revision `cbor:"2,keyasint,omitempty"`
+	Row      *Row          `cbor:"3,keyasint,omitempty"`
+	Granted  bool          `cbor:"4,keyasint,omitempty"`
+	Fence    kwid.Fence    `cbor:"5,keyasint,omitempty"`
+}
--- /dev/null
+++ b/core/kwstate/machine.go
@@ -0,0 +1,207 @@
+package kwstate
+
+import (
+	"github.com/fxamacker/cbor/v2"
+
+	"knapweedproxy/core/kwcode"
+	"knapweedproxy/core/kwconfig"
+	"knapweedproxy/core/kwid"
+)
+
+// Config bounds the machine's state.
+type Config struct {
+	// JournalRows is the largest number of rows kept.
+	JournalRows int
+	// KeepMillis is how long an ended row is kept, in milliseconds.
+	KeepMillis int64
+	// ChangeIDs is how many answered change ids are remembered.
+	ChangeIDs int
+}
+
+// DefaultConfig returns the bounds that a control process uses.
+func DefaultConfig() Config {
+	return Config{
+		JournalRows: 200_000,
+		KeepMillis:  24 * 60 * 60 * 1000,
+		ChangeIDs:   10_000,
+	}
+}
+
+// change is the remembered answer to one change id.
+type change struct {
+	ID       string        `cbor:"1,keyasint"`
+	Digest   string        `cbor:"2,keyasint"`
+	Revision kwid.Revision `cbor:"3,keyasint"`
+}
+
+// Machine holds the state; it is owned by one goroutine.
+type Machine struct {
+	cfg      Config
+	applied  uint64
+	fence    kwid.Fence
+	revision kwid.Revision
+	source   kwconfig.Source
+	fleet    *kwconfig.Fleet
+	changes  []change
+	drains   map[kwid.EndpointID]bool
+	journal  *journal
+}
+
+// New returns an empty machine.
+func New(cfg Config) *Machine {
+	return &Machine{
+		cfg:     cfg,
+		drains:  make(map[kwid.EndpointID]bool),
+		journal: newJournal(cfg),
+	}
+}
+
+// Apply runs one command; equal command sequences give equal states and replies.
+func (m *Machine) Apply(c Command) Reply {
+	m.applied++
+	m.journal.expire(c.Time)
+	switch {
+	case c.Boot != nil:
+		m.fence++
+		return Reply{Fence: m.fence}
+	case c.Apply != nil:
+		return m.applyConfig(c.Apply)
+	case c.Claim != nil:
+		return m.journal.claim(c.Time, c.Claim)
+	case c.Outcome != nil:
+		return m.journal.outcome(c.Time, c.Outcome)
+	case c.Fenced != nil:
+		return m.journal.fenced(c.Time, c.Fenced)
+	case c.Unknown != nil:
+		return m.journal.unknown(c.Time, c.Unknown)
+	case c.Settle != nil:
+		return m.journal.settle(c.Time, c.Settle)
+	case c.Drain != nil:
+		return m.drain(c.Drain)
+	}
+	return Reply{Err: kwcode.New(kwcode.UnknownMessage, "the command is empty")}
+}
+
+func (m *Machine) applyConfig(a *ApplyConfig) Reply {
+	for _, old := range m.changes {
+		if old.ID != a.ChangeID {
+			continue
+		}
+		if old.Digest != a.Digest {
+			return Reply{Err: kwcode.New(kwcode.ChangeIDReused, "change %q was used for other content", a.ChangeID)}
+		}
+		return Reply{Revision: old.Revision}
+	}
+	if a.Edited != m.revision {
+		return Reply{
+			Err:      kwcode.New(kwcode.RevisionConflict, "edited revision %d, present revision %d", a.Edited, m.revision),
+			Revision: m.revision,
+		}
+	}
+	fleet, err := kwconfig.Load(a.Source)
+	if err != nil {
+		return Reply{Err: kwcode.Of(err), Revision: m.revision}
+	}
+	m.revision++
+	m.fleet = fleet
+	m.source = a.Source
+	m.remember(change{ID: a.ChangeID, Digest: a.Digest, Revision: m.revision})
+	return Reply{Revision: m.revision}
+}
+
+func (m *Machine) remember(c change) {
+	m.changes = append(m.changes, c)
+	if len(m.changes) > m.cfg.ChangeIDs {
+		m.changes = append([]change(nil), m.changes[1:]...)
+	}
+}
+
+func (m *Machine) drain(d *Drain) Reply {
+	if d.On {
+		m.drains[d.Endpoint] = true
+		return Reply{}
+	}
+	delete(m.drains, d.Endpoint)
+	return Reply{}
+}
+
+// Applied returns how many commands have been applied since the first.
+func (m *Machine) Applied() uint64 { return m.applied }
+
+// Fence returns the present fencing number.
+func (m *Machine) Fence() kwid.Fence { return m.fence }
+
+// Revision returns the present configuration revision; 0 means none yet.
+func (m *Machine) Revision() kwid.Revision { return m.revision }
+
+// Fleet returns the present declaration, or nil; callers must not change it.
+func (m *Machine) Fleet() *kwconfig.Fleet { return m.fleet }
+
+// Source returns the files of the present declaration.
+func (m *Machine) Source() kwconfig.Source { return m.source }
+
+// Draining tells whether an endpoint is marked as draining.
+func (m *Machine) Draining(id kwid.EndpointID) bool { return m.drains[id] }
+
+// Rows returns a copy of the journal rows in claim order.
+func (m *Machine) Rows() []Row { return m.journal.list() }
+
+// Row returns a copy of one journal row, or false.
+func (m *Machine) Row(s Scope) (Row, bool) { return m.journal.get(s) }
+
+// Open returns the rows that have a grant without an outcome, in claim order.
+func (m *Machine) Open() []Row { return m.journal.open() }
+
+// image is the snapshot format.
+type image struct {
+	Applied  uint64            `cbor:"1,keyasint"`
+	Fence    kwid.Fence        `cbor:"2,keyasint"`
+	Revision kwid.Revision     `cbor:"3,keyasint"`
+	Source   kwconfig.Source   `cbor:"4,keyasint"`
+	Changes  []change          `cbor:"5,keyasint"`
+	Drains   []kwid.EndpointID `cbor:"6,keyasint"`
+	Rows     []Row             `cbor:"7,keyasint"`
+}
+
+// Snapshot encodes the whole state.
+func (m *Machine) Snapshot() ([]byte, error) {
+	img := image{
+		Applied:  m.applied,
+		Fence:    m.fence,
+		Revision: m.revision,
+		Source:   m.source,
+		Changes:  m.changes,
+		Rows:     m.journal.list(),
+	}
+	for id := range m.drains {
+		img.Drains = append(img.Drains, id)
+	}
+	return cbor.Marshal(img)
+}
+
+// Restore replaces the state with a snapshot; it returns LogDamaged for bytes it cannot use.
+func (m *Machine) Restore(data []byte) error {
+	var img image
+	if err := cbor.Unmarshal(data, &img); err != nil {
+		return kwcode.New(kwcode.LogDamaged, "the snapshot cannot be decoded: %v", err)
+	}
+	fresh := New(m.cfg)
+	if img.Revision > 0 {
+		fleet, err := kwconfig.Load(img.Source)
+		if err != nil {
+			return kwcode.New(kwcode.LogDamaged, "the snapshot's declaration is not valid: %v", err)
+		}
+		fresh.fleet = fleet
+	}
+	fresh.applied = img.Applied
+	fresh.fence = img.Fence
+	fresh.revision = img.Revision
+	fresh.source = img.Source
+	fresh.changes = img.Changes
+	for _, id := range img.Drains {
+		fresh.drains[id] = true
+	}
+	fresh.journal.load(img.Rows)
+	*m = *fresh
+	return nil
+}
--- /dev/null
+++ b/io/kwagent/calls.go
@@ -0,0 +1,302 @@
+package kwagent
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"knapweedproxy/core/kwcall"
+	"knapweedproxy/core/kwcode"
+	"knapweedproxy/core/kwid"
+	"knapweedproxy/core/kwstate"
+	"knapweedproxy/io/kwcontrol"
+	"knapweedproxy/io/kwevent"
+	"knapweedproxy/io/kwproto"
+)
+
+// headerRequest carries the request id to the service; a service that echoes it gets its answers matched.
+const headerRequest = "X-Request-Id"
+
+const (
+	maxResponse = 4 << 20
+	maxIdle     = 64
+	// lateFactor and lateMin set how long a write's answer is awaited after the caller's timeout.
+	lateFactor = 4
+	lateMin    = 30 * time.Second
+	// crossedWait bounds a lookup's wait for an answer that went elsewhere; the lookup can be repeated.
+	crossedWait = 500 * time.Millisecond
+)
+
+// newTransport returns a transport that never repeats a request: a write gets a connection of its own.
+func newTransport(single bool) *http.Transport {
+	return &http.Transport{
+		Proxy:               nil,
+		DisableKeepAlives:   single,
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: maxIdle,
+	}
+}
+
+// onCall carries a service call to the endpoint.
+func (r *Role) onCall(ctx context.Context, first frame, s *stream) error {
+	var req kwproto.Call
+	if err := first.Decode(&req); err != nil {
+		return err
+	}
+	if req.Incarnation != r.incarnation {
+		return r.refused(req.Request, kwcode.New(kwcode.WrongIncarnation, "this is incarnation %d", r.incarnation).At(string(r.cfg.Endpoint)))
+	}
+	if req.Idempotent {
+		return r.lookup(ctx, req, s)
+	}
+	return r.writeOnce(ctx, req, s)
+}
+
+func (r *Role) lookup(ctx context.Context, req kwproto.Call, s *stream) error {
+	if err := r.enter(); err != nil {
+		return r.refused(req.Request, err)
+	}
+	defer r.leave()
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(req.Timeout)*time.Millisecond)
+	defer cancel()
+	response, _, err := r.send(ctx, r.lookups, req)
+	if err != nil {
+		return kwcode.New(kwcode.LookupFailed, "%v", err).At(string(r.cfg.Endpoint))
+	}
+	return s.Send(kwproto.KindReply, kwproto.Called{Response: response, Load: r.load()})
+}
+
+func (r *Role) load() uint8 {
+	return uint8(min(r.Active(), maxLoad))
+}
+
+// writeOnce starts the call on its first arrival and waits for its end; the call goes on when the entry dies.
+func (r *Role) writeOnce(ctx context.Context, req kwproto.Call, s *stream) error {
+	id := kwcall.ID{Scope: req.Scope, Attempt: req.Attempt}
+	ended, err := r.admitWrite(id)
+	if err != nil {
+		return r.refused(req.Request, err)
+	}
+	if ended.fresh {
+		go r.runWrite(id, req, ctx.Done())
+	}
+	select {
+	case <-ended.done:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	r.mu.Lock()
+	state, response := r.calls.Look(id)
+	r.mu.Unlock()
+	return r.answerWrite(s, state, response)
+}
+
+func (r *Role) answerWrite(s *stream, state kwcall.State, response kwstate.Response) error {
+	switch state {
+	case kwcall.Done:
+		return s.Send(kwproto.KindReply, kwproto.Called{Response: response, Load: r.load()})
+	case kwcall.Fenced:
+		return kwcode.New(kwcode.AttemptFenced, "the service took no connection").At(string(r.cfg.Endpoint))
+	}
+	return kwcode.New(kwcode.OutcomeUnknown, "the service gave no answer").At(string(r.cfg.Endpoint))
+}
+
+type admitted struct {
+	fresh bool
+	done  chan struct{}
+}
+
+// admitWrite fences the attempt when the endpoint is leaving, so that its refusal stays true.
+func (r *Role) admitWrite(id kwcall.ID) (admitted, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	fresh, err := r.calls.Begin(time.Now(), id)
+	if err != nil {
+		return admitted{}, err
+	}
+	if !fresh {
+		return admitted{done: r.endedLocked(id)}, nil
+	}
+	if err := r.enterLocked(); err != nil {
+		r.calls.Abandon(time.Now(), id)
+		return admitted{}, err
+	}
+	return admitted{fresh: true, done: r.endedLocked(id)}, nil
+}
+
+// endedLocked returns the channel that closes when an attempt has ended.
+func (r *Role) endedLocked(id kwcall.ID) chan struct{} {
+	ch, ok := r.ended[id]
+	if ok {
+		return ch
+	}
+	ch = make(chan struct{})
+	if state, _ := r.calls.Look(id); state != kwcall.Running {
+		close(ch)
+		return ch
+	}
+	r.ended[id] = ch
+	return ch
+}
+
+// runWrite sends the call and keeps its outcome; if the entry is gone, the outcome goes to the journal from here.
+func (r *Role) runWrite(id kwcall.ID, req kwproto.Call, entryGone <-chan struct{}) {
+	defer r.leave()
+	wait := max(lateMin, lateFactor*time.Duration(req.Timeout)*time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	defer cancel()
+	r.deps.Events.Emit(kwevent.CallStarted, req.Request, kwevent.F("attempt", req.Attempt))
+	response, reached, err := r.send(ctx, r.writes, req)
+	state := r.keepOutcome(id, response, reached, err)
+	r.deps.Events.Emit(kwevent.CallEnded, req.Request, kwevent.F("attempt", req.Attempt), kwevent.F("state", state))
+	select {
+	case <-entryGone:
+		r.reportOutcome(id, state, response)
+	default:
+	}
+}
+
+func (r *Role) keepOutcome(id kwcall.ID, response kwstate.Response, reached bool, err error) kwcall.State {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	switch {
+	case err == nil:
+		r.calls.End(now, id, response)
+	case reached:
+		r.calls.Lose(now, id)
+	default:
+		r.calls.Abandon(now, id)
+	}
+	if ch, ok := r.ended[id]; ok {
+		close(ch)
+		delete(r.ended, id)
+	}
+	state, _ := r.calls.Look(id)
+	return state
+}
+
+const reportTimeout = 30 * time.Second
+
+func (r *Role) reportOutcome(id kwcall.ID, state kwcall.State, response kwstate.Response) {
+	if state != kwcall.Done {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+	defer cancel()
+	command := kwstate.Command{Outcome: &kwstate.RecordOutcome{Scope: id.Scope, Attempt: id.Attempt, Response: response}}
+	_ = r.control.Call(ctx, kwproto.KindPropose, kwproto.Propose{Command: command}, &kwstate.Reply{})
+}
+
+// send makes one HTTP exchange; reached tells whether any of the request may have arrived at the service.
+func (r *Role) send(ctx context.Context, transport *http.Transport, req kwproto.Call) (kwstate.Response, bool, error) {
+	var reached atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { reached.Store(true) }}
+	url := r.cfg.ServiceURL + req.Path
+	if req.Query != "" {
+		url += "?" + req.Query
+	}
+	out, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), req.Method, url, bytes.NewReader(req.Body))
+	if err != nil {
+		return kwstate.Response{}, false, kwcode.New(kwcode.MalformedRequest, "%v", err)
+	}
+	out.GetBody = nil
+	for _, h := range req.Headers {
+		out.Header.Add(h.Name, h.Value)
+	}
+	wire := wireID(req.Request, req.Attempt)
+	out.Header.Set(headerRequest, wire)
+	mine, forget := r.answers.Expect(wire)
+	defer forget()
+	resp, err := transport.RoundTrip(out)
+	if err != nil {
+		return kwstate.Response{}, reached.Load(), kwcode.New(kwcode.PeerUnreachable, "%v", err)
+	}
+	response, err := readResponse(resp)
+	if err != nil {
+		return kwstate.Response{}, true, err
+	}
+	if req.Idempotent {
+		short, cancel := context.WithTimeout(ctx, crossedWait)
+		defer cancel()
+		ctx = short
+	}
+	return r.own(ctx, wire, resp.Header.Get(headerRequest), response, mine)
+}
+
+// wireID names one attempt towards the service.
+func wireID(request kwid.RequestID, attempt kwid.Attempt) string {
+	if attempt <= 1 {
+		return string(request)
+	}
+	return string(request) + "-" + strconv.Itoa(int(attempt))
+}
+
+// own returns the answer that names this request; an answer that names another goes to its owner.
+func (r *Role) own(ctx context.Context, wire, echo string, response kwstate.Response, mine <-chan kwstate.Response) (kwstate.Response, bool, error) {
+	if echo == "" || echo == wire {
+		return response, true, nil
+	}
+	r.crossed(kwid.RequestID(echo))
+	r.answers.Deliver(echo, response)
+	select {
+	case got := <-mine:
+		return got, true, nil
+	case <-ctx.Done():
+		return kwstate.Response{}, true, kwcode.New(kwcode.OutcomeUnknown, "the answer belonged to %q", echo)
+	}
+}
+
+func readResponse(resp *http.Response) (kwstate.Response, error) {
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponse+1))
+	if err != nil {
+		return kwstate.Response{}, kwcode.New(kwcode.OutcomeUnknown, "%v", err)
+	}
+	if len(body) > maxResponse {
+		return kwstate.Response{}, kwcode.New(kwcode.OutcomeUnknown, "the answer is over %d bytes", maxResponse)
+	}
+	out := kwstate.Response{Status: resp.StatusCode, Body: body}
+	for name, values := range resp.Header {
+		if hopByHop(name) {
+			continue
+		}
+		for _, v := range values {
+			out.Headers = append(out.Headers, kwstate.Header{Name: name, Value: v})
+		}
+	}
+	return out, nil
+}
+
+// hopByHop tells whether a header belongs to one connection only.
+func hopByHop(name string) bool {
+	switch http.CanonicalHeaderKey(name) {
+	case "Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+		"Transfer-Encoding", "Upgrade", "Content-Length", headerRequest:
+		return true
+	}
+	return false
+}
+
+// onFence bars an attempt that has not arrived, or tells what became of it.
+func (r *Role) onFence(_ context.Context, first frame, s *stream) error {
+	var req kwproto.Fence
+	if err := first.Decode(&req); err != nil {
+		return err
+	}
+	if req.Incarnation != r.incarnation {
+		return s.Send(kwproto.KindReply, kwproto.Fenced{State: kwcontrol.StateRestarted})
+	}
+	r.mu.Lock()
+	state, response := r.calls.Fence(time.Now(), kwcall.ID{Scope: req.Scope, Attempt: req.Attempt})
+	r.mu.Unlock()
+	if state == kwcall.Fenced {
+		r.deps.Events.Emit(kwevent.AttemptFenced, "", kwevent.F("key", req.Scope.Key), kwevent.F("attempt", req.Attempt))
+	}
+	return s.Send(kwproto.KindReply, kwproto.Fenced{State: string(state), Response: response})
+}
--- /dev/null
+++ b/io/kwagent/work.go
@@ -0,0 +1,123 @@
+package kwagent
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"knapweedproxy/core/kwcode"
+	"knapweedproxy/core/kwid"
+	"knapweedproxy/core/kwroute"
+	"knapweedproxy/core/kwstep"
+	"knapweedproxy/io/kwengine"
+	"knapweedproxy/io/kwproto"
+)
+
+// returnKey names the return path of one attempt.
+type returnKey struct {
+	request kwid.RequestID
+	attempt kwid.Attempt
+}
+
+// work is one attempt of a request at this stage.
+type work struct {
+	request kwid.RequestID
+	attempt kwid.Attempt
+	cancel  context.CancelCauseFunc
+	mu      sync.Mutex
+	seq     *kwstep.Sequence
+	reply   kwengine.StepReply
+	running bool
+}
+
+// begin registers an attempt; it replaces an older attempt and refuses an attempt that is not newer.
+func (r *Role) begin(request kwid.RequestID, attempt kwid.Attempt, mine kwroute.Stage, cancel context.CancelCauseFunc) (*work, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if mine.Endpoint != r.cfg.Endpoint || mine.Incarnation != r.incarnation {
+		return nil, kwcode.New(kwcode.WrongIncarnation, "this is incarnation %d of %q", r.incarnation, r.cfg.Endpoint).At(string(mine.Endpoint))
+	}
+	if mine.Layers != r.info.Layers {
+		return nil, kwcode.New(kwcode.WrongIncarnation, "endpoint %q holds other layers now", r.cfg.Endpoint).At(string(mine.Endpoint))
+	}
+	old, ok := r.work[request]
+	if ok && old.attempt >= attempt {
+		return nil, kwcode.New(kwcode.AttemptFenced, "attempt %d, present attempt %d", attempt, old.attempt)
+	}
+	if err := r.enterLocked(); err != nil {
+		return nil, err
+	}
+	if ok {
+		old.cancel(kwcode.New(kwcode.OldAttempt, "attempt %d replaced attempt %d", attempt, old.attempt))
+	}
+	w := &work{request: request, attempt: attempt, cancel: cancel, seq: kwstep.New(mine.Layers, attempt)}
+	r.work[request] = w
+	return w, nil
+}
+
+const cancelTimeout = 2 * time.Second
+
+// end forgets an attempt and frees the engine's memory of it.
+func (r *Role) end(w *work) {
+	r.mu.Lock()
+	if r.work[w.request] == w {
+		delete(r.work, w.request)
+	}
+	r.mu.Unlock()
+	go func() {
+		defer r.leave()
+		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+		defer cancel()
+		_ = r.engine.Cancel(ctx, w.request, w.attempt)
+	}()
+}
+
+// step runs a step at the engine if it is the next one; a repeat gets the last result.
+func (r *Role) step(ctx context.Context, w *work, in kwengine.StepRequest, count int) (kwengine.StepReply, error) {
+	w.mu.Lock()
+	verdict, err := w.seq.Admit(kwstep.Step{Attempt: in.Attempt, Position: in.Position, Count: count, Layer: in.Layer})
+	reply := w.reply
+	w.running = err == nil && verdict == kwstep.Run
+	w.mu.Unlock()
+	if err != nil {
+		return reply, err
+	}
+	if verdict == kwstep.Replay {
+		return reply, nil
+	}
+	reply, err = r.engine.Step(ctx, in)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.running = false
+	if err != nil {
+		return reply, kwcode.Of(err).At(string(r.cfg.Endpoint))
+	}
+	w.seq.Done()
+	w.reply = reply
+	return reply, nil
+}
+
+// onProbe tells how far an attempt has come here and whether the engine answers.
+func (r *Role) onProbe(ctx context.Context, first frame, s *stream) error {
+	var req kwproto.Probe
+	if err := first.Decode(&req); err != nil {
+		return err
+	}
+	return s.Send(kwproto.KindReply, r.probe(ctx, req))
+}
+
+func (r *Role) probe(ctx context.Context, req kwproto.Probe) kwproto.Probed {
+	var out kwproto.Probed
+	r.mu.Lock()
+	w, ok := r.work[req.Request]
+	r.mu.Unlock()
+	if ok && w.attempt == req.Attempt {
+		w.mu.Lock()
+		out.Next = w.seq.Next()
+		out.Running = w.running
+		w.mu.Unlock()
+	}
+	_, err := r.engine.Load(ctx)
+	out.EngineAlive = err == nil
+	return out
+}
--- /dev/null
+++ b/io/kwapp/app.go
@@ -0,0 +1,214 @@
+package kwapp
+
+import (
+	"context"
+	"io"
+	"os"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/go-logr/zapr"
+	"go.uber.org/fx"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"knapweedproxy/core/kwclock"
+	"knapweedproxy/core/kwcode"
+	"knapweedproxy/core/kwlog"
+	"knapweedproxy/core/kwretry"
+	"knapweedproxy/core/kwroute"
+	"knapweedproxy/core/kwstate"
+	"knapweedproxy/io/kwagent"
+	"knapweedproxy/io/kwcontrol"
+	"knapweedproxy/io/kwentry"
+	"knapweedproxy/io/kwevent"
+	"knapweedproxy/io/kwkeys"
+	"knapweedproxy/io/kwsettings"
+)
+
+// Options are the flags of a process beside its settings.
+type Options struct {
+	Verbose   bool
+	Bootstrap bool
+}
+
+// role is the part of every role that a process needs.
+type role interface {
+	Start()
+	Stop()
+	Done() <-chan error
+}
+
+// stopTimeout bounds the graceful shutdown of a whole process.
+const stopTimeout = 5 * time.Minute
+
+// Run serves one role until an interrupt or a failure; the error tells why the role ended by itself.
+func Run(p *kwsettings.Process, opts Options) error {
+	var failed error
+	app := fx.New(
+		fx.NopLogger,
+		fx.StopTimeout(stopTimeout),
+		fx.Supply(p, opts),
+		fx.Provide(NewLogger, newClock, newKeys, newEvents, newRole),
+		fx.Invoke(func(lc fx.Lifecycle, r role, stop fx.Shutdowner) { attach(lc, r, stop, &failed) }),
+	)
+	if err := app.Err(); err != nil {
+		return kwcode.Of(err)
+	}
+	app.Run()
+	return failed
+}
+
+// attach ties the role to the process's life; a role that ends by itself ends the process.
+func attach(lc fx.Lifecycle, r role, stop fx.Shutdowner, failed *error) {
+	stopping := make(chan struct{})
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			r.Start()
+			go func() {
+				select {
+				case *failed = <-r.Done():
+					_ = stop.Shutdown()
+				case <-stopping:
+				}
+			}()
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			close(stopping)
+			r.Stop()
+			return nil
+		},
+	})
+}
+
+// NewLogger returns a logger that writes JSON lines to standard error.
+func NewLogger(opts Options) logr.Logger {
+	level := zapcore.InfoLevel
+	if opts.Verbose {
+		level = zapcore.DebugLevel
+	}
+	enc := zap.NewProductionEncoderConfig()
+	enc.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(enc), zapcore.Lock(os.Stderr), level)
+	return zapr.NewLogger(zap.New(core))
+}
+
+func newClock() *kwclock.Clock {
+	return kwclock.New(kwclock.Config{})
+}
+
+func newKeys(p *kwsettings.Process) (*kwkeys.Store, error) {
+	store, err := kwkeys.Open(kwkeys.Config(p.TLS))
+	if err != nil {
+		return nil, err
+	}
+	self := store.Self()
+	if self.Node != p.Node || self.Role != p.Role {
+		return nil, kwcode.New(kwcode.KeyFileBad, "%s is for node %q as %q, the settings say %q as %q",
+			p.TLS.Certificate, self.Node, self.Role, p.Node, p.Role)
+	}
+	return store, nil
+}
+
+const eventsMode = 0o600
+
+// keyWarning is how long before its expiry a certificate is reported.
+const keyWarning = 14 * 24 * time.Hour
+
+func newEvents(lc fx.Lifecycle, p *kwsettings.Process, keys *kwkeys.Store, clock *kwclock.Clock, log logr.Logger) (*kwevent.Emitter, error) {
+	var file io.Writer
+	if p.EventsFile != "" {
+		f, err := os.OpenFile(p.EventsFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, eventsMode)
+		if err != nil {
+			return nil, kwcode.New(kwcode.SettingsFile, "%v", err)
+		}
+		lc.Append(fx.Hook{OnStop: func(context.Context) error { return f.Close() }})
+		file = f
+	}
+	events := kwevent.New(kwevent.Config{Node: p.Node, Clock: clock, Log: log, File: file})
+	if left := time.Until(keys.Self().Expires); left < keyWarning {
+		events.Emit(kwevent.KeyExpires, "", kwevent.F("in", left.String()))
+	}
+	return events, nil
+}
+
+func newRole(p *kwsettings.Process, opts Options, keys *kwkeys.Store, clock *kwclock.Clock, events *kwevent.Emitter) (role, error) {
+	switch p.Role {
+	case kwkeys.RoleEntry:
+		return kwentry.New(entryConfig(p), kwentry.Deps{Keys: keys, Clock: clock, Events: events})
+	case kwkeys.RoleAgent:
+		return kwagent.New(agentConfig(p), kwagent.Deps{Keys: keys, Clock: clock, Events: events})
+	default:
+		return kwcontrol.New(controlConfig(p, opts), kwcontrol.Deps{Keys: keys, Clock: clock, Events: events})
+	}
+}
+
+// or returns the first span that is set.
+func or(d, usual time.Duration) time.Duration {
+	if d > 0 {
+		return d
+	}
+	return usual
+}
+
+func entryConfig(p *kwsettings.Process) kwentry.Config {
+	e := p.Entry
+	cfg := kwentry.Config{
+		Node:         p.Node,
+		Listen:       p.Listen,
+		HTTPListen:   e.HTTPListen,
+		Site:         p.Site,
+		Zone:         p.AvailabilityZone,
+		Control:      e.Control,
+		ViewLease:    or(e.ViewLease.Std(), kwentry.DefaultViewLease),
+		Renew:        or(e.Renew.Std(), kwentry.DefaultRenew),
+		InFlight:     e.InFlight,
+		StepTimeout:  kwentry.DefaultStepTimeout,
+		DrainTimeout: or(e.DrainTimeout.Std(), kwentry.DefaultDrainTimeout),
+		Policy:       kwroute.FlowTwoChoice,
+		Seed:         uint64(time.Now().UnixNano()),
+		Retry:        kwretry.DefaultConfig(),
+		Eject:        kwretry.DefaultEjectConfig(),
+	}
+	if cfg.InFlight == 0 {
+		cfg.InFlight = kwentry.DefaultInFlight
+	}
+	return cfg
+}
+
+func agentConfig(p *kwsettings.Process) kwagent.Config {
+	a := p.Agent
+	return kwagent.Config{
+		Node:         p.Node,
+		Listen:       p.Listen,
+		Endpoint:     a.Endpoint,
+		Site:         p.Site,
+		Zone:         p.AvailabilityZone,
+		Control:      a.Control,
+		EngineURL:    a.EngineURL,
+		ServiceURL:   a.ServiceURL,
+		Service:      a.Service,
+		Announce:     or(a.Announce.Std(), kwagent.DefaultAnnounce),
+		StepTimeout:  kwagent.DefaultStepTimeout,
+		DrainTimeout: or(a.DrainTimeout.Std(), kwagent.DefaultDrainTimeout),
+	}
+}
+
+func controlConfig(p *kwsettings.Process, opts Options) kwcontrol.Config {
+	cfg := kwcontrol.Config{
+		Node:             p.Node,
+		Listen:           p.Listen,
+		AdminListen:      p.Control.AdminListen,
+		AdminTokenSHA256: p.Control.AdminTokenSHA256,
+		DataFolder:       p.DataFolder,
+		Bootstrap:        opts.Bootstrap,
+		Timing:           kwcontrol.DefaultTiming(),
+		State:            kwstate.DefaultConfig(),
+		Log:              kwlog.DefaultConfig("", uint64(time.Now().UnixNano())),
+	}
+	for _, peer := range p.Control.Peers {
+		cfg.Peers = append(cfg.Peers, kwcontrol.Peer{Node: peer.Node, Address: peer.Listen})
+	}
+	return cfg
+}
--- /dev/null
+++ b/io/kwcontrol/admin.go
@@ -0,0 +1,327 @@
+package kwcontrol
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	"knapweedproxy/core/kwboard"
+	"knapweedproxy/core/kwcode"
+	"knapweedproxy/core/kwconfig"
+	"knapweedproxy/core/kwid"
+	"knapweedproxy/core/kwlog"
+	"knapweedproxy/core/kwmember"
+	"knapweedproxy/core/kwstate"
+	"knapweedproxy/io/kwevent"
+)
+
+// MaxAdminBody is the largest body of an operator's request, in bytes.
+const MaxAdminBody = 4 << 20
+
+// StatusReply is what operators see of a control process.
+type StatusReply struct {
+	Node      kwid.NodeID         `json:"node"`
+	Leading   bool                `json:"leading"`
+	Log       kwlog.Status        `json:"log"`
+	Revision  kwid.Revision       `json:"revision"`
+	Fence     kwid.Fence          `json:"fence"`
+	Endpoints []kwmember.Endpoint `json:"endpoints"`
+	Entries   []kwmember.Entry    `json:"entries"`
+	OpenRows  int                 `json:"open-rows"`
+	KeyExpiry time.Time           `json:"key-expires"`
+	Notice    string              `json:"notice,omitempty"`
+}
+
+// FileBody is one settings file in an operator's request.
+type FileBody struct {
+	Name string `json:"name"`
+	Text string `json:"text"`
+}
+
+// ConfigBody carries a whole fleet declaration.
+type ConfigBody struct {
+	Revision kwid.Revision `json:"revision"`
+	ChangeID string        `json:"change-id,omitempty"`
+	Base     FileBody      `json:"base"`
+	Overlays []FileBody    `json:"overlays"`
+	WaitMS   int64         `json:"wait-ms,omitempty"`
+}
+
+// ApplyReply answers an accepted change; InForce tells whether every entry serves with it.
+type ApplyReply struct {
+	Revision kwid.Revision `json:"revision"`
+	InForce  bool          `json:"in-force"`
+}
+
+// DrainBody names an endpoint to drain or to take back.
+type DrainBody struct {
+	Endpoint kwid.EndpointID `json:"endpoint"`
+	On       bool            `json:"on"`
+}
+
+// SettleBody carries an operator's verdict on a journal row.
+type SettleBody struct {
+	Scope    kwstate.Scope   `json:"scope"`
+	Verdict  kwstate.Verdict `json:"verdict"`
+	Operator string          `json:"operator"`
+}
+
+// ErrorReply is the body of every refused operator request.
+type ErrorReply struct {
+	Error ErrorDetail `json:"error"`
+}
+
+// ErrorDetail names the result code.
+type ErrorDetail struct {
+	Code    kwcode.Code    `json:"code"`
+	Name    string         `json:"name"`
+	Message string         `json:"message"`
+	Outcome kwcode.Outcome `json:"outcome"`
+}
+
+// NewErrorDetail describes an error for a JSON body.
+func NewErrorDetail(err *kwcode.Error) ErrorDetail {
+	info := kwcode.Describe(err.Code)
+	return ErrorDetail{Code: err.Code, Name: info.Name, Message: err.Detail, Outcome: info.Outcome}
+}
+
+func (r *Role) adminHandler() http.Handler {
+	gin.SetMode(gin.ReleaseMode)
+	g := gin.New()
+	g.Use(gin.Recovery())
+	g.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
+	g.GET("/readyz", r.onReady)
+	auth := g.Group("/admin", r.checkToken)
+	auth.GET("/status", r.onStatus)
+	auth.GET("/config", r.onShowConfig)
+	auth.POST("/config", r.onApplyConfig)
+	auth.POST("/drain", r.onDrain)
+	auth.GET("/journal", r.onJournal)
+	auth.POST("/journal/settle", r.onSettle)
+	auth.GET("/events", r.onEvents)
+	return g
+}
+
+func refuse(c *gin.Context, err error) {
+	coded := kwcode.Of(err)
+	status := kwcode.Describe(coded.Code).Status
+	if status == 0 {
+		status = http.StatusBadRequest
+	}
+	c.AbortWithStatusJSON(status, ErrorReply{Error: NewErrorDetail(coded)})
+}
+
+// checkToken admits operators by bearer token; no configured token admits everyone who reaches the listener.
+func (r *Role) checkToken(c *gin.Context) {
+	if r.cfg.AdminTokenSHA256 == "" {
+		return
+	}
+	token, _ := strings.CutPrefix(c.GetHeader("Authorization"), "Bearer ")
+	sum := sha256.Sum256([]byte(token))
+	got := hex.EncodeToString(sum[:])
+	if subtle.ConstantTimeCompare([]byte(got), []byte(r.cfg.AdminTokenSHA256)) != 1 {
+		refuse(c, kwcode.New(kwcode.Unauthenticated, "the admin token is wrong"))
+	}
+}
+
+// stallLimit is how long the control loop may be silent before the process is not ready.
+const stallLimit = 2 * time.Second
+
+// onReady asserts that the control loop runs, and that this member belongs to a cluster with a leader.
+func (r *Role) onReady(c *gin.Context) {
+	if time.Since(r.loop.Alive()) > stallLimit {
+		c.String(http.StatusServiceUnavailable, "the control loop is stalled\n")
+		return
+	}
+	var leader kwid.NodeID
+	r.loop.Log(func(_ time.Time, n *kwlog.Node) { leader = n.Status().Leader })
+	if leader == "" {
+		c.String(http.StatusServiceUnavailable, "no leader is known\n")
+		return
+	}
+	c.String(http.StatusOK, "ready\n")
+}
+
+func (r *Role) onStatus(c *gin.Context) {
+	out := StatusReply{Node: r.cfg.Node, KeyExpiry: r.deps.Keys.Self().Expires}
+	r.loop.Do(func(_ time.Time, b *kwboard.Board) {
+		out.Leading = b.Leading
+		out.Revision = b.State.Revision()
+		out.Fence = b.State.Fence()
+		out.Endpoints = b.Members.Since(0)
+		out.Entries = b.Members.Entries()
+		out.OpenRows = len(b.State.Open())
+		out.Log = r.loop.raft.Status()
+	})
+	if len(out.Log.Members.Voters) == 1 {
+		out.Notice = "one control process: losing its disk loses the journal and the configuration"
+	}
+	c.JSON(http.StatusOK, out)
+}
+
+func (r *Role) onShowConfig(c *gin.Context) {
+	var out ConfigBody
+	err := r.loop.Lead(func(_ time.Time, b *kwboard.Board) {
+		src := b.State.Source()
+		out.Revision = b.State.Revision()
+		out.Base = FileBody(src.Base)
+		for _, o := range src.Overlays {
+			out.Overlays = append(out.Overlays, FileBody(o))
+		}
+	})
+	if err != nil {
+		refuse(c, err)
+		return
+	}
+	c.JSON(http.StatusOK, out)
+}
+
+func bind(c *gin.Context, out any) bool {
+	c.Request.Body = http.MaxBytesReader(c.Writer, c.Request.Body, MaxAdminBody)
+	if err := c.ShouldBindJSON(out); err != nil {
+		refuse(c, kwcode.New(kwcode.MalformedRequest, "%v", err))
+		return false
+	}
+	return true
+}
+
+func (r *Role) onApplyConfig(c *gin.Context) {
+	var body ConfigBody
+	if !bind(c, &body) {
+		return
+	}
+	if body.ChangeID == "" {
+		refuse(c, kwcode.New(kwcode.MalformedRequest, "a change needs a change-id"))
+		return
+	}
+	apply := &kwstate.ApplyConfig{ChangeID: body.ChangeID, Edited: body.Revision, Source: body.source()}
+	apply.Digest = digest(apply)
+	if _, err := kwconfig.Load(apply.Source); err != nil {
+		refuse(c, err)
+		return
+	}
+	reply := r.loop.Propose(c.Request.Context(), kwstate.Command{Apply: apply})
+	if reply.Err != nil {
+		refuse(c, reply.Err)
+		return
+	}
+	out := ApplyReply{Revision: reply.Revision}
+	out.InForce = r.waitInForce(c.Request.Context(), reply.Revision, time.Duration(body.WaitMS)*time.Millisecond)
+	c.JSON(http.StatusOK, out)
+}
+
+func (b ConfigBody) source() kwconfig.Source {
+	src := kwconfig.Source{Base: kwconfig.File(b.Base)}
+	for _, o := range b.Overlays {
+		src.Overlays = append(src.Overlays, kwconfig.File(o))
+	}
+	return src
+}
+
+func digest(a *kwstate.ApplyConfig) string {
+	h := sha256.New()
+	for _, f := range append([]kwconfig.File{a.Source.Base}, a.Source.Overlays...) {
+		sum := sha256.Sum256([]byte(f.Name + "\x00" + f.Text))
+		h.Write(sum[:])
+	}
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+const forcePeriod = 25 * time.Millisecond
+
+// waitInForce waits until each entry has seen a revision or can no longer serve without it.
+func (r *Role) waitInForce(ctx context.Context, revision kwid.Revision, wait time.Duration) bool {
+	deadline := time.Now().Add(wait)
+	for {
+		if r.inForce(revision) {
+			return true
+		}
+		if time.Now().After(deadline) || ctx.Err() != nil {
+			return false
+		}
+		time.Sleep(forcePeriod)
+	}
+}
+
+// inForce needs a full entry lease since the leader took over: only then has every entry that it does not know stopped serving.
+func (r *Role) inForce(revision kwid.Revision) bool {
+	in := false
+	_ = r.loop.Lead(func(now time.Time, b *kwboard.Board) {
+		known := b.Gather.Add(r.cfg.Timing.EntryLease - r.cfg.Timing.Gather)
+		if now.Before(known) && b.State.Revision() > 1 {
+			return
+		}
+		in = true
+		for _, e := range b.Members.Entries() {
+			in = in && e.Revision >= revision
+		}
+	})
+	return in
+}
+
+func (r *Role) onDrain(c *gin.Context) {
+	var body DrainBody
+	if !bind(c, &body) {
+		return
+	}
+	known := false
+	if err := r.loop.Lead(func(_ time.Time, b *kwboard.Board) { _, known = b.Members.Endpoint(body.Endpoint) }); err != nil {
+		refuse(c, err)
+		return
+	}
+	if !known {
+		refuse(c, kwcode.New(kwcode.NotFound, "no endpoint %q", body.Endpoint))
+		return
+	}
+	reply := r.loop.Propose(c.Request.Context(), kwstate.Command{Drain: &kwstate.Drain{Endpoint: body.Endpoint, On: body.On}})
+	if reply.Err != nil {
+		refuse(c, reply.Err)
+		return
+	}
+	c.JSON(http.StatusOK, body)
+}
+
+func (r *Role) onJournal(c *gin.Context) {
+	rows := []kwstate.Row{}
+	err := r.loop.Lead(func(_ time.Time, b *kwboard.Board) {
+		for _, row := range b.State.Rows() {
+			if c.Query("state") == "" || c.Query("state") == string(row.State) {
+				rows = append(rows, row)
+			}
+		}
+	})
+	if err != nil {
+		refuse(c, err)
+		return
+	}
+	c.JSON(http.StatusOK, rows)
+}
+
+func (r *Role) onSettle(c *gin.Context) {
+	var body SettleBody
+	if !bind(c, &body) {
+		return
+	}
+	if body.Verdict != kwstate.VerdictRan && body.Verdict != kwstate.VerdictNotRun {
+		refuse(c, kwcode.New(kwcode.MalformedRequest, "want verdict %q or %q", kwstate.VerdictRan, kwstate.VerdictNotRun))
+		return
+	}
+	settle := kwstate.Settle(body)
+	reply := r.loop.Propose(c.Request.Context(), kwstate.Command{Settle: &settle})
+	if reply.Err != nil {
+		refuse(c, reply.Err)
+		return
+	}
+	c.JSON(http.StatusOK, reply.Row)
+}
+
+func (r *Role) onEvents(c *gin.Context) {
+	c.Status(http.StatusOK)
+	_ = kwevent.WriteJSON(c.Writer, r.deps.Events.Records())
+}
--- /dev/null
+++ b/io/kwcontrol/client.go
@@ -0,0 +1,100 @@
+package kwcontrol
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"knapweedproxy/core/kwcode"
+	"knapweedproxy/io/kwkeys"
+	"knapweedproxy/io/kwproto"
+	"knapweedproxy/io/kwwire"
+)
+
+// Client finds the leading control process among the configured addresses.
+type Client struct {
+	wire      *kwwire.Node
+	addresses []string
+	last      atomic.Int64
+}
+
+// NewClient returns a Client; addresses must not be empty.
+func NewClient(wire *kwwire.Node, addresses []string) *Client {
+	return &Client{wire: wire, addresses: addresses}
+}
+
+const (
+	tryTimeout = 1500 * time.Millisecond
+	tryPause   = 50 * time.Millisecond
+)
+
+// Call sends a request to the leader, trying all addresses until one answers or the context ends.
+// A request may reach a member more than once, so it must be idempotent.
+func (c *Client) Call(ctx context.Context, kind kwproto.Kind, in, out any) error {
+	return c.CallWithin(ctx, tryTimeout, kind, in, out)
+}
+
+// CallWithin is Call with a bound on each single try.
+func (c *Client) CallWithin(ctx context.Context, each time.Duration, kind kwproto.Kind, in, out any) error {
+	var last error = kwcode.New(kwcode.PeerUnreachable, "no control process answered")
+	for try := 0; ; try++ {
+		at := c.last.Load()
+		address := c.addresses[int(at)%len(c.addresses)]
+		err := c.once(ctx, each, address, kind, in, out)
+		if err == nil || final(err) {
+			return err
+		}
+		last = err
+		c.last.CompareAndSwap(at, at+1)
+		if try%len(c.addresses) != len(c.addresses)-1 && ctx.Err() == nil {
+			continue
+		}
+		select {
+		case <-ctx.Done():
+			return last
+		case <-time.After(tryPause):
+		}
+	}
+}
+
+// final tells whether another member would give the same answer.
+func final(err error) bool {
+	switch kwcode.Of(err).Code {
+	case kwcode.NotLeader, kwcode.PeerUnreachable, kwcode.ControlStopping, kwcode.DiskFailed, kwcode.JournalUnavailable, kwcode.OperationFailed:
+		return false
+	}
+	return true
+}
+
+func (c *Client) once(ctx context.Context, each time.Duration, address string, kind kwproto.Kind, in, out any) error {
+	try, cancel := context.WithTimeout(ctx, each)
+	defer cancel()
+	s, err := c.wire.Open(try, address, "")
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	if s.Peer().Role != kwkeys.RoleControl {
+		return kwcode.New(kwcode.PeerUnreachable, "%s is no control process", address)
+	}
+	stop := context.AfterFunc(try, s.Abort)
+	defer stop()
+	if err := s.Send(kind, in); err != nil {
+		return err
+	}
+	f, err := s.Recv()
+	if err != nil {
+		return err
+	}
+	return f.Expect(kwproto.KindReply, out)
+}
+
+// Address returns the address that answered last.
+func (c *Client) Address() string {
+	return c.addresses[int(c.last.Load())%len(c.addresses)]
+}
+
+// Next moves on to the next address after a failure.
+func (c *Client) Next() {
+	c.last.Add(1)
+}
--- /dev/null
+++ b/io/kwcontrol/doc.go
@@ -0,0 +1,2 @@
+// Package kwcontrol is the control role: one goroutine owns the blackboard, the log and the membership.
+package kwcontrol
--- /dev/null
+++ b/io/kwcontrol/join.go
@@ -0,0 +1,90 @@
+package kwcontrol
+
+import (
+	"context"
+	"time"
+
+	"knapweedproxy/core/kwcode"
+	"knapweedproxy/core/kwid"
+	"knapweedproxy/core/kwlog"
+	"knapweedproxy/io/kwproto"
+	"knapweedproxy/io/kwwire"
+)
+
+const joinPeriod = 300 * time.Millisecond
+
+// keepJoined asks to be taken in while this member is not part of the membership, and promotes learners as leader.
+func (r *Role) keepJoined(ctx context.Context) error {
+	tick := time.NewTicker(joinPeriod)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		var status kwlog.Status
+		r.loop.Log(func(now time.Time, n *kwlog.Node) {
+			status = n.Status()
+			if status.Role == kwlog.Leader {
+				promote(now, n, status.Members)
+			}
+		})
+		if !status.Members.IsVoter(r.member) && !status.Members.IsLearner(r.member) {
+			r.askToJoin(ctx)
+		}
+	}
+}
+
+// promote makes a learner a voter once it holds the committed log.
+func promote(now time.Time, n *kwlog.Node, m kwlog.Members) {
+	if len(m.Learners) == 0 || len(m.Voters) >= maxVoters {
+		return
+	}
+	_, _ = n.ChangeMembers(now, kwlog.Change{Promote: m.Learners[0]})
+}
+
+// maxVoters bounds the VMs that are set aside for control.
+const maxVoters = 7
+
+func (r *Role) askToJoin(ctx context.Context) {
+	for _, p := range r.cfg.Peers {
+		try, cancel := context.WithTimeout(ctx, dialTimeout)
+		_ = r.wire.Call(try, p.Address, p.Node, kwproto.KindJoin, kwproto.Join{Member: r.member}, &kwproto.Done{})
+		cancel()
+	}
+}
+
+// onJoin takes a member in as a learner; an older member of the same node, whose disk is gone, is removed first.
+func (r *Role) onJoin(_ context.Context, first kwwire.Frame, s *kwwire.Stream) error {
+	var req kwproto.Join
+	if err := first.Decode(&req); err != nil {
+		return err
+	}
+	if nodeOf(req.Member) != s.Peer().Node {
+		return kwcode.New(kwcode.PeerUnknown, "%s asked for %s", s.Peer().Node, req.Member)
+	}
+	var err error
+	r.loop.Log(func(now time.Time, n *kwlog.Node) {
+		err = takeIn(now, n, req.Member)
+	})
+	if err != nil {
+		return err
+	}
+	return s.Send(kwproto.KindReply, kwproto.Done{})
+}
+
+func takeIn(now time.Time, n *kwlog.Node, member kwid.NodeID) error {
+	m := n.Status().Members
+	if m.IsVoter(member) || m.IsLearner(member) {
+		return nil
+	}
+	for _, id := range append(m.Voters, m.Learners...) {
+		if nodeOf(id) == nodeOf(member) {
+			_, err := n.ChangeMembers(now, kwlog.Change{Remove: id})
+			return err
+		}
+	}
+	_, err := n.ChangeMembers(now, kwlog.Change{AddLearner: member})
+	return err
+}
--- /dev/null
+++ b/io/kwcontrol/peers.go
@@ -0,0 +1,136 @@
+package kwcontrol
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"knapweedproxy/core/kwcode"
+	"knapweedproxy/core/kwid"
+	"knapweedproxy/core/kwlog"
+	"knapweedproxy/io/kwproto"
+	"knapweedproxy/io/kwwire"
+)
+
+// Peer is another control process by node and address.
+type Peer struct {
+	Node    kwid.NodeID
+	Address string
+}
+
+const (
+	peerQueue   = 256
+	redialPause = 100 * time.Millisecond
+	dialTimeout = time.Second
+)
+
+// Peers sends log messages to the other control processes, one stream each.
+type Peers struct {
+	wire   *kwwire.Node
+	ctx    context.Context
+	cancel context.CancelFunc
+	work   sync.WaitGroup
+	queues map[kwid.NodeID]chan kwlog.Message
+}
+
+// NewPeers returns a sender without a transport; Start must be called before messages leave.
+func NewPeers(peers []Peer) *Peers {
+	p := &Peers{queues: make(map[kwid.NodeID]chan kwlog.Message)}
+	p.ctx, p.cancel = context.WithCancel(context.Background())
+	for _, peer := range peers {
+		p.queues[peer.Node] = make(chan kwlog.Message, peerQueue)
+	}
+	return p
+}
+
+// Start begins to send over a transport.
+func (p *Peers) Start(wire *kwwire.Node, peers []Peer) {
+	p.wire = wire
+	for _, peer := range peers {
+		p.work.Add(1)
+		go p.run(peer)
+	}
+}
+
+// Send queues a message for the node of its receiver; a full queue drops it, and the log will repeat it.
+func (p *Peers) Send(m kwlog.Message) {
+	queue, ok := p.queues[nodeOf(m.To)]
+	if !ok {
+		return
+	}
+	select {
+	case queue <- m:
+	default:
+	}
+}
+
+func (p *Peers) run(peer Peer) {
+	defer p.work.Done()
+	var s *kwwire.Stream
+	for {
+		select {
+		case <-p.ctx.Done():
+			if s != nil {
+				s.Close()
+			}
+			return
+		case m := <-p.queues[peer.Node]:
+			s = p.deliver(s, peer, m)
+		}
+	}
+}
+
+// deliver sends on the open stream, or opens one; it returns nil after a failure.
+func (p *Peers) deliver(s *kwwire.Stream, peer Peer, m kwlog.Message) *kwwire.Stream {
+	if s == nil {
+		s = p.open(peer)
+	}
+	if s == nil {
+		return nil
+	}
+	if err := s.Send(kwproto.KindRaft, m); err != nil {
+		s.Abort()
+		return nil
+	}
+	return s
+}
+
+func (p *Peers) open(peer Peer) *kwwire.Stream {
+	ctx, cancel := context.WithTimeout(p.ctx, dialTimeout)
+	defer cancel()
+	s, err := p.wire.Open(ctx, peer.Address, peer.Node)
+	if err == nil {
+		return s
+	}
+	select {
+	case <-p.ctx.Done():
+	case <-time.After(redialPause):
+	}
+	return nil
+}
+
+// Stop ends all sending.
+func (p *Peers) Stop() {
+	p.cancel()
+	p.work.Wait()
+}
+
+// receive delivers the log messages of one peer's stream to the loop.
+func (r *Role) receive(_ context.Context, first kwwire.Frame, s *kwwire.Stream) error {
+	f := first
+	for {
+		var m kwlog.Message
+		if err := f.Expect(kwproto.KindRaft, &m); err != nil {
+			return err
+		}
+		if nodeOf(m.From) != s.Peer().Node {
+			return kwcode.New(kwcode.PeerUnknown, "%s sent a message of %s", s.Peer().Node, m.From)
+		}
+		r.loop.Deliver(m)
+		next, err := s.Recv()
+		if err != nil {
+			return nil
+		}
+		f = next
+	}
+}
--- /dev/null
+++ b/io/kwcontrol/serve.go
@@ -0,0 +1,211 @@
+package kwcontrol
+
+import (
+	"context"
+	"time"
+
+	"knapweedproxy/core/kwboard"
+	"knapweedproxy/core/kwcode"
+	"knapweedproxy/core/kwid"
+	"knapweedproxy/core/kwmember"
+	"knapweedproxy/core/kwstate"
+	"knapweedproxy/io/kwevent"
+	"knapweedproxy/io/kwkeys"
+	"knapweedproxy/io/kwproto"
+	"knapweedproxy/io/kwwire"
+)
+
+func (r *Role) onAnnounce(_ context.Context, first kwwire.Frame, s *kwwire.Stream) error {
+	var req kwproto.Announce
+	if err := first.Decode(&req); err != nil {
+		return err
+	}
+	if req.Endpoint.Agent != s.Peer().Node {
+		return kwcode.New(kwcode.PeerUnknown, "%s announced an endpoint of %s", s.Peer().Node, req.Endpoint.Agent)
+	}
+	var out kwproto.Announced
+	var refused error
+	err := r.loop.Lead(func(now time.Time, b *kwboard.Board) {
+		refused = r.announce(now, b, req.Endpoint)
+		out = kwproto.Announced{
+			Draining: b.State.Draining(req.Endpoint.ID),
+			Revision: b.State.Revision(),
+			Control:  r.member,
+		}
+		if r.loop.booted {
+			out.Fence = b.State.Fence()
+		}
+	})
+	if err == nil {
+		err = refused
+	}
+	if err != nil {
+		return err
+	}
+	return s.Send(kwproto.KindReply, out)
+}
+
+func (r *Role) announce(now time.Time, b *kwboard.Board, e kwmember.Endpoint) error {
+	old, known := b.Members.Endpoint(e.ID)
+	if err := b.Members.Announce(now, e, b.State.Draining(e.ID)); err != nil {
+		return err
+	}
+	if known && old.State == e.State && old.Incarnation == e.Incarnation {
+		return nil
+	}
+	id := kwevent.EndpointJoined
+	switch e.State {
+	case kwmember.Gone:
+		id = kwevent.EndpointGone
+	case kwmember.Leaving:
+		id = kwevent.EndpointLeaving
+	}
+	r.deps.Events.Emit(id, "", kwevent.F("endpoint", e.ID), kwevent.F("incarnation", uint64(e.Incarnation)))
+	return nil
+}
+
+func (r *Role) onPropose(ctx context.Context, first kwwire.Frame, s *kwwire.Stream) error {
+	var req kwproto.Propose
+	if err := first.Decode(&req); err != nil {
+		return err
+	}
+	c := req.Command
+	if s.Peer().Role == kwkeys.RoleAgent && c.Outcome == nil {
+		return kwcode.New(kwcode.UnknownMessage, "an agent may only propose outcomes")
+	}
+	if c.Claim == nil && c.Outcome == nil && c.Fenced == nil && c.Unknown == nil {
+		return kwcode.New(kwcode.UnknownMessage, "an entry may not propose this command")
+	}
+	if c.Claim != nil && c.Claim.Grant.Entry != s.Peer().Node {
+		return kwcode.New(kwcode.PeerUnknown, "%s claimed for %s", s.Peer().Node, c.Claim.Grant.Entry)
+	}
+	reply := r.loop.Propose(ctx, c)
+	if reply.Err != nil {
+		return reply.Err
+	}
+	return s.Send(kwproto.KindReply, reply)
+}
+
+func (r *Role) onAwait(ctx context.Context, first kwwire.Frame, s *kwwire.Stream) error {
+	var req kwproto.Await
+	if err := first.Decode(&req); err != nil {
+		return err
+	}
+	wait, cancel := context.WithTimeout(ctx, time.Duration(req.Wait)*time.Millisecond)
+	defer cancel()
+	if err := r.loop.Lead(func(time.Time, *kwboard.Board) {}); err != nil {
+		return err
+	}
+	row, ok := r.loop.Await(wait, req.Scope, req.Attempt)
+	if !ok {
+		return kwcode.New(kwcode.OutcomePending, "key %q is still open", req.Scope.Key)
+	}
+	return s.Send(kwproto.KindReply, kwstate.Reply{Row: &row})
+}
+
+// watcher is the state of one entry's subscription.
+type watcher struct {
+	role     *Role
+	stream   *kwwire.Stream
+	entry    kwmember.Entry
+	full     bool
+	version  uint64
+	revision kwid.Revision
+	echo     uint64
+}
+
+func (r *Role) onWatch(ctx context.Context, first kwwire.Frame, s *kwwire.Stream) error {
+	var req kwproto.Watch
+	if err := first.Decode(&req); err != nil {
+		return err
+	}
+	if req.Entry.ID != s.Peer().Node {
+		return kwcode.New(kwcode.PeerUnknown, "%s subscribed as %s", s.Peer().Node, req.Entry.ID)
+	}
+	w := &watcher{role: r, stream: s, entry: req.Entry, full: true}
+	seen := make(chan kwproto.Seen)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go w.read(ctx, cancel, seen)
+	return w.run(ctx, seen)
+}
+
+// read passes the entry's renewals on until the stream ends.
+func (w *watcher) read(ctx context.Context, cancel context.CancelFunc, seen chan<- kwproto.Seen) {
+	defer cancel()
+	for {
+		f, err := w.stream.Recv()
+		if err != nil {
+			return
+		}
+		var msg kwproto.Seen
+		if err := f.Expect(kwproto.KindSeen, &msg); err != nil {
+			return
+		}
+		select {
+		case seen <- msg:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// run sends a view at each change and answers each renewal.
+func (w *watcher) run(ctx context.Context, seen <-chan kwproto.Seen) error {
+	for {
+		changed := w.role.loop.Changed()
+		if err := w.push(); err != nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		case msg := <-seen:
+			w.echo = msg.Number
+			w.entry.Seen = msg.Version
+			w.entry.Revision = msg.Revision
+		}
+	}
+}
+
+// push renews the entry's lease and sends what changed; while a new leader gathers, nothing is sent.
+func (w *watcher) push() error {
+	var view *kwproto.View
+	err := w.role.loop.Lead(func(now time.Time, b *kwboard.Board) {
+		b.Members.Renew(now, w.entry)
+		if !now.Before(b.Gather) {
+			view = w.delta(b)
+		}
+	})
+	if err != nil || view == nil {
+		return err
+	}
+	if err := w.stream.Send(kwproto.KindView, view); err != nil {
+		return err
+	}
+	w.full = false
+	w.version = view.Version
+	w.revision = view.Revision
+	return nil
+}
+
+func (w *watcher) delta(b *kwboard.Board) *kwproto.View {
+	view := &kwproto.View{
+		Version:   b.Members.Version(),
+		Revision:  b.State.Revision(),
+		Endpoints: b.Members.Since(w.version),
+		Full:      w.full,
+		Echo:      w.echo,
+	}
+	if w.full {
+		view.Endpoints = b.Members.Since(0)
+	}
+	if w.full || view.Revision != w.revision {
+		view.Fleet = b.State.Fleet()
+	}
+	for _, e := range b.Members.Entries() {
+		view.Entries = append(view.Entries, e.ID)
+	}
+	return view
+}
--- /dev/null
+++ b/io/kwcontrol/settle.go
@@ -0,0 +1,101 @@
+package kwcontrol
+
+import (
+	"context"
+	"time"
+
+	"knapweedproxy/core/kwboard"
+	"knapweedproxy/core/kwcall"
+	"knapweedproxy/core/kwcode"
+	"knapweedproxy/core/kwmember"
+	"knapweedproxy/core/kwstate"
+	"knapweedproxy/io/kwevent"
+	"knapweedproxy/io/kwproto"
+)
+
+const (
+	settlePeriod  = 250 * time.Millisecond
+	settleTimeout = 2 * time.Second
+)
+
+// StateRestarted is an agent's answer for an attempt that was granted to an earlier incarnation.
+const StateRestarted = "restarted"
+
+// settle ends open journal rows whose entry is gone, by asking the agent that was granted the attempt.
+func (r *Role) settle(ctx context.Context) error {
+	tick := time.NewTicker(settlePeriod)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		var stale []kwstate.Row
+		r.loop.Do(func(_ time.Time, b *kwboard.Board) {
+			stale = append(stale, b.Stale...)
+		})
+		for _, row := range stale {
+			r.settleRow(ctx, row)
+		}
+	}
+}
+
+func (r *Role) settleRow(ctx context.Context, row kwstate.Row) {
+	ask, cancel := context.WithTimeout(ctx, settleTimeout)
+	defer cancel()
+	var answer kwproto.Fenced
+	req := kwproto.Fence{Scope: row.Scope, Attempt: row.Grant.Attempt, Incarnation: row.Grant.Incarnation}
+	err := r.wire.Call(ask, row.Grant.Address, row.Grant.Agent, kwproto.KindFence, req, &answer)
+	command, ok := r.verdict(row, answer, err)
+	if !ok {
+		return
+	}
+	reply := r.loop.Propose(ctx, command)
+	if reply.Err == nil {
+		r.deps.Events.Emit(kwevent.RowSettled, row.Grant.Request, kwevent.F("key", row.Scope.Key), kwevent.F("state", reply.Row.State))
+	}
+}
+
+// verdict turns the agent's answer into a command; false means that the row stays open for now.
+func (r *Role) verdict(row kwstate.Row, answer kwproto.Fenced, err error) (kwstate.Command, bool) {
+	if err != nil {
+		return r.silentAgent(row, err)
+	}
+	return Verdict(row.Scope, row.Grant, answer)
+}
+
+// Verdict turns an agent's answer about an attempt into the command that records it.
+func Verdict(scope kwstate.Scope, g kwstate.Grant, answer kwproto.Fenced) (kwstate.Command, bool) {
+	switch answer.State {
+	case string(kwcall.Fenced):
+		return kwstate.Command{Fenced: &kwstate.RecordFenced{Scope: scope, Attempt: g.Attempt}}, true
+	case string(kwcall.Done):
+		return kwstate.Command{Outcome: &kwstate.RecordOutcome{Scope: scope, Attempt: g.Attempt, Response: answer.Response}}, true
+	case string(kwcall.Lost):
+		return unknown(scope, g, "the agent lost the service's answer"), true
+	case StateRestarted:
+		return unknown(scope, g, "the agent restarted"), true
+	}
+	return kwstate.Command{}, false
+}
+
+func unknown(scope kwstate.Scope, g kwstate.Grant, reason string) kwstate.Command {
+	return kwstate.Command{Unknown: &kwstate.RecordUnknown{Scope: scope, Attempt: g.Attempt, Reason: reason}}
+}
+
+// silentAgent gives up on an agent only after its endpoint's lease has run out.
+func (r *Role) silentAgent(row kwstate.Row, err error) (kwstate.Command, bool) {
+	if kwcode.Is(err, kwcode.PeerUnknown) {
+		return unknown(row.Scope, row.Grant, "another process has the agent's address"), true
+	}
+	dead := false
+	r.loop.Do(func(_ time.Time, b *kwboard.Board) {
+		e, ok := b.Members.Endpoint(row.Grant.Endpoint)
+		dead = !ok || e.State == kwmember.Lost || e.State == kwmember.Gone || e.Incarnation != row.Grant.Incarnation
+	})
+	if !dead {
+		return kwstate.Command{}, false
+	}
+	return unknown(row.Scope, row.Grant, "the agent is lost"), true
+}
--- /dev/null
+++ b/io/kwdemo/client.go
@@ -0,0 +1,186 @@
+package kwdemo
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"knapweedproxy/core/kwcode"
+	"knapweedproxy/io/kwcontrol"
+	"knapweedproxy/io/kwentry"
+)
+
+// Client is a caller of one entry.
+type Client struct {
+	URL   string
+	Token string
+	// OnToken is told of each streamed part, or nil.
+	OnToken func(text string)
+}
+
+// Answer is what a caller got.
+type Answer struct {
+	Status   int
+	Text     string
+	Finish   string
+	Done     bool
+	Error    *kwcontrol.ErrorDetail
+	Headers  http.Header
+	Body     []byte
+	Tokens   int
+	First    time.Duration
+	Gaps     []time.Duration
+	Duration time.Duration
+}
+
+// Chat asks a model for an answer; stream chooses server-sent events.
+func (c Client) Chat(ctx context.Context, prompt string, maxTokens int, stream bool) (Answer, error) {
+	body, err := json.Marshal(kwentry.ChatRequest{
+		Model:     ModelName,
+		Messages:  []kwentry.ChatMessage{{Role: "user", Content: prompt}},
+		MaxTokens: maxTokens,
+		Stream:    stream,
+	})
+	if err != nil {
+		return Answer{}, kwcode.New(kwcode.MalformedRequest, "%v", err)
+	}
+	start := time.Now()
+	resp, err := c.send(ctx, http.MethodPost, "/v1/chat/completions", "", body)
+	if err != nil {
+		return Answer{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	out := Answer{Status: resp.StatusCode, Headers: resp.Header}
+	if stream && resp.StatusCode == http.StatusOK {
+		err = c.readStream(resp.Body, start, &out)
+	} else {
+		err = readWhole(resp.Body, &out)
+	}
+	out.Duration = time.Since(start)
+	return out, err
+}
+
+// Prompt returns the text that the first stage sees for a prompt of Chat.
+func Prompt(prompt string) string {
+	return kwentry.Prompt([]kwentry.ChatMessage{{Role: "user", Content: prompt}})
+}
+
+func (c Client) send(ctx context.Context, method, path, key string, body []byte) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, c.URL+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, kwcode.New(kwcode.MalformedRequest, "%v", err)
+	}
+	req.Header.Set("Authorization", "Bearer "+c.Token)
+	req.Header.Set("Content-Type", "application/json")
+	if key != "" {
+		req.Header.Set(kwentry.HeaderKey, key)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, kwcode.New(kwcode.PeerUnreachable, "%v", err)
+	}
+	return resp, nil
+}
+
+const endMark = "[DONE]"
+
+// chunk is a server-sent event: a part of the answer or an error.
+type chunk struct {
+	kwentry.ChatReply
+	Error *kwcontrol.ErrorDetail `json:"error"`
+}
+
+func (c Client) readStream(r io.Reader, start time.Time, out *Answer) error {
+	scan := bufio.NewScanner(r)
+	scan.Buffer(nil, kwentry.MaxBody)
+	var text strings.Builder
+	last := start
+	for scan.Scan() {
+		data, ok := strings.CutPrefix(scan.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == endMark {
+			out.Done = true
+			continue
+		}
+		var part chunk
+		if err := json.Unmarshal([]byte(data), &part); err != nil {
+			return kwcode.New(kwcode.FrameMalformed, "%v", err)
+		}
+		c.takePart(part, &text, &last, start, out)
+	}
+	out.Text = text.String()
+	if err := scan.Err(); err != nil {
+		return kwcode.New(kwcode.PeerUnreachable, "%v", err)
+	}
+	return nil
+}
+
+func (c Client) takePart(part chunk, text *strings.Builder, last *time.Time, start time.Time, out *Answer) {
+	if part.Error != nil {
+		out.Error = part.Error
+		return
+	}
+	if len(part.Choices) == 0 {
+		return
+	}
+	choice := part.Choices[0]
+	if choice.FinishReason != nil {
+		out.Finish = *choice.FinishReason
+		return
+	}
+	now := time.Now()
+	if out.Tokens == 0 {
+		out.First = now.Sub(start)
+	} else {
+		out.Gaps = append(out.Gaps, now.Sub(*last))
+	}
+	*last = now
+	out.Tokens++
+	text.WriteString(choice.Delta.Content)
+	if c.OnToken != nil {
+		c.OnToken(choice.Delta.Content)
+	}
+}
+
+func readWhole(r io.Reader, out *Answer) error {
+	body, err := io.ReadAll(r)
+	if err != nil {
+		return kwcode.New(kwcode.PeerUnreachable, "%v", err)
+	}
+	out.Body = body
+	var part struct {
+		kwentry.ChatReply
+		Error *kwcontrol.ErrorDetail `json:"error"`
+	}
+	if err := json.Unmarshal(body, &part); err != nil {
+		return nil
+	}
+	out.Error = part.Error
+	if len(part.Choices) == 1 && part.Choices[0].Message != nil {
+		out.Text = part.Choices[0].Message.Content
+		out.Finish = *part.Choices[0].FinishReason
+		out.Done = true
+	}
+	return nil
+}
+
+// Service calls the records service; key may be empty.
+func (c Client) Service(ctx context.Context, method, path, key, body string) (Answer, error) {
+	start := time.Now()
+	resp, err := c.send(ctx, method, "/services/"+string(ServiceName)+path, key, []byte(body))
+	if err != nil {
+		return Answer{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	out := Answer{Status: resp.StatusCode, Headers: resp.Header}
+	err = readWhole(resp.Body, &out)
+	out.Duration = time.Since(start)
+	return out, err
+}
--- /dev/null
+++ b/io/kwentry/view.go
@@ -0,0 +1,296 @@
+package kwentry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"maps"
+	"slices"
+	"time"
+
+	"knapweedproxy/core/kwcode"
+	"knapweedproxy/core/kwconfig"
+	"knapweedproxy/core/kwid"
+	"knapweedproxy/core/kwlimit"
+	"knapweedproxy/core/kwmember"
+	"knapweedproxy/core/kwroute"
+	"knapweedproxy/io/kwevent"
+	"knapweedproxy/io/kwkeys"
+	"knapweedproxy/io/kwproto"
+	"knapweedproxy/io/kwwire"
+)
+
+// view is an immutable picture of the fleet that requests are served with.
+type view struct {
+	version   uint64
+	revision  kwid.Revision
+	fleet     *kwconfig.Fleet
+	endpoints map[kwid.EndpointID]kwmember.Endpoint
+	entries   []kwid.NodeID
+	tokens    map[string]kwconfig.Workspace
+	graphs    map[kwid.ModelName]modelGraphs
+	services  map[kwid.ServiceName][]kwmember.Endpoint
+}
+
+// modelGraphs holds the layer graphs of a model: over this site, and over all sites as a fallback.
+type modelGraphs struct {
+	site *kwroute.Graph
+	all  *kwroute.Graph
+}
+
+// watch keeps the subscription to control until the context ends.
+func (r *Role) watch(ctx context.Context) error {
+	for ctx.Err() == nil {
+		err := r.subscribe(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
+		r.deps.Events.Emit(kwevent.ViewLost, "", kwevent.F("error", err.Error()))
+		r.control.Next()
+		select {
+		case <-ctx.Done():
+		case <-time.After(resubscribePause):
+		}
+	}
+	return nil
+}
+
+const (
+	resubscribePause = 100 * time.Millisecond
+	subscribeTimeout = 2 * time.Second
+)
+
+func (r *Role) subscribe(ctx context.Context) error {
+	dial, stop := context.WithTimeout(ctx, subscribeTimeout)
+	defer stop()
+	s, err := r.wire.Open(dial, r.control.Address(), "")
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	if s.Peer().Role != kwkeys.RoleControl {
+		return kwcode.New(kwcode.PeerUnknown, "%s is no control process", s.Peer().Node)
+	}
+	entry := kwmember.Entry{ID: r.cfg.Node, Incarnation: kwid.Incarnation(r.started.UnixNano()), Site: r.cfg.Site, Revision: r.Revision()}
+	if err := s.Send(kwproto.KindWatch, kwproto.Watch{Entry: entry}); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	sent := newSentTimes()
+	go r.renew(ctx, cancel, s, sent)
+	stopReading := context.AfterFunc(ctx, s.Abort)
+	defer stopReading()
+	return r.receive(ctx, s, sent)
+}
+
+// renew sends a confirmation request now and then.
+func (r *Role) renew(ctx context.Context, cancel context.CancelCauseFunc, s *kwwire.Stream, sent *sentTimes) {
+	tick := time.NewTicker(r.cfg.Renew)
+	defer tick.Stop()
+	for number := uint64(1); ; number++ {
+		sent.put(number, time.Since(r.started))
+		if err := s.Send(kwproto.KindSeen, r.seen(number)); err != nil {
+			cancel(err)
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+func (r *Role) seen(number uint64) kwproto.Seen {
+	out := kwproto.Seen{Number: number}
+	if v := r.view.Load(); v != nil {
+		out.Version = v.version
+		out.Revision = v.revision
+	}
+	return out
+}
+
+// receive applies views; a view that changes something is acknowledged at once.
+func (r *Role) receive(ctx context.Context, s *kwwire.Stream, sent *sentTimes) error {
+	for {
+		f, err := s.Recv()
+		if err != nil {
+			return err
+		}
+		var msg kwproto.View
+		if err := f.Expect(kwproto.KindView, &msg); err != nil {
+			return err
+		}
+		changed, err := r.applyView(&msg)
+		if err != nil {
+			return err
+		}
+		r.watching.Store(int64(time.Since(r.started)))
+		if at, ok := sent.take(msg.Echo); ok {
+			r.confirmed.Store(int64(at))
+		}
+		if !changed {
+			continue
+		}
+		if err := s.Send(kwproto.KindSeen, r.seen(msg.Echo)); err != nil {
+			return err
+		}
+	}
+}
+
+// applyView builds the next view; a revision that goes back is refused.
+func (r *Role) applyView(msg *kwproto.View) (bool, error) {
+	old := r.view.Load()
+	if old != nil && msg.Revision < old.revision {
+		return false, kwcode.New(kwcode.RevisionConflict, "revision %d after %d", msg.Revision, old.revision)
+	}
+	if old != nil && !msg.Full && msg.Fleet == nil && len(msg.Endpoints) == 0 && slices.Equal(msg.Entries, old.entries) {
+		return false, nil
+	}
+	next := r.nextView(old, msg)
+	r.view.Store(next)
+	r.applyLimits(next)
+	r.ejector.SetKnown(len(next.endpoints))
+	r.deps.Events.Emit(kwevent.ViewApplied, "", kwevent.F("revision", next.revision), kwevent.F("version", next.version))
+	return true, nil
+}
+
+func (r *Role) nextView(old *view, msg *kwproto.View) *view {
+	next := &view{
+		version:   msg.Version,
+		revision:  msg.Revision,
+		fleet:     msg.Fleet,
+		entries:   msg.Entries,
+		endpoints: make(map[kwid.EndpointID]kwmember.Endpoint),
+	}
+	if old != nil && !msg.Full {
+		maps.Copy(next.endpoints, old.endpoints)
+	}
+	if old != nil && msg.Fleet == nil {
+		next.fleet = old.fleet
+	}
+	for _, e := range msg.Endpoints {
+		next.endpoints[e.ID] = e
+	}
+	if next.fleet == nil {
+		return next
+	}
+	next.tokens = r.tokens(next.fleet)
+	next.services = services(next.endpoints)
+	next.graphs = r.graphs(next)
+	return next
+}
+
+func (r *Role) tokens(fleet *kwconfig.Fleet) map[string]kwconfig.Workspace {
+	out := make(map[string]kwconfig.Workspace)
+	site, ok := fleet.SiteOf(r.cfg.Site)
+	if !ok {
+		return out
+	}
+	for _, w := range site.Workspaces {
+		out[w.TokenSHA256] = w
+	}
+	return out
+}
+
+func services(endpoints map[kwid.EndpointID]kwmember.Endpoint) map[kwid.ServiceName][]kwmember.Endpoint {
+	out := make(map[kwid.ServiceName][]kwmember.Endpoint)
+	for _, id := range slices.Sorted(maps.Keys(endpoints)) {
+		e := endpoints[id]
+		if e.State == kwmember.Live && e.Service != "" {
+			out[e.Service] = append(out[e.Service], e)
+		}
+	}
+	return out
+}
+
+func (r *Role) graphs(v *view) map[kwid.ModelName]modelGraphs {
+	out := make(map[kwid.ModelName]modelGraphs)
+	links := links(v.fleet)
+	for _, m := range v.fleet.Models {
+		local := stages(v.endpoints, m.Name, r.cfg.Site)
+		all := stages(v.endpoints, m.Name, "")
+		out[m.Name] = modelGraphs{
+			site: kwroute.Build(m.Layers, local, links),
+			all:  kwroute.Build(m.Layers, all, links),
+		}
+	}
+	return out
+}
+
+// stages lists the live stages of a model at a site; an empty site means all.
+func stages(endpoints map[kwid.EndpointID]kwmember.Endpoint, model kwid.ModelName, site kwid.Site) []kwroute.Stage {
+	var out []kwroute.Stage
+	for _, e := range endpoints {
+		if e.State != kwmember.Live || e.Model != model || site != "" && e.Site != site {
+			continue
+		}
+		out = append(out, kwroute.Stage{
+			Endpoint:    e.ID,
+			Incarnation: e.Incarnation,
+			Agent:       e.Agent,
+			Address:     e.Address,
+			Zone:        e.Zone,
+			Layers:      e.Layers,
+			Rate:        e.TokenRate,
+		})
+	}
+	return out
+}
+
+// activationBits is the size of one token's activation on a link, in bits.
+const activationBits = 8 * 16 * 1024
+
+const bitsPerMegabit = 1e6
+
+func links(fleet *kwconfig.Fleet) kwroute.Links {
+	out := make(kwroute.Links)
+	for _, site := range fleet.Sites {
+		for _, l := range site.Links {
+			out[kwroute.ZonePair{From: l.From, To: l.To}] = kwroute.Link{
+				Latency: l.Latency.Std(),
+				Rate:    l.Bandwidth * bitsPerMegabit / activationBits,
+			}
+		}
+	}
+	return out
+}
+
+// applyLimits gives this entry its part of each workspace's fleet-wide limit.
+func (r *Role) applyLimits(v *view) {
+	index := max(0, slices.Index(v.entries, r.cfg.Node))
+	var shares []kwlimit.Share
+	for _, w := range v.tokens {
+		shares = append(shares, kwlimit.Share{
+			Workspace: w.Name,
+			InFlight:  kwlimit.Split(w.RequestsInFlight, len(v.entries), index),
+		})
+	}
+	r.limiter.SetShares(shares)
+}
+
+const viewRetry = 2 * time.Second
+
+// admits tells whether requests may be admitted now: not while stopping, and only with a confirmed view.
+func (r *Role) admits() error {
+	if r.stopping.Load() {
+		return kwcode.New(kwcode.EntryStopping, "entry %s is stopping; use another", r.cfg.Node).After(time.Second)
+	}
+	v := r.view.Load()
+	if v == nil || v.fleet == nil {
+		return kwcode.New(kwcode.ViewExpired, "entry %s has no configuration yet", r.cfg.Node).After(viewRetry)
+	}
+	age := time.Since(r.started) - time.Duration(r.confirmed.Load())
+	if age > r.cfg.ViewLease {
+		return kwcode.New(kwcode.ViewExpired, "the configuration was last confirmed %s ago", age.Round(time.Millisecond)).After(viewRetry)
+	}
+	return nil
+}
+
+// workspace finds the workspace of a bearer token.
+func (v *view) workspace(token string) (kwconfig.Workspace, bool) {
+	sum := sha256.Sum256([]byte(token))
+	w, ok := v.tokens[hex.EncodeToString(sum[:])]
+	return w, ok
+}
--- /dev/null
+++ b/io/kwevent/catalogue.go
@@ -0,0 +1,128 @@
+package kwevent
+
+// ID is a numbered log event; its table is docs/log-events.md.
+type ID int
+
+// Log events in blocks: 1 process, 2 entry, 3 agent, 4 control, 5 transport.
+const (
+	ProcessStarted    ID = 101
+	ProcessStopping   ID = 102
+	ProcessStopped    ID = 103
+	RequestAdmitted   ID = 201
+	RequestRefused    ID = 202
+	ChainChosen       ID = 203
+	AttemptFailed     ID = 204
+	RequestAnswered   ID = 205
+	RequestFailed     ID = 206
+	CallSent          ID = 207
+	OutcomeReplayed   ID = 208
+	ViewApplied       ID = 209
+	ViewLost          ID = 210
+	OutcomeRecorded   ID = 211
+	SessionStarted    ID = 301
+	SessionEnded      ID = 302
+	StageStarted      ID = 303
+	StageEnded        ID = 304
+	StageBlamed       ID = 305
+	CallStarted       ID = 306
+	CallEnded         ID = 307
+	WorkRefused       ID = 308
+	AttemptFenced     ID = 309
+	AnnounceFailed    ID = 310
+	AnswerCrossed     ID = 311
+	OrderRefused      ID = 312
+	OrderRun          ID = 313
+	EndpointJoined    ID = 401
+	EndpointLeaving   ID = 402
+	EndpointLost      ID = 403
+	EndpointGone      ID = 404
+	RevisionAccepted  ID = 405
+	RevisionRefused   ID = 406
+	ClaimGranted      ID = 407
+	ClaimAnswered     ID = 408
+	OutcomeLogged     ID = 409
+	RowSettled        ID = 410
+	StateRecovered    ID = 411
+	SnapshotWritten   ID = 412
+	DiskRefused       ID = 413
+	LeaderElected     ID = 414
+	LeaderSteppedDown ID = 415
+	PeerRefused       ID = 501
+	KeyExpires        ID = 502
+)
+
+// Info describes one log event.
+type Info struct {
+	ID      ID
+	Name    string
+	Level   int
+	Meaning string
+}
+
+// Verbosity levels of logr: 0 is always written, 1 needs --verbose.
+const (
+	levelInfo   = 0
+	levelDetail = 1
+)
+
+var infos = []Info{
+	{ProcessStarted, "process-started", levelInfo, "A role is ready to serve."},
+	{ProcessStopping, "process-stopping", levelInfo, "A graceful shutdown began."},
+	{ProcessStopped, "process-stopped", levelInfo, "A role has stopped."},
+	{RequestAdmitted, "request-admitted", levelDetail, "An entry admitted a caller request."},
+	{RequestRefused, "request-refused", levelInfo, "An entry refused a caller request that has not run."},
+	{ChainChosen, "chain-chosen", levelDetail, "An entry chose the stages of an attempt."},
+	{AttemptFailed, "attempt-failed", levelInfo, "An attempt failed; another may follow."},
+	{RequestAnswered, "request-answered", levelDetail, "The caller has the whole answer."},
+	{RequestFailed, "request-failed", levelInfo, "The caller got an error after the request was handed on."},
+	{CallSent, "call-sent", levelDetail, "An entry sent a service call to an agent."},
+	{OutcomeReplayed, "outcome-replayed", levelDetail, "A resend got the recorded outcome."},
+	{ViewApplied, "view-applied", levelDetail, "An entry serves with a newer view."},
+	{ViewLost, "view-lost", levelInfo, "An entry lost its subscription to control."},
+	{OutcomeRecorded, "outcome-recorded", levelDetail, "An entry has the journal's word that an outcome is recorded."},
+	{SessionStarted, "session-started", levelDetail, "The first stage of a chain began an attempt."},
+	{SessionEnded, "session-ended", levelDetail, "The first stage of a chain ended an attempt."},
+	{StageStarted, "stage-started", levelDetail, "A later stage of a chain began an attempt."},
+	{StageEnded, "stage-ended", levelDetail, "A later stage of a chain ended an attempt."},
+	{StageBlamed, "stage-blamed", levelInfo, "A probe found the stage that holds up a chain."},
+	{CallStarted, "call-started", levelDetail, "An agent handed a call to its service."},
+	{CallEnded, "call-ended", levelDetail, "An agent has the outcome of a call."},
+	{WorkRefused, "work-refused", levelInfo, "An agent refused work that has not run."},
+	{AttemptFenced, "attempt-fenced", levelInfo, "An agent fenced an attempt that has not run."},
+	{AnnounceFailed, "announce-failed", levelInfo, "An agent could not renew its lease."},
+	{AnswerCrossed, "answer-crossed", levelInfo, "An answer for another request arrived and was handed to its owner or dropped."},
+	{OrderRefused, "order-refused", levelInfo, "An agent refused an order with an old fencing number."},
+	{OrderRun, "order-run", levelInfo, "An engine took an order."},
+	{EndpointJoined, "endpoint-joined", levelInfo, "An endpoint announced itself."},
+	{EndpointLeaving, "endpoint-leaving", levelInfo, "An endpoint is draining."},
+	{EndpointLost, "endpoint-lost", levelInfo, "An endpoint let its lease run out."},
+	{EndpointGone, "endpoint-gone", levelInfo, "An endpoint left after a graceful shutdown."},
+	{RevisionAccepted, "revision-accepted", levelInfo, "A configuration revision was accepted."},
+	{RevisionRefused, "revision-refused", levelInfo, "A configuration change was refused."},
+	{ClaimGranted, "claim-granted", levelDetail, "The journal granted an attempt."},
+	{ClaimAnswered, "claim-answered", levelDetail, "The journal answered a claim without a grant."},
+	{OutcomeLogged, "outcome-logged", levelDetail, "The journal recorded how an attempt ended."},
+	{RowSettled, "row-settled", levelInfo, "An operator or the settling loop ended an open row."},
+	{StateRecovered, "state-recovered", levelInfo, "Control read its state from the data folder."},
+	{SnapshotWritten, "snapshot-written", levelInfo, "Control wrote a snapshot and dropped older log files."},
+	{DiskRefused, "disk-refused", levelInfo, "A write to the data folder failed and was refused to its caller."},
+	{LeaderElected, "leader-elected", levelInfo, "A control process became leader."},
+	{LeaderSteppedDown, "leader-stepped-down", levelInfo, "A control process stopped being leader."},
+	{PeerRefused, "peer-refused", levelInfo, "A connection or frame from a peer was refused."},
+	{KeyExpires, "key-expires", levelInfo, "The process's certificate expires soon."},
+}
+
+// All returns every log event in ascending order.
+func All() []Info {
+	return append([]Info(nil), infos...)
+}
+
+// Describe returns the table row of an event.
+func Describe(id ID) Info {
+	for _, info := range infos {
+		if info.ID == id {
+			return info
+		}
+	}
+	return Info{ID: id, Name: "unlisted"}
+}
--- /dev/null
+++ b/io/kwevent/emitter.go
@@ -0,0 +1,119 @@
+package kwevent
+
+import (
+	"encoding/json"
+	"io"
+	"sync"
+
+	"github.com/go-logr/logr"
+
+	"knapweedproxy/core/kwclock"
+	"knapweedproxy/core/kwid"
+)
+
+// Field is one detail of an event.
+type Field struct {
+	Key   string `json:"key"`
+	Value any    `json:"value"`
+}
+
+// F returns a Field.
+func F(key string, value any) Field {
+	return Field{Key: key, Value: value}
+}
+
+// Record is one event on the time line.
+type Record struct {
+	Stamp   kwclock.Stamp  `json:"stamp"`
+	Node    kwid.NodeID    `json:"node"`
+	ID      ID             `json:"id"`
+	Name    string         `json:"name"`
+	Request kwid.RequestID `json:"request,omitempty"`
+	Fields  []Field        `json:"fields,omitempty"`
+}
+
+// Config holds what an Emitter writes to; File may be nil, Keep bounds the records kept in memory.
+type Config struct {
+	Node  kwid.NodeID
+	Clock *kwclock.Clock
+	Log   logr.Logger
+	File  io.Writer
+	Keep  int
+}
+
+// DefaultKeep is how many records an Emitter keeps unless told otherwise.
+const DefaultKeep = 4096
+
+// Emitter writes events to the log and to the time line; it is safe for concurrent use.
+type Emitter struct {
+	cfg  Config
+	mu   sync.Mutex
+	ring []Record
+	next int
+}
+
+// New returns an Emitter.
+func New(cfg Config) *Emitter {
+	if cfg.Keep == 0 {
+		cfg.Keep = DefaultKeep
+	}
+	return &Emitter{cfg: cfg}
+}
+
+// Emit writes one event; request may be empty.
+func (e *Emitter) Emit(id ID, request kwid.RequestID, fields ...Field) {
+	info := Describe(id)
+	record := Record{
+		Stamp:   e.cfg.Clock.Next(),
+		Node:    e.cfg.Node,
+		ID:      id,
+		Name:    info.Name,
+		Request: request,
+		Fields:  fields,
+	}
+	e.log(info, record)
+	e.keep(record)
+}
+
+func (e *Emitter) log(info Info, record Record) {
+	log := e.cfg.Log.V(info.Level)
+	if !log.Enabled() {
+		return
+	}
+	values := []any{"event", int(info.ID), "node", string(record.Node)}
+	if record.Request != "" {
+		values = append(values, "request", string(record.Request))
+	}
+	for _, f := range record.Fields {
+		values = append(values, f.Key, f.Value)
+	}
+	log.Info(info.Name, values...)
+}
+
+func (e *Emitter) keep(record Record) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.ring) < e.cfg.Keep {
+		e.ring = append(e.ring, record)
+	} else {
+		e.ring[e.next] = record
+		e.next = (e.next + 1) % e.cfg.Keep
+	}
+	if e.cfg.File == nil {
+		return
+	}
+	line, err := json.Marshal(record)
+	if err != nil {
+		return
+	}
+	_, _ = e.cfg.File.Write(append(line, '\n'))
+}
+
+// Records returns the kept records in the order they were emitted.
+func (e *Emitter) Records() []Record {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := make([]Record, 0, len(e.ring))
+	out = append(out, e.ring[e.next:]...)
+	return append(out, e.ring[:e.next]...)
+}
--- /dev/null
+++ b/io/kwkeys/authority.go
@@ -0,0 +1,193 @@
+package kwkeys
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"knapweedproxy/core/kwcode"
+	"knapweedproxy/core/kwid"
+)
+
+// Role is the part a process plays; a key is issued for one role.
+type Role string
+
+const (
+	// RoleEntry takes caller requests.
+	RoleEntry Role = "entry"
+	// RoleControl keeps durable state.
+	RoleControl Role = "control"
+	// RoleAgent runs beside an endpoint.
+	RoleAgent Role = "agent"
+)
+
+// Roles lists every role.
+func Roles() []Role {
+	return []Role{RoleEntry, RoleControl, RoleAgent}
+}
+
+// File names of an authority and of a node's key pair inside a folder.
+const (
+	AuthorityCert = "authority.crt"
+	AuthorityKey  = "authority.key"
+	certSuffix    = ".crt"
+	keySuffix     = ".key"
+)
+
+// Validity spans.
+const (
+	AuthorityValidity = 10 * 365 * 24 * time.Hour
+	DefaultValidity   = 90 * 24 * time.Hour
+	clockSkew         = 5 * time.Minute
+)
+
+// ServerName is the DNS name in every certificate; the node id is in the common name.
+const ServerName = "knapweedproxy.internal"
+
+const (
+	folderMode  = 0o700
+	keyFileMode = 0o600
+	serialBits  = 127
+)
+
+// Init makes a new authority in a folder; it refuses to replace one.
+func Init(folder string, now time.Time) error {
+	path := filepath.Join(folder, AuthorityKey)
+	if _, err := os.Stat(path); err == nil {
+		return kwcode.New(kwcode.KeyFileBad, "%s exists; an authority is never replaced", path)
+	}
+	if err := os.MkdirAll(folder, folderMode); err != nil {
+		return eris.Wrap(err, "make the key folder")
+	}
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return eris.Wrap(err, "generate the authority key")
+	}
+	cert := template("knapweedproxy authority", now, AuthorityValidity)
+	cert.IsCA = true
+	cert.BasicConstraintsValid = true
+	cert.KeyUsage = x509.KeyUsageCertSign
+	der, err := x509.CreateCertificate(rand.Reader, cert, cert, key.Public(), key)
+	if err != nil {
+		return eris.Wrap(err, "sign the authority certificate")
+	}
+	return writePair(filepath.Join(folder, "authority"), der, key)
+}
+
+// Request names the key to issue.
+type Request struct {
+	Folder   string
+	Node     kwid.NodeID
+	Role     Role
+	Validity time.Duration
+}
+
+// Issue makes a key pair for a node, signed by the folder's authority; an existing pair is replaced.
+func Issue(req Request, now time.Time) error {
+	if filepath.Base(string(req.Node)) != string(req.Node) || req.Node == "" || req.Node == "authority" {
+		return kwcode.New(kwcode.Usage, "node name %q cannot name a file", req.Node)
+	}
+	authority, signer, err := readAuthority(req.Folder)
+	if err != nil {
+		return err
+	}
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return eris.Wrap(err, "generate a key")
+	}
+	cert := template(string(req.Node), now, req.Validity)
+	cert.Subject.OrganizationalUnit = []string{string(req.Role)}
+	cert.DNSNames = []string{ServerName}
+	cert.KeyUsage = x509.KeyUsageDigitalSignature
+	cert.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth}
+	der, err := x509.CreateCertificate(rand.Reader, cert, authority, key.Public(), signer)
+	if err != nil {
+		return eris.Wrap(err, "sign a certificate")
+	}
+	return writePair(filepath.Join(req.Folder, string(req.Node)), der, key)
+}
+
+func template(name string, now time.Time, validity time.Duration) *x509.Certificate {
+	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), serialBits))
+	if err != nil {
+		serial = big.NewInt(now.UnixNano())
+	}
+	return &x509.Certificate{
+		SerialNumber: serial,
+		Subject:      pkix.Name{CommonName: name},
+		NotBefore:    now.Add(-clockSkew),
+		NotAfter:     now.Add(validity),
+	}
+}
+
+func readAuthority(folder string) (*x509.Certificate, *ecdsa.PrivateKey, error) {
+	cert, err := readCert(filepath.Join(folder, AuthorityCert))
+	if err != nil {
+		return nil, nil, err
+	}
+	path := filepath.Join(folder, AuthorityKey)
+	block, err := readPEM(path)
+	if err != nil {
+		return nil, nil, err
+	}
+	key, err := x509.ParseECPrivateKey(block)
+	if err != nil {
+		return nil, nil, kwcode.New(kwcode.KeyFileBad, "%s: %v", path, err)
+	}
+	return cert, key, nil
+}
+
+func readCert(path string) (*x509.Certificate, error) {
+	block, err := readPEM(path)
+	if err != nil {
+		return nil, err
+	}
+	cert, err := x509.ParseCertificate(block)
+	if err != nil {
+		return nil, kwcode.New(kwcode.KeyFileBad, "%s: %v", path, err)
+	}
+	return cert, nil
+}
+
+func readPEM(path string) ([]byte, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, kwcode.New(kwcode.KeyFileBad, "%v", err)
+	}
+	block, _ := pem.Decode(data)
+	if block == nil {
+		return nil, kwcode.New(kwcode.KeyFileBad, "%s holds no PEM block", path)
+	}
+	return block.Bytes, nil
+}
+
+// writePair replaces the key first and the certificate last; each file is replaced whole.
+func writePair(base string, der []byte, key *ecdsa.PrivateKey) error {
+	raw, err := x509.MarshalECPrivateKey(key)
+	if err != nil {
+		return eris.Wrap(err, "encode a key")
+	}
+	keyPEM := pem.EncodeToMemory(&pem.Block{Type: "EC PRIVATE KEY", Bytes: raw})
+	if err := replaceFile(base+keySuffix, keyPEM); err != nil {
+		return err
+	}
+	certPEM := pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})
+	return replaceFile(base+certSuffix, certPEM)
+}
+
+func replaceFile(path string, data []byte) error {
+	tmp := path + ".tmp"
+	if err := os.WriteFile(tmp, data, keyFileMode); err != nil {
+		return eris.Wrap(err, "write a key file")
+	}
+	return eris.Wrap(os.Rename(tmp, path), "replace a key file")
+}
--- /dev/null
+++ b/io/kwproto/messages.go
@@ -0,0 +1,213 @@
+package kwproto
+
+import (
+	"knapweedproxy/core/kwcode"
+	"knapweedproxy/core/kwconfig"
+	"knapweedproxy/core/kwid"
+	"knapweedproxy/core/kwmember"
+	"knapweedproxy/core/kwroute"
+	"knapweedproxy/core/kwstate"
+)
+
+// Kind numbers a message type on the wire.
+type Kind uint16
+
+// Message kinds; a stream opens with one of the first block of its role.
+const (
+	KindReply    Kind = 1
+	KindError    Kind = 2
+	KindAnnounce Kind = 10
+	KindWatch    Kind = 11
+	KindView     Kind = 12
+	KindSeen     Kind = 13
+	KindPropose  Kind = 14
+	KindAwait    Kind = 15
+	KindSession  Kind = 20
+	KindStage    Kind = 21
+	KindReturn   Kind = 22
+	KindProbe    Kind = 23
+	KindStep     Kind = 24
+	KindToken    Kind = 25
+	KindEnd      Kind = 26
+	KindCall     Kind = 30
+	KindFence    Kind = 31
+	KindOrder    Kind = 32
+	KindRaft     Kind = 40
+	KindJoin     Kind = 41
+)
+
+// Announce renews an endpoint's lease.
+type Announce struct {
+	Endpoint kwmember.Endpoint `cbor:"1,keyasint"`
+}
+
+// Announced answers an Announce.
+type Announced struct {
+	Fence    kwid.Fence    `cbor:"1,keyasint"`
+	Draining bool          `cbor:"2,keyasint"`
+	Revision kwid.Revision `cbor:"3,keyasint"`
+	Control  kwid.NodeID   `cbor:"4,keyasint"`
+}
+
+// Watch opens an entry's subscription; Version and Boot name the newest view it holds.
+type Watch struct {
+	Entry kwmember.Entry `cbor:"1,keyasint"`
+}
+
+// View carries the rows that changed; Full replaces all rows. Echo returns the number of the Seen it answers.
+type View struct {
+	Version   uint64              `cbor:"1,keyasint"`
+	Revision  kwid.Revision       `cbor:"2,keyasint"`
+	Fleet     *kwconfig.Fleet     `cbor:"3,keyasint,omitempty"`
+	Endpoints []kwmember.Endpoint `cbor:"4,keyasint,omitempty"`
+	Entries   []kwid.NodeID       `cbor:"5,keyasint,omitempty"`
+	Full      bool                `cbor:"6,keyasint,omitempty"`
+	Echo      uint64              `cbor:"7,keyasint"`
+	Loads     []byte              `cbor:"8,keyasint,omitempty"`
+}
+
+// Seen renews an entry's lease and names the view it serves with.
+type Seen struct {
+	Number   uint64        `cbor:"1,keyasint"`
+	Version  uint64        `cbor:"2,keyasint"`
+	Revision kwid.Revision `cbor:"3,keyasint"`
+}
+
+// Propose asks control to log a command.
+type Propose struct {
+	Command kwstate.Command `cbor:"1,keyasint"`
+}
+
+// Await asks for a journal row once its attempt has ended; Wait is in milliseconds.
+type Await struct {
+	Scope   kwstate.Scope `cbor:"1,keyasint"`
+	Attempt kwid.Attempt  `cbor:"2,keyasint"`
+	Wait    int64         `cbor:"3,keyasint"`
+}
+
+// Session opens a token stream at the first stage of a chain; Timeout is in milliseconds.
+type Session struct {
+	Request   kwid.RequestID    `cbor:"1,keyasint"`
+	Attempt   kwid.Attempt      `cbor:"2,keyasint"`
+	Model     kwid.ModelName    `cbor:"3,keyasint"`
+	Prompt    string            `cbor:"4,keyasint"`
+	Delivered []kwid.Token      `cbor:"5,keyasint,omitempty"`
+	MaxTokens int               `cbor:"6,keyasint"`
+	Priority  kwconfig.Priority `cbor:"7,keyasint"`
+	Chain     []kwroute.Stage   `cbor:"8,keyasint"`
+	Timeout   int64             `cbor:"9,keyasint"`
+}
+
+// Stage opens a later stage of a chain; Index is its place in the chain.
+type Stage struct {
+	Request  kwid.RequestID    `cbor:"1,keyasint"`
+	Attempt  kwid.Attempt      `cbor:"2,keyasint"`
+	Model    kwid.ModelName    `cbor:"3,keyasint"`
+	Priority kwconfig.Priority `cbor:"4,keyasint"`
+	Chain    []kwroute.Stage   `cbor:"5,keyasint"`
+	Index    int               `cbor:"6,keyasint"`
+}
+
+// Step carries the activations of the tokens that start at Position; one value a token.
+type Step struct {
+	Attempt  kwid.Attempt  `cbor:"1,keyasint"`
+	Position kwid.Position `cbor:"2,keyasint"`
+	Layer    kwid.Layer    `cbor:"3,keyasint"`
+	Hidden   []uint64      `cbor:"4,keyasint"`
+}
+
+// Return opens the path from the last stage back to the first.
+type Return struct {
+	Request kwid.RequestID `cbor:"1,keyasint"`
+	Attempt kwid.Attempt   `cbor:"2,keyasint"`
+}
+
+// Token is one sampled token; Index counts from the first token after the prompt.
+type Token struct {
+	Attempt  kwid.Attempt  `cbor:"1,keyasint"`
+	Position kwid.Position `cbor:"2,keyasint"`
+	Index    int           `cbor:"3,keyasint"`
+	Token    kwid.Token    `cbor:"4,keyasint"`
+	Text     string        `cbor:"5,keyasint"`
+	Stop     bool          `cbor:"6,keyasint"`
+}
+
+// End closes a token stream that is complete; PromptTokens counts the prompt.
+type End struct {
+	Attempt      kwid.Attempt `cbor:"1,keyasint"`
+	PromptTokens int          `cbor:"2,keyasint"`
+	Tokens       int          `cbor:"3,keyasint"`
+	Stop         bool         `cbor:"4,keyasint"`
+}
+
+// Probe asks a stage for its progress with one attempt.
+type Probe struct {
+	Request kwid.RequestID `cbor:"1,keyasint"`
+	Attempt kwid.Attempt   `cbor:"2,keyasint"`
+}
+
+// Probed answers a Probe.
+type Probed struct {
+	Next        kwid.Position `cbor:"1,keyasint"`
+	Running     bool          `cbor:"2,keyasint"`
+	EngineAlive bool          `cbor:"3,keyasint"`
+}
+
+// Call carries a service request to the agent beside an endpoint; Timeout is in milliseconds.
+type Call struct {
+	Request     kwid.RequestID   `cbor:"1,keyasint"`
+	Attempt     kwid.Attempt     `cbor:"2,keyasint"`
+	Incarnation kwid.Incarnation `cbor:"3,keyasint"`
+	Scope       kwstate.Scope    `cbor:"4,keyasint"`
+	Idempotent  bool             `cbor:"5,keyasint"`
+	Method      string           `cbor:"6,keyasint"`
+	Path        string           `cbor:"7,keyasint"`
+	Query       string           `cbor:"8,keyasint"`
+	Headers     []kwstate.Header `cbor:"9,keyasint"`
+	Body        []byte           `cbor:"10,keyasint"`
+	Timeout     int64            `cbor:"11,keyasint"`
+}
+
+// Called answers a Call with the service's response.
+type Called struct {
+	Response kwstate.Response `cbor:"1,keyasint"`
+	Load     uint8            `cbor:"2,keyasint"`
+}
+
+// Fence asks an agent to bar an attempt, or to say what became of it.
+type Fence struct {
+	Scope       kwstate.Scope    `cbor:"1,keyasint"`
+	Attempt     kwid.Attempt     `cbor:"2,keyasint"`
+	Incarnation kwid.Incarnation `cbor:"3,keyasint"`
+}
+
+// Fenced answers a Fence; State is a state of the call table, or "restarted".
+type Fenced struct {
+	State    string           `cbor:"1,keyasint"`
+	Response kwstate.Response `cbor:"2,keyasint"`
+}
+
+// Order tells an engine to change what it holds.
+type Order struct {
+	Fence  kwid.Fence      `cbor:"1,keyasint"`
+	Model  kwid.ModelName  `cbor:"2,keyasint"`
+	Layers kwid.LayerRange `cbor:"3,keyasint"`
+}
+
+// Ordered answers an Order.
+type Ordered struct {
+	Fence kwid.Fence `cbor:"1,keyasint"`
+}
+
+// Failure is the body of an error frame.
+type Failure struct {
+	Error kwcode.Error `cbor:"1,keyasint"`
+}
+
+// Join asks the leader to take a control member in; Member names its node and disk.
+type Join struct {
+	Member kwid.NodeID `cbor:"1,keyasint"`
+}
+
+// Done answers a request that has no other result.
+type Done struct{}
--- /dev/null
+++ b/io/kwsettings/settings.go
@@ -0,0 +1,227 @@
+package kwsettings
+
+import (
+	"encoding/hex"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"knapweedproxy/core/kwcode"
+	"knapweedproxy/core/kwconfig"
+	"knapweedproxy/core/kwid"
+	"knapweedproxy/io/kwkeys"
+)
+
+// Format is the value of the format key of every process settings file.
+const Format = "knapweedproxy-process-1"
+
+// TLS names the key files; relative names are taken from the settings file's folder.
+type TLS struct {
+	Authority   string `toml:"authority"`
+	Certificate string `toml:"certificate"`
+	Key         string `toml:"key"`
+}
+
+// Peer is another control process.
+type Peer struct {
+	Node   kwid.NodeID `toml:"node"`
+	Listen string      `toml:"listen"`
+}
+
+// Entry holds the settings of the entry role.
+type Entry struct {
+	HTTPListen   string            `toml:"http-listen"`
+	Control      []string          `toml:"control"`
+	InFlight     int               `toml:"requests-in-flight"`
+	ViewLease    kwconfig.Duration `toml:"view-lease"`
+	Renew        kwconfig.Duration `toml:"renew"`
+	DrainTimeout kwconfig.Duration `toml:"drain-timeout"`
+}
+
+// Agent holds the settings of the agent role.
+type Agent struct {
+	Endpoint     kwid.EndpointID   `toml:"endpoint"`
+	Control      []string          `toml:"control"`
+	EngineURL    string            `toml:"engine-url"`
+	ServiceURL   string            `toml:"service-url"`
+	Service      kwid.ServiceName  `toml:"service"`
+	Announce     kwconfig.Duration `toml:"announce"`
+	DrainTimeout kwconfig.Duration `toml:"drain-timeout"`
+}
+
+// Control holds the settings of the control role.
+type Control struct {
+	AdminListen      string `toml:"admin-listen"`
+	AdminTokenSHA256 string `toml:"admin-token-sha256"`
+	Peers            []Peer `toml:"peers"`
+}
+
+// Process is the settings file of one process.
+type Process struct {
+	Format           string                `toml:"format"`
+	Role             kwkeys.Role           `toml:"role"`
+	Node             kwid.NodeID           `toml:"node"`
+	Site             kwid.Site             `toml:"site"`
+	AvailabilityZone kwid.AvailabilityZone `toml:"availability-zone"`
+	Listen           string                `toml:"listen"`
+	DataFolder       string                `toml:"data-folder"`
+	EventsFile       string                `toml:"events-file"`
+	TLS              TLS                   `toml:"tls"`
+	Entry            *Entry                `toml:"entry"`
+	Agent            *Agent                `toml:"agent"`
+	Control          *Control              `toml:"control"`
+}
+
+// Load reads, decodes and checks a settings file; each error names the file, the line and the key.
+func Load(path string, role kwkeys.Role) (*Process, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, kwcode.New(kwcode.SettingsFile, "%v", err)
+	}
+	p, err := Parse(kwconfig.File{Name: path, Text: string(text)}, role)
+	if err != nil {
+		return nil, err
+	}
+	folder := filepath.Dir(path)
+	for _, name := range []*string{&p.TLS.Authority, &p.TLS.Certificate, &p.TLS.Key, &p.DataFolder, &p.EventsFile} {
+		if *name != "" && !filepath.IsAbs(*name) {
+			*name = filepath.Join(folder, *name)
+		}
+	}
+	return p, nil
+}
+
+// Parse decodes and checks settings for a role; an empty role admits any.
+func Parse(file kwconfig.File, role kwkeys.Role) (*Process, error) {
+	var p Process
+	if err := kwconfig.Decode(file, &p); err != nil {
+		return nil, err
+	}
+	c := checker{file: file}
+	c.require(p.Format == Format, kwcode.SettingsBadValue, "format", "want %q, got %q", Format, p.Format)
+	c.require(slices.Contains(kwkeys.Roles(), p.Role), kwcode.SettingsBadValue, "role", "want one of %v, got %q", kwkeys.Roles(), p.Role)
+	c.require(role == "" || p.Role == role, kwcode.SettingsBadValue, "role", "want %q, got %q", role, p.Role)
+	c.require(p.Node != "", kwcode.SettingsMissing, "node", "a process needs a node name")
+	c.require(!strings.Contains(string(p.Node), "@"), kwcode.SettingsBadValue, "node", "a node name holds no \"@\"")
+	c.address("listen", p.Listen)
+	c.require(p.TLS.Authority != "", kwcode.SettingsMissing, "authority", "name the authority's certificate")
+	c.require(p.TLS.Certificate != "", kwcode.SettingsMissing, "certificate", "name the process's certificate")
+	c.require(p.TLS.Key != "", kwcode.SettingsMissing, "key", "name the process's key")
+	switch p.Role {
+	case kwkeys.RoleEntry:
+		c.entry(&p)
+	case kwkeys.RoleAgent:
+		c.agent(&p)
+	case kwkeys.RoleControl:
+		c.control(&p)
+	}
+	if c.err != nil {
+		return nil, c.err
+	}
+	return &p, nil
+}
+
+// maxViewLease is the span that control counts on when it says that a revision is in force.
+const maxViewLease = 10 * time.Second
+
+// checker keeps the first fault.
+type checker struct {
+	file kwconfig.File
+	err  error
+}
+
+func (c *checker) require(ok bool, code kwcode.Code, key, format string, args ...any) {
+	if ok || c.err != nil {
+		return
+	}
+	line := kwconfig.LineOf(c.file.Text, key)
+	c.err = kwcode.New(code, "%s:%d: key %q: %s", c.file.Name, line, key, fmt.Sprintf(format, args...))
+}
+
+// maxPort is the largest port number.
+const maxPort = 65535
+
+// address requires an IP number and a port; names are not looked up.
+func (c *checker) address(key, text string) {
+	c.require(text != "", kwcode.SettingsMissing, key, "want an IP number and a port")
+	host, port, err := net.SplitHostPort(text)
+	n, bad := strconv.Atoi(port)
+	ok := err == nil && net.ParseIP(host) != nil && bad == nil && n >= 0 && n <= maxPort
+	c.require(ok, kwcode.SettingsBadValue, key, "want an IP number and a port, got %q", text)
+}
+
+func (c *checker) addresses(key string, all []string) {
+	c.require(len(all) > 0, kwcode.SettingsMissing, key, "want at least one control address")
+	for _, a := range all {
+		c.address(key, a)
+	}
+}
+
+func (c *checker) span(key string, d kwconfig.Duration) {
+	c.require(d >= 0 && d.Std() <= time.Hour, kwcode.SettingsBadValue, key, "want up to 1h, got %s", d.Std())
+}
+
+func (c *checker) entry(p *Process) {
+	c.require(p.Entry != nil, kwcode.SettingsMissing, "entry", "an entry needs the table [entry]")
+	c.require(p.Site != "", kwcode.SettingsMissing, "site", "an entry needs a site")
+	if p.Entry == nil {
+		return
+	}
+	c.address("http-listen", p.Entry.HTTPListen)
+	c.addresses("control", p.Entry.Control)
+	c.require(p.Entry.InFlight >= 0, kwcode.SettingsBadValue, "requests-in-flight", "want 1 or more")
+	c.require(p.Entry.ViewLease.Std() <= maxViewLease, kwcode.SettingsBadValue, "view-lease", "want up to %s, got %s", maxViewLease, p.Entry.ViewLease.Std())
+	c.span("renew", p.Entry.Renew)
+	c.span("drain-timeout", p.Entry.DrainTimeout)
+}
+
+func (c *checker) agent(p *Process) {
+	c.require(p.Agent != nil, kwcode.SettingsMissing, "agent", "an agent needs the table [agent]")
+	c.require(p.Site != "", kwcode.SettingsMissing, "site", "an agent needs a site")
+	c.require(p.AvailabilityZone != "", kwcode.SettingsMissing, "availability-zone", "an agent needs an availability zone")
+	if p.Agent == nil {
+		return
+	}
+	a := p.Agent
+	c.require(a.Endpoint != "", kwcode.SettingsMissing, "endpoint", "an agent needs an endpoint name")
+	c.addresses("control", a.Control)
+	c.require((a.EngineURL == "") != (a.ServiceURL == ""), kwcode.SettingsBadValue, "engine-url", "set exactly one of engine-url and service-url")
+	c.require(a.ServiceURL == "" || a.Service != "", kwcode.SettingsMissing, "service", "service-url needs the service's name")
+	c.span("announce", a.Announce)
+	c.span("drain-timeout", a.DrainTimeout)
+}
+
+func (c *checker) control(p *Process) {
+	c.require(p.Control != nil, kwcode.SettingsMissing, "control", "a control process needs the table [control]")
+	c.require(p.DataFolder != "", kwcode.SettingsMissing, "data-folder", "a control process needs a data folder")
+	if p.Control == nil {
+		return
+	}
+	c.address("admin-listen", p.Control.AdminListen)
+	c.adminToken(p.Control)
+	for _, peer := range p.Control.Peers {
+		c.require(peer.Node != "" && peer.Node != p.Node, kwcode.SettingsBadValue, "peers", "a peer needs another node's name")
+		c.address("peers", peer.Listen)
+	}
+}
+
+// sha256HexChars is the length of a token digest in a settings file.
+const sha256HexChars = 64
+
+// adminToken requires a token unless operators can only come from the same VM.
+func (c *checker) adminToken(ctl *Control) {
+	_, err := hex.DecodeString(ctl.AdminTokenSHA256)
+	good := err == nil && len(ctl.AdminTokenSHA256) == sha256HexChars
+	if ctl.AdminTokenSHA256 != "" {
+		c.require(good, kwcode.SettingsBadValue, "admin-token-sha256", "want %d hex characters", sha256HexChars)
+		return
+	}
+	host, _, _ := net.SplitHostPort(ctl.AdminListen)
+	ip := net.ParseIP(host)
+	c.require(ip != nil && ip.IsLoopback(), kwcode.SettingsMissing, "admin-token-sha256", "required unless admin-listen is a loopback address")
+}
--- /dev/null
+++ b/io/kwstandin/faults.go
@@ -0,0 +1,127 @@
+package kwstandin
+
+import (
+	"sync"
+	"time"
+)
+
+// Faults are the ways in which a stand-in misbehaves; spans are in milliseconds.
+type Faults struct {
+	SlowMS  int64 `json:"slow-ms"`
+	Hang    bool  `json:"hang"`
+	Die     bool  `json:"die"`
+	LateMS  int64 `json:"late-ms"`
+	Crossed bool  `json:"crossed"`
+	// Drop runs the work and closes the connection in place of an answer.
+	Drop bool `json:"drop"`
+	// DropOnce is Drop for the next answer only.
+	DropOnce bool `json:"drop-once"`
+}
+
+// switches guards the faults of one stand-in.
+type switches struct {
+	mu     sync.Mutex
+	faults Faults
+	wake   chan struct{}
+}
+
+func newSwitches() *switches {
+	return &switches{wake: make(chan struct{})}
+}
+
+func (s *switches) set(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+	close(s.wake)
+	s.wake = make(chan struct{})
+}
+
+func (s *switches) get() (Faults, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults, s.wake
+}
+
+// takeDrop tells whether the answer must be dropped, and ends a single drop.
+func (s *switches) takeDrop() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.DropOnce {
+		s.faults.DropOnce = false
+		return true
+	}
+	return s.faults.Drop
+}
+
+// hold waits while the stand-in hangs; false means that done closed first.
+func (s *switches) hold(done <-chan struct{}) bool {
+	for {
+		f, wake := s.get()
+		if !f.Hang {
+			return true
+		}
+		select {
+		case <-wake:
+		case <-done:
+			return false
+		}
+	}
+}
+
+// pause waits for a span; false means that done closed first.
+func pause(ms int64, done <-chan struct{}) bool {
+	if ms <= 0 {
+		return true
+	}
+	timer := time.NewTimer(time.Duration(ms) * time.Millisecond)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-done:
+		return false
+	}
+}
+
+// crosser swaps the answers of two requests that are in progress together.
+type crosser[T any] struct {
+	mu      sync.Mutex
+	waiting *crossing[T]
+}
+
+type crossing[T any] struct {
+	mine T
+	peer chan T
+}
+
+const crossWait = 150 * time.Millisecond
+
+// swap returns another request's answer if one is in progress, or its own after a wait.
+func (c *crosser[T]) swap(mine T) T {
+	c.mu.Lock()
+	if other := c.waiting; other != nil {
+		c.waiting = nil
+		c.mu.Unlock()
+		other.peer <- mine
+		return other.mine
+	}
+	self := &crossing[T]{mine: mine, peer: make(chan T, 1)}
+	c.waiting = self
+	c.mu.Unlock()
+	timer := time.NewTimer(crossWait)
+	defer timer.Stop()
+	select {
+	case got := <-self.peer:
+		return got
+	case <-timer.C:
+	}
+	c.mu.Lock()
+	if c.waiting == self {
+		c.waiting = nil
+		c.mu.Unlock()
+		return mine
+	}
+	c.mu.Unlock()
+	return <-self.peer
+}
