--- /dev/null
+++ b/core/kwcall/table_test.go
@@ -0,0 +1,50 @@
+package kwcall
+
+import (
+	"testing"
+	"time"
+
+	"knapweedproxy/core/kwcode"
+	"knapweedproxy/core/kwstate"
+)
+
+func TestFenceBeforeArrival(t *testing.T) {
+	now := time.Unix(100, 0)
+	table := New(time.Minute)
+	id := ID{Attempt: 1}
+	if got, _ := table.Fence(now, id); got != Fenced {
+		t.Errorf("got %s, want %s", got, Fenced)
+	}
+	if _, err := table.Begin(now, id); !kwcode.Is(err, kwcode.AttemptFenced) {
+		t.Errorf("got %v, want %d", err, kwcode.AttemptFenced)
+	}
+}
+
+func TestRunsOnceAndKeepsOutcome(t *testing.T) {
+	now := time.Unix(100, 0)
+	table := New(time.Minute)
+	id := ID{Attempt: 1}
+	if fresh, err := table.Begin(now, id); !fresh || err != nil {
+		t.Fatalf("got %t %v, want a first arrival", fresh, err)
+	}
+	if fresh, err := table.Begin(now, id); fresh || err != nil {
+		t.Errorf("got %t %v, want a repeat", fresh, err)
+	}
+	if got, _ := table.Fence(now, id); got != Running {
+		t.Errorf("got %s, want %s", got, Running)
+	}
+	table.End(now, id, kwstate.Response{Status: 201})
+	if got, response := table.Fence(now, id); got != Done || response.Status != 201 {
+		t.Errorf("got %s %d, want %s 201", got, response.Status, Done)
+	}
+	other := ID{Attempt: 2}
+	if _, err := table.Begin(now.Add(3*time.Minute), other); err != nil {
+		t.Fatal(err)
+	}
+	if got, _ := table.Look(id); got != Absent {
+		t.Errorf("got %s after its time, want %s", got, Absent)
+	}
+	if table.Active() != 1 {
+		t.Errorf("got %d active, want 1: running calls never expire", table.Active())
+	}
+}
--- a/core/kwconfig/check.go
+++ b/core/kwconfig/check.go
@@ -99,7 +99,7 @@
 		if c.Retry != Idempotent && c.Retry != AtMostOnce {
 			return fault(file, kwcode.SettingsBadValue, key, "%s %s: want retry %q or %q, got %q", c.Method, c.Path, Idempotent, AtMostOnce, c.Retry)
 		}
-		if c.RepeatWindow < 0 || c.RepeatWindow.Std() > maxRepeatWindow {
+		if c.RepeatWindow.Std() < 0 || c.RepeatWindow.Std() > maxRepeatWindow {
 			return fault(file, kwcode.SettingsBadValue, key, "%s %s: want a repeat-window up to %s", c.Method, c.Path, maxRepeatWindow)
 		}
 	}
@@ -174,7 +174,7 @@
 		if !o.hasZone(l.To) {
 			return fault(file, kwcode.SettingsReference, at("to"), "unknown availability zone %q", l.To)
 		}
-		if l.Latency < 0 || l.Latency.Std() > time.Minute {
+		if l.Latency.Std() < 0 || l.Latency.Std() > time.Minute {
 			return fault(file, kwcode.SettingsBadValue, at("latency"), "want up to 1m, got %s", l.Latency.Std())
 		}
 		if l.Bandwidth <= 0 {
--- a/core/kwconfig/decode.go
+++ b/core/kwconfig/decode.go
@@ -120,9 +120,25 @@
 		}
 		return kwcode.New(code, "%s:%d: key %q: %s", file.Name, row, key, bad.Error())
 	}
+	var span *spanError
+	if errors.As(err, &span) {
+		row, key := findValue(file.Text, span.text)
+		return kwcode.New(kwcode.SettingsBadValue, "%s:%d: key %q: %v", file.Name, row, key, err)
+	}
 	return kwcode.New(kwcode.SettingsSyntax, "%s:1: %v", file.Name, err)
 }
 
+// findValue returns the line and the key of a value that is written without quotes.
+func findValue(text, value string) (row int, key string) {
+	pattern := regexp.MustCompile(`([A-Za-z0-9_-]+)\s*=\s*` + regexp.QuoteMeta(value) + `\b`)
+	for i, line := range strings.Split(text, "\n") {
+		if m := pattern.FindStringSubmatch(line); m != nil {
+			return i + 1, m[1]
+		}
+	}
+	return 1, ""
+}
+
 var keyPattern = regexp.MustCompile(`^\s*([A-Za-z0-9_-]+)\s*=\s*\S`)
 
 func keyAt(file File, row int) string {
@@ -145,10 +161,14 @@
 
 var indexed = regexp.MustCompile(`^([a-z0-9-]+)\[(\d+)\](?:\.(.+))?$`)
 
-// LineOf finds the line of a key; the line of its table stands in for a key that is absent.
+// LineOf finds the line of a key written as "key", "table.key" or "tables[index].key"; the line of its table stands in for a key that is absent.
 func LineOf(text, key string) int {
 	lines := strings.Split(text, "\n")
 	m := indexed.FindStringSubmatch(key)
+	if table, name, ok := strings.Cut(key, "."); m == nil && ok {
+		start := findLine(lines, "["+table+"]")
+		return max(1, start, findKey(lines, start, name))
+	}
 	if m == nil {
 		return max(1, findKey(lines, 0, key))
 	}
@@ -161,6 +181,15 @@
 	return max(1, start)
 }
 
+func findLine(lines []string, text string) int {
+	for i, line := range lines {
+		if strings.TrimSpace(line) == text {
+			return i + 1
+		}
+	}
+	return 0
+}
+
 func findTable(lines []string, table string, index int) int {
 	seen := 0
 	for i, line := range lines {
--- a/core/kwconfig/fleet.go
+++ b/core/kwconfig/fleet.go
@@ -10,27 +10,38 @@
 // Format is the value of the format key of every fleet file.
 const Format = "knapweedproxy-fleet-1"
 
-// Duration is a time span written with its unit, such as "250ms".
-type Duration time.Duration
+// Duration is a time span written with its unit, such as "250ms"; a bare number is refused.
+type Duration struct {
+	Span time.Duration `cbor:"1,keyasint"`
+}
 
-// UnmarshalText parses a span; a number without a unit is an error.
+// UnmarshalText parses a span with its unit.
 func (d *Duration) UnmarshalText(text []byte) error {
 	v, err := time.ParseDuration(string(text))
 	if err != nil {
-		return err
+		return &spanError{text: string(text), cause: err}
 	}
-	*d = Duration(v)
+	d.Span = v
 	return nil
 }
 
+// spanError is a span that cannot be parsed; the decoder gives no place for a value that is not a string.
+type spanError struct {
+	text  string
+	cause error
+}
+
+// Error tells the cause.
+func (e *spanError) Error() string { return e.cause.Error() }
+
 // MarshalText writes the span with its unit.
 func (d Duration) MarshalText() ([]byte, error) {
-	return []byte(time.Duration(d).String()), nil
+	return []byte(d.Span.String()), nil
 }
 
 // Std returns the span as a time.Duration.
 func (d Duration) Std() time.Duration {
-	return time.Duration(d)
+	return d.Span
 }
 
 // RetryRule says whether a service call may be repeated.
--- /dev/null
+++ b/core/kwlimit/limiter_test.go
@@ -0,0 +1,53 @@
+package kwlimit
+
+import (
+	"testing"
+	"time"
+
+	"knapweedproxy/core/kwcode"
+)
+
+func TestSplitAddsUp(t *testing.T) {
+	for _, entries := range []int{1, 3, 7} {
+		total := 0
+		for i := range entries {
+			total += Split(20, entries, i)
+		}
+		if total != 20 {
+			t.Errorf("%d entries: got %d, want 20", entries, total)
+		}
+	}
+	if got := Split(2, 5, 4); got != 1 {
+		t.Errorf("got %d, want at least 1", got)
+	}
+}
+
+func TestAcquireHoldsLimits(t *testing.T) {
+	l := New(Config{Total: 3})
+	l.SetShares([]Share{{Workspace: "a", InFlight: 2}, {Workspace: "b", InFlight: 2}})
+	first, err := l.Acquire("a")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := l.Acquire("a"); err != nil {
+		t.Fatal(err)
+	}
+	_, err = l.Acquire("a")
+	if !kwcode.Is(err, kwcode.WorkspaceLimit) || kwcode.Of(err).RetryAfter <= 0 {
+		t.Errorf("got %v, want %d with a time to come back", err, kwcode.WorkspaceLimit)
+	}
+	if _, err := l.Acquire("b"); err != nil {
+		t.Errorf("got %v, want room for another workspace", err)
+	}
+	if _, err := l.Acquire("b"); !kwcode.Is(err, kwcode.EntryOverloaded) {
+		t.Errorf("got %v, want %d", err, kwcode.EntryOverloaded)
+	}
+	if _, err := l.Acquire("nobody"); !kwcode.Is(err, kwcode.WorkspaceLimit) {
+		t.Errorf("got %v, want %d", err, kwcode.WorkspaceLimit)
+	}
+	first(10 * time.Second)
+	first(10 * time.Second)
+	if got := l.InFlight(); got != 2 {
+		t.Errorf("got %d in flight after a double release, want 2", got)
+	}
+}
--- /dev/null
+++ b/core/kwlog/schedules_test.go
@@ -0,0 +1,677 @@
+package kwlog_test
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"knapweedproxy/core/kwconfig"
+	"knapweedproxy/core/kwid"
+	"knapweedproxy/core/kwlog"
+	"knapweedproxy/core/kwstate"
+)
+
+var (
+	oneSeed   = flag.Uint64("seed", 0, "replay this schedule only")
+	seedCount = flag.Int("seeds", 2000, "number of schedules")
+)
+
+const (
+	scheduleSteps = 1500
+	electionMin   = 100 * time.Millisecond
+	heartbeat     = 20 * time.Millisecond
+	drift         = 0.05
+	maxDelay      = 30 * time.Millisecond
+	keyCount      = 6
+)
+
+// TestSchedules runs seeded random schedules of messages, crashes, partitions, clock drift, disk loss and
+// membership changes over the pure log and the control state.
+func TestSchedules(t *testing.T) {
+	if *oneSeed != 0 {
+		if err := runSchedule(*oneSeed); err != nil {
+			t.Fatalf("seed %d: %v", *oneSeed, err)
+		}
+		return
+	}
+	total := tally{}
+	for seed := uint64(1); seed <= uint64(*seedCount); seed++ {
+		w := newWorld(seed)
+		if err := w.run(); err != nil {
+			t.Fatalf("seed %d: %v (replay with -seed %d)", seed, err, seed)
+		}
+		total.add(w.tally)
+	}
+	t.Logf("%d schedules: %+v", *seedCount, total)
+	if total.Acked == 0 || total.Elections == 0 || total.Crashes == 0 || total.DiskLosses == 0 || total.Promotions == 0 || total.Snapshots == 0 {
+		t.Errorf("got %+v, want every kind of event", total)
+	}
+}
+
+func runSchedule(seed uint64) error {
+	w := newWorld(seed)
+	return w.run()
+}
+
+// tally counts what the schedules covered.
+type tally struct {
+	Acked, Elections, Crashes, DiskLosses, Promotions, Snapshots, Runs, Fences, Reads int
+}
+
+func (t *tally) add(o tally) {
+	t.Acked += o.Acked
+	t.Elections += o.Elections
+	t.Crashes += o.Crashes
+	t.DiskLosses += o.DiskLosses
+	t.Promotions += o.Promotions
+	t.Snapshots += o.Snapshots
+	t.Runs += o.Runs
+	t.Fences += o.Fences
+	t.Reads += o.Reads
+}
+
+// vm is one member with its disk; a nil node means that it is down.
+type vm struct {
+	id      kwid.NodeID
+	place   int
+	node    *kwlog.Node
+	machine *kwstate.Machine
+	disk    kwlog.Restored
+	rate    float64
+	offset  time.Duration
+	applied kwlog.Index
+	frozen  time.Duration
+	pending map[kwlog.Index]*request
+}
+
+type envelope struct {
+	at time.Duration
+	m  kwlog.Message
+}
+
+// request is one client command; a claim that was granted may run its call once.
+type request struct {
+	command kwstate.Command
+	term    kwlog.Term
+	done    bool
+}
+
+type attemptID struct {
+	key     string
+	attempt kwid.Attempt
+}
+
+// world is a schedule in progress.
+type world struct {
+	rng      *rand.Rand
+	now      time.Duration
+	vms      []*vm
+	net      []envelope
+	cut      map[[2]int]bool
+	leaders  map[kwlog.Term]kwid.NodeID
+	log      map[kwlog.Index]string
+	revision kwid.Revision
+	winners  map[kwid.Revision]string
+	ran      map[string]int
+	arrived  map[attemptID]bool
+	fenced   map[attemptID]bool
+	grants   []kwstate.Row
+	nextID   int
+	calm     bool
+	delay    time.Duration
+	pace     int
+	tally    tally
+}
+
+func newWorld(seed uint64) *world {
+	w := &world{
+		delay:   maxDelay,
+		rng:     rand.New(rand.NewPCG(seed, 7)),
+		cut:     make(map[[2]int]bool),
+		leaders: make(map[kwlog.Term]kwid.NodeID),
+		log:     make(map[kwlog.Index]string),
+		winners: make(map[kwid.Revision]string),
+		ran:     make(map[string]int),
+		arrived: make(map[attemptID]bool),
+		fenced:  make(map[attemptID]bool),
+	}
+	n := 3 + 2*w.rng.IntN(2)
+	w.pace = 1 + 9*w.rng.IntN(2)
+	var members kwlog.Members
+	for i := range n {
+		members.Voters = append(members.Voters, kwid.NodeID(fmt.Sprintf("n%d@0", i)))
+	}
+	for i := range n {
+		v := &vm{id: members.Voters[i], place: i, disk: kwlog.Bootstrap(members)}
+		v.rate = 1 + (w.rng.Float64()*2-1)*drift
+		v.offset = time.Duration(w.rng.Int64N(int64(time.Hour)))
+		w.vms = append(w.vms, v)
+		w.start(v)
+	}
+	return w
+}
+
+// local is a member's own clock.
+func (w *world) local(v *vm) time.Time {
+	return time.Unix(1000, 0).Add(v.offset + time.Duration(float64(w.now)*v.rate))
+}
+
+func (w *world) start(v *vm) {
+	cfg := kwlog.Config{ID: v.id, Seed: w.rng.Uint64(), ElectionMin: electionMin, Heartbeat: heartbeat, Drift: drift, MaxBatch: 8}
+	v.machine = kwstate.New(kwstate.Config{JournalRows: 1000, KeepMillis: 1 << 40, ChangeIDs: 100})
+	if len(v.disk.Snapshot.State) > 0 {
+		if err := v.machine.Restore(v.disk.Snapshot.State); err != nil {
+			panic(err)
+		}
+	}
+	v.applied = v.disk.Snapshot.Index
+	v.pending = make(map[kwlog.Index]*request)
+	v.node = kwlog.New(cfg, w.local(v), cloneDisk(v.disk))
+}
+
+func cloneDisk(d kwlog.Restored) kwlog.Restored {
+	d.Entries = slices.Clone(d.Entries)
+	return d
+}
+
+func (w *world) run() error {
+	for range scheduleSteps {
+		if err := w.step(); err != nil {
+			return err
+		}
+	}
+	return w.heal()
+}
+
+func (w *world) step() error {
+	w.now += time.Duration(w.rng.Int64N(int64(8 * time.Millisecond)))
+	if err := w.deliver(); err != nil {
+		return err
+	}
+	if err := w.checkLeases(); err != nil {
+		return err
+	}
+	for _, v := range w.vms {
+		if v.node == nil || v.frozen > w.now {
+			continue
+		}
+		v.node.Tick(w.local(v))
+		if err := w.work(v); err != nil {
+			return err
+		}
+	}
+	w.disturb()
+	if v := w.leader(); v != nil && v.frozen <= w.now && w.rng.IntN(8) == 0 {
+		w.members(v, w.local(v))
+		if err := w.work(v); err != nil {
+			return err
+		}
+	}
+	if w.rng.IntN(w.pace) > 0 {
+		return w.checkLeases()
+	}
+	if err := w.client(); err != nil {
+		return err
+	}
+	return w.checkLeases()
+}
+
+// disturb injects one fault now and then.
+func (w *world) disturb() {
+	v := w.vms[w.rng.IntN(len(w.vms))]
+	switch w.rng.IntN(140) {
+	case 0:
+		w.crash(v)
+	case 1, 2, 3:
+		if v.node == nil {
+			w.start(v)
+		}
+	case 4:
+		for i := range w.vms {
+			w.cut[[2]int{v.place, i}] = true
+			w.cut[[2]int{i, v.place}] = true
+		}
+	case 5:
+		w.cut[[2]int{v.place, w.rng.IntN(len(w.vms))}] = true
+	case 6, 7, 8:
+		w.cut = make(map[[2]int]bool)
+	case 9:
+		w.loseDisk(v)
+	case 11, 12:
+		v.frozen = w.now + time.Duration(w.rng.Int64N(int64(6*electionMin)))
+	case 13, 14:
+		w.isolateAndRestart(v)
+	case 10:
+		if v.node != nil && w.rng.IntN(4) == 0 {
+			v.node.Transfer(w.local(v))
+		}
+	}
+}
+
+// isolateAndRestart cuts a member off from the leader alone and restarts another, whose memory of the lease is gone.
+func (w *world) isolateAndRestart(v *vm) {
+	leader := w.leader()
+	if leader == nil || leader == v {
+		return
+	}
+	w.cut[[2]int{leader.place, v.place}] = true
+	w.cut[[2]int{v.place, leader.place}] = w.rng.IntN(2) == 0
+	o := w.vms[w.rng.IntN(len(w.vms))]
+	if o != v && o != leader && o.node != nil {
+		w.crash(o)
+		w.start(o)
+	}
+}
+
+func (w *world) crash(v *vm) {
+	if v.node == nil {
+		return
+	}
+	w.tally.Crashes++
+	v.node = nil
+}
+
+// loseDisk replaces the VM's disk if every other voter holds its own; the VM comes back as a new member.
+func (w *world) loseDisk(v *vm) {
+	leader := w.leader()
+	if leader == nil || leader == v {
+		return
+	}
+	members := leader.node.Status().Members
+	if !members.IsVoter(v.id) || !w.othersCurrent(leader, v, members) {
+		return
+	}
+	w.tally.DiskLosses++
+	v.node = nil
+	w.nextID++
+	v.id = kwid.NodeID(fmt.Sprintf("n%d@%d", v.place, w.nextID))
+	v.disk = kwlog.Restored{}
+	w.start(v)
+}
+
+// othersCurrent tells whether a quorum without v holds all that is committed, so that one disk may go.
+func (w *world) othersCurrent(leader, v *vm, members kwlog.Members) bool {
+	commit := leader.node.Status().Commit
+	holding := 0
+	for _, o := range w.vms {
+		if o != v && members.IsVoter(o.id) && diskLast(o.disk) >= commit {
+			holding++
+		}
+	}
+	return holding >= members.Quorum()
+}
+
+func diskLast(d kwlog.Restored) kwlog.Index {
+	return d.Snapshot.Index + kwlog.Index(len(d.Entries))
+}
+
+func (w *world) leader() *vm {
+	for _, v := range w.vms {
+		if v.node != nil && v.node.Leading(w.local(v)) {
+			return v
+		}
+	}
+	return nil
+}
+
+func (w *world) post(messages []kwlog.Message) {
+	for _, m := range messages {
+		copies := 1
+		switch w.rng.IntN(30) {
+		case 0:
+			copies = 0
+		case 1:
+			copies = 2
+		}
+		for range copies {
+			w.net = append(w.net, envelope{at: w.now + time.Duration(w.rng.Int64N(int64(w.delay))), m: m})
+		}
+	}
+}
+
+func (w *world) find(id kwid.NodeID) *vm {
+	for _, v := range w.vms {
+		if v.id == id {
+			return v
+		}
+	}
+	return nil
+}
+
+func (w *world) deliver() error {
+	var due []kwlog.Message
+	w.net = slices.DeleteFunc(w.net, func(e envelope) bool {
+		if e.at > w.now {
+			return false
+		}
+		due = append(due, e.m)
+		return true
+	})
+	w.rng.Shuffle(len(due), func(i, j int) { due[i], due[j] = due[j], due[i] })
+	for _, m := range due {
+		to, from := w.find(m.To), w.find(m.From)
+		if to == nil || to.node == nil || to.frozen > w.now || from != nil && w.cut[[2]int{from.place, to.place}] {
+			continue
+		}
+		to.node.Step(w.local(to), m)
+		if err := w.work(to); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// work does what a Ready asks, with a crash between any two of its parts now and then.
+func (w *world) work(v *vm) error {
+	for v.node != nil {
+		rd := v.node.Ready()
+		if rd.Empty() {
+			return w.noteLeader(v)
+		}
+		w.post(rd.Early)
+		if !w.calm && w.rng.IntN(400) == 0 {
+			w.crash(v)
+			return nil
+		}
+		w.persist(v, rd)
+		if !w.calm && w.rng.IntN(400) == 0 {
+			w.crash(v)
+			return nil
+		}
+		v.node.Persisted(w.local(v))
+		w.post(rd.Messages)
+		if err := w.apply(v, rd.Committed); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (w *world) persist(v *vm, rd kwlog.Ready) {
+	if rd.Snapshot != nil {
+		w.tally.Snapshots++
+		v.disk = cloneDisk(v.node.Disk())
+		v.applied = rd.Snapshot.Index
+		if err := v.machine.Restore(rd.Snapshot.State); err != nil {
+			panic(err)
+		}
+		return
+	}
+	if rd.HardState != nil {
+		v.disk.HardState = *rd.HardState
+	}
+	for _, e := range rd.Entries {
+		at := int(e.Index - v.disk.Snapshot.Index - 1)
+		if at < 0 {
+			continue
+		}
+		v.disk.Entries = append(slices.Clone(v.disk.Entries[:at]), e)
+	}
+}
+
+func (w *world) noteLeader(v *vm) error {
+	st := v.node.Status()
+	if st.Role != kwlog.Leader {
+		return nil
+	}
+	known, ok := w.leaders[st.Term]
+	if ok && known != v.id {
+		return fmt.Errorf("term %d has leaders %s and %s", st.Term, known, v.id)
+	}
+	if !ok {
+		w.tally.Elections++
+		w.leaders[st.Term] = v.id
+	}
+	return nil
+}
+
+// apply checks that every member applies the same entry at an index and answers the clients.
+func (w *world) apply(v *vm, entries []kwlog.Entry) error {
+	for _, e := range entries {
+		if e.Index != v.applied+1 {
+			return fmt.Errorf("%s applied %d after %d", v.id, e.Index, v.applied)
+		}
+		v.applied = e.Index
+		print := fmt.Sprintf("%d/%d/%x", e.Term, e.Kind, e.Data)
+		if known, ok := w.log[e.Index]; ok && known != print {
+			return fmt.Errorf("%s applied %s at %d, others %s", v.id, print, e.Index, known)
+		}
+		w.log[e.Index] = print
+		if e.Kind != kwlog.EntryData {
+			continue
+		}
+		var c kwstate.Command
+		if err := cbor.Unmarshal(e.Data, &c); err != nil {
+			return err
+		}
+		reply := v.machine.Apply(c)
+		r, ok := v.pending[e.Index]
+		delete(v.pending, e.Index)
+		if !ok || r.term != e.Term || r.done {
+			continue
+		}
+		r.done = true
+		if err := w.acked(c, reply); err != nil {
+			return err
+		}
+	}
+	if v.node != nil && v.applied > v.disk.Snapshot.Index+40 && w.rng.IntN(10) == 0 {
+		w.compact(v)
+	}
+	return nil
+}
+
+func (w *world) compact(v *vm) {
+	state, err := v.machine.Snapshot()
+	if err != nil {
+		panic(err)
+	}
+	v.node.Compact(v.applied, state)
+	v.disk = cloneDisk(v.node.Disk())
+}
+
+// acked takes what a client was told.
+func (w *world) acked(c kwstate.Command, reply kwstate.Reply) error {
+	w.tally.Acked++
+	switch {
+	case c.Apply != nil && reply.Err == nil:
+		if won, ok := w.winners[reply.Revision]; ok && won != c.Apply.ChangeID {
+			return fmt.Errorf("revision %d went to %s and %s", reply.Revision, won, c.Apply.ChangeID)
+		}
+		w.winners[reply.Revision] = c.Apply.ChangeID
+		w.revision = max(w.revision, reply.Revision)
+	case c.Claim != nil && reply.Granted:
+		w.grants = append(w.grants, *reply.Row)
+	}
+	return nil
+}
+
+// client sends a command to a member that believes it leads, or acts on a grant or a fence.
+func (w *world) client() error {
+	if len(w.grants) > 0 && w.rng.IntN(3) == 0 {
+		return w.useGrant()
+	}
+	v := w.vms[w.rng.IntN(len(w.vms))]
+	if v.node == nil || v.frozen > w.now {
+		return nil
+	}
+	now := w.local(v)
+	if err := w.read(v, now); err != nil {
+		return err
+	}
+	w.propose(v, now, w.command())
+	return w.work(v)
+}
+
+func (w *world) propose(v *vm, now time.Time, c kwstate.Command) {
+	data, err := cbor.Marshal(c)
+	if err != nil {
+		panic(err)
+	}
+	index, err := v.node.Propose(now, [][]byte{data})
+	if err == nil {
+		v.pending[index] = &request{command: c, term: v.node.Status().Term}
+	}
+}
+
+func (w *world) scope() kwstate.Scope {
+	return kwstate.Scope{Workspace: "w", Service: "s", Key: fmt.Sprintf("k%d", w.rng.IntN(keyCount))}
+}
+
+func (w *world) command() kwstate.Command {
+	w.nextID++
+	id := fmt.Sprintf("c%d", w.nextID)
+	if w.rng.IntN(4) == 0 {
+		edited := w.revision
+		if edited > 0 && w.rng.IntN(3) == 0 {
+			edited--
+		}
+		return kwstate.Command{Apply: &kwstate.ApplyConfig{ChangeID: id, Edited: edited, Digest: id, Source: tinySource()}}
+	}
+	return kwstate.Command{Claim: &kwstate.Claim{Scope: w.scope(), Digest: "d", Grant: kwstate.Grant{Request: kwid.RequestID(id)}}}
+}
+
+// useGrant plays the entry and the agent of a granted call: it runs, or is fenced, or both race.
+func (w *world) useGrant() error {
+	at := w.rng.IntN(len(w.grants))
+	row := w.grants[at]
+	id := attemptID{row.Scope.Key, row.Grant.Attempt}
+	v := w.leader()
+	if v != nil && v.frozen > w.now {
+		v = nil
+	}
+	switch w.rng.IntN(4) {
+	case 0:
+		if !w.fenced[id] && !w.arrived[id] {
+			w.arrived[id] = true
+			w.ran[row.Scope.Key]++
+			w.tally.Runs++
+			if w.ran[row.Scope.Key] > 1 {
+				return fmt.Errorf("key %s ran %d times", row.Scope.Key, w.ran[row.Scope.Key])
+			}
+		}
+	case 1:
+		if !w.arrived[id] {
+			w.fenced[id] = true
+			w.tally.Fences++
+		}
+	case 2:
+		if v != nil && w.arrived[id] {
+			o := &kwstate.RecordOutcome{Scope: row.Scope, Attempt: row.Grant.Attempt, Response: kwstate.Response{Status: 200}}
+			w.propose(v, w.local(v), kwstate.Command{Outcome: o})
+			return w.work(v)
+		}
+	case 3:
+		if v != nil && w.fenced[id] {
+			w.propose(v, w.local(v), kwstate.Command{Fenced: &kwstate.RecordFenced{Scope: row.Scope, Attempt: row.Grant.Attempt}})
+			w.grants = slices.Delete(w.grants, at, at+1)
+			return w.work(v)
+		}
+	}
+	return nil
+}
+
+// members takes joiners in, promotes learners and removes members whose disk is gone, one change at a time.
+func (w *world) members(v *vm, now time.Time) {
+	st := v.node.Status()
+	if st.Role != kwlog.Leader {
+		return
+	}
+	for _, id := range slices.Concat(st.Members.Voters, st.Members.Learners) {
+		if w.find(id) == nil {
+			_, _ = v.node.ChangeMembers(now, kwlog.Change{Remove: id})
+			return
+		}
+	}
+	for _, o := range w.vms {
+		if !st.Members.IsVoter(o.id) && !st.Members.IsLearner(o.id) {
+			_, _ = v.node.ChangeMembers(now, kwlog.Change{AddLearner: o.id})
+			return
+		}
+	}
+	if len(st.Members.Learners) == 0 {
+		return
+	}
+	if _, err := v.node.ChangeMembers(now, kwlog.Change{Promote: st.Members.Learners[0]}); err == nil {
+		w.tally.Promotions++
+	}
+}
+
+// read checks that a member whose lease stands knows every acknowledged revision.
+func (w *world) read(v *vm, now time.Time) error {
+	if !v.node.Leading(now) {
+		return nil
+	}
+	w.tally.Reads++
+	if v.machine.Revision() < w.revision {
+		return fmt.Errorf("%s reads revision %d under its lease, %d is acknowledged", v.id, v.machine.Revision(), w.revision)
+	}
+	return nil
+}
+
+// checkLeases requires that at most one member holds a lease at any moment.
+func (w *world) checkLeases() error {
+	var holder *vm
+	for _, v := range w.vms {
+		if v.node == nil || !v.node.Leading(w.local(v)) {
+			continue
+		}
+		if holder != nil {
+			return fmt.Errorf("%s and %s both hold a lease", holder.id, v.id)
+		}
+		holder = v
+	}
+	return nil
+}
+
+var errStuck = errors.New("no leader after the faults ended")
+
+// heal ends all faults and requires that a leader comes up that holds all that was acknowledged.
+func (w *world) heal() error {
+	w.calm = true
+	for _, v := range w.vms {
+		v.frozen = 0
+	}
+	w.cut = make(map[[2]int]bool)
+	for _, v := range w.vms {
+		if v.node == nil {
+			w.start(v)
+		}
+	}
+	for range 2000 {
+		w.now += 4 * time.Millisecond
+		if err := w.deliver(); err != nil {
+			return err
+		}
+		for _, v := range w.vms {
+			v.node.Tick(w.local(v))
+			if err := w.work(v); err != nil {
+				return err
+			}
+		}
+		if v := w.leader(); v != nil && w.complete(v) {
+			return w.read(v, w.local(v))
+		}
+	}
+	return errStuck
+}
+
+// complete tells whether a member has applied every index that any member has applied.
+func (w *world) complete(v *vm) bool {
+	return int(v.applied) >= len(w.log)
+}
+
+func tinySource() (src kwconfig.Source) {
+	src.Base.Name = "base"
+	src.Base.Text = "format = \"knapweedproxy-fleet-1\"\nname = \"f\"\n"
+	src.Overlays = append(src.Overlays, src.Base)
+	src.Overlays[0].Name = "site"
+	src.Overlays[0].Text = "format = \"knapweedproxy-fleet-1\"\nsite = \"s\"\n[[availability-zones]]\nname = \"z\"\n"
+	return src
+}
--- /dev/null
+++ b/core/kwretry/retry_test.go
@@ -0,0 +1,75 @@
+package kwretry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"knapweedproxy/core/kwcode"
+	"knapweedproxy/core/kwid"
+)
+
+func TestAllowed(t *testing.T) {
+	notRun := kwcode.New(kwcode.AttemptFenced, "x")
+	unknown := kwcode.New(kwcode.OutcomeUnknown, "x")
+	tests := []struct {
+		err        error
+		idempotent bool
+		tries      int
+		want       bool
+	}{
+		{notRun, false, 1, true},
+		{unknown, false, 1, false},
+		{unknown, true, 1, true},
+		{notRun, true, MaxTries, false},
+	}
+	for _, tt := range tests {
+		if got := Allowed(tt.err, tt.idempotent, tt.tries); got != tt.want {
+			t.Errorf("%v idempotent=%t tries=%d: got %t, want %t", tt.err, tt.idempotent, tt.tries, got, tt.want)
+		}
+	}
+}
+
+// TestBudgetBoundsRetries lets every request fail: paid retries stay a share of first tries.
+func TestBudgetBoundsRetries(t *testing.T) {
+	b := NewBudget(Config{Ratio: 0.2, Burst: 20})
+	paid := 0
+	const first = 1000
+	for range first {
+		b.First()
+		for tries := freeTries + 1; b.Again(tries); tries++ {
+			paid++
+		}
+	}
+	if limit := first/5 + 20; paid > limit {
+		t.Errorf("got %d paid retries, want at most %d", paid, limit)
+	}
+}
+
+func TestEjectorKeepsHalf(t *testing.T) {
+	now := time.Unix(100, 0)
+	e := NewEjector(DefaultEjectConfig())
+	e.SetKnown(10)
+	out := 0
+	for i := range 10 {
+		id := kwid.EndpointID(fmt.Sprint(i))
+		e.Fail(now, id)
+		if e.Out(now, id) {
+			out++
+		}
+	}
+	if out != 5 {
+		t.Errorf("got %d ejected of 10, want 5", out)
+	}
+	if e.Out(now.Add(2*time.Second), "0") {
+		t.Error("got the endpoint out after its span, want it back")
+	}
+	e.Fail(now.Add(2*time.Second), "0")
+	if !e.Out(now.Add(3500*time.Millisecond), "0") {
+		t.Error("got the endpoint back, want a longer span after a second failure")
+	}
+	e.Succeed("0")
+	if e.Out(now.Add(3*time.Second), "0") {
+		t.Error("got the endpoint out, want it back after a success")
+	}
+}
--- /dev/null
+++ b/core/kwroute/choose_test.go
@@ -0,0 +1,127 @@
+package kwroute
+
+import (
+	"fmt"
+	"math"
+	"testing"
+
+	"knapweedproxy/core/kwcode"
+	"knapweedproxy/core/kwid"
+)
+
+// idle knows no load; out lists excluded endpoints.
+type idle struct {
+	out map[kwid.EndpointID]bool
+}
+
+func (idle) Outstanding(kwid.EndpointID) float64 { return 0 }
+
+func (q idle) Excluded(id kwid.EndpointID) bool { return q.out[id] }
+
+func stage(name string, from, to kwid.Layer, rate float64) Stage {
+	return Stage{Endpoint: kwid.EndpointID(name), Zone: kwid.AvailabilityZone(name[:1]), Layers: kwid.LayerRange{From: from, To: to}, Rate: rate}
+}
+
+func TestFlowIsTheBound(t *testing.T) {
+	tests := []struct {
+		name   string
+		stages []Stage
+		links  Links
+		want   float64
+	}{
+		{"a chain is as fast as its slowest stage", []Stage{stage("a1", 0, 4, 10), stage("a2", 4, 8, 6)}, nil, 6},
+		{"replicas add up", []Stage{stage("a1", 0, 4, 10), stage("a2", 4, 8, 6), stage("a3", 4, 8, 3)}, nil, 9},
+		{"uneven cuts", []Stage{stage("a1", 0, 8, 5), stage("a2", 0, 3, 4), stage("a3", 3, 8, 9)}, nil, 9},
+		{"a slow link", []Stage{stage("a1", 0, 4, 10), stage("b1", 4, 8, 10)}, Links{{From: "a", To: "b"}: {Rate: 2}}, 2},
+		{"a missing layer", []Stage{stage("a1", 0, 4, 10), stage("a2", 5, 8, 6)}, nil, 0},
+	}
+	for _, tt := range tests {
+		if got := Build(8, tt.stages, tt.links).Flow(); math.Abs(got-tt.want) > 1e-6 {
+			t.Errorf("%s: got %g, want %g", tt.name, got, tt.want)
+		}
+	}
+}
+
+func TestChainTilesLayersAndAvoidsExcluded(t *testing.T) {
+	g := Build(8, []Stage{
+		stage("a1", 0, 4, 10), stage("a2", 4, 8, 10), stage("b1", 0, 2, 5), stage("b2", 2, 4, 5), stage("b3", 4, 8, 5),
+	}, nil)
+	for _, policy := range []Policy{FlowTwoChoice, RoundRobin, Random, LeastOutstanding} {
+		c := NewChooser(policy, 1)
+		for _, out := range []string{"", "a1", "a2", "b2", "b3"} {
+			chain, err := c.Chain(g, idle{out: map[kwid.EndpointID]bool{kwid.EndpointID(out): true}})
+			if err != nil {
+				t.Fatalf("%s without %q: %v", policy, out, err)
+			}
+			var at kwid.Layer
+			for _, s := range chain {
+				if s.Layers.From != at || s.Endpoint == kwid.EndpointID(out) {
+					t.Errorf("%s without %q: got %v", policy, out, chain)
+				}
+				at = s.Layers.To
+			}
+			if at != 8 {
+				t.Errorf("%s without %q: got layers up to %d, want 8", policy, out, at)
+			}
+		}
+		_, err := c.Chain(g, idle{out: map[kwid.EndpointID]bool{"a2": true, "b3": true}})
+		if !kwcode.Is(err, kwcode.NoChain) {
+			t.Errorf("%s: got %v, want %d", policy, err, kwcode.NoChain)
+		}
+	}
+}
+
+func TestShareFollowsFlow(t *testing.T) {
+	g := Build(2, []Stage{stage("a1", 0, 2, 30), stage("b1", 0, 2, 10)}, nil)
+	c := NewChooser(FlowTwoChoice, 7)
+	fast := 0
+	const n = 4000
+	for range n {
+		chain, err := c.Chain(g, idle{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if chain[0].Endpoint == "a1" {
+			fast++
+		}
+	}
+	if share := float64(fast) / n; share < 0.7 {
+		t.Errorf("got a share of %.2f for the stage with three times the rate, want 0.7 or more", share)
+	}
+}
+
+// large returns a fleet of one model with mixed rates in six ranges.
+func large(servers int) *Graph {
+	var stages []Stage
+	const cuts = 6
+	for i := range servers {
+		from := kwid.Layer(i % cuts * 8)
+		stages = append(stages, stage(fmt.Sprintf("%c%d", 'a'+i%5, i), from, from+8, float64(10+i%7*30)))
+	}
+	return Build(cuts*8, stages, nil)
+}
+
+func BenchmarkChain(b *testing.B) {
+	for _, servers := range []int{30, 150, 600} {
+		b.Run(fmt.Sprintf("servers-%d", servers), func(b *testing.B) {
+			g := large(servers)
+			c := NewChooser(FlowTwoChoice, 1)
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := c.Chain(g, idle{}); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+func BenchmarkBuild(b *testing.B) {
+	for _, servers := range []int{30, 150, 600} {
+		b.Run(fmt.Sprintf("servers-%d", servers), func(b *testing.B) {
+			for b.Loop() {
+				large(servers)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/core/kwstate/machine_test.go
@@ -0,0 +1,192 @@
+package kwstate
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+
+	"knapweedproxy/core/kwcode"
+	"knapweedproxy/core/kwconfig"
+	"knapweedproxy/core/kwid"
+)
+
+func source(note string) kwconfig.Source {
+	base := "format = \"knapweedproxy-fleet-1\"\nname = \"f\"\n# " + note + "\n"
+	overlay := "format = \"knapweedproxy-fleet-1\"\nsite = \"s\"\n[[availability-zones]]\nname = \"z\"\n"
+	return kwconfig.Source{
+		Base:     kwconfig.File{Name: "base", Text: base},
+		Overlays: []kwconfig.File{{Name: "site", Text: overlay}},
+	}
+}
+
+func apply(m *Machine, edited kwid.Revision, id, digest string) Reply {
+	return m.Apply(Command{Apply: &ApplyConfig{ChangeID: id, Edited: edited, Digest: digest, Source: source(id)}})
+}
+
+func claim(m *Machine, at int64, key, digest, request string, window int64) Reply {
+	return m.Apply(Command{Time: at, Claim: &Claim{
+		Scope:  Scope{Workspace: "w", Service: "s", Key: key},
+		Digest: digest,
+		Grant:  Grant{Request: kwid.RequestID(request)},
+		Window: window,
+	}})
+}
+
+func outcome(m *Machine, at int64, key string, attempt kwid.Attempt, status int) Reply {
+	return m.Apply(Command{Time: at, Outcome: &RecordOutcome{
+		Scope:    Scope{Workspace: "w", Service: "s", Key: key},
+		Attempt:  attempt,
+		Response: Response{Status: status},
+	}})
+}
+
+// TestConfigRaces lets two operators edit the same revision: one wins, resends get their first answer.
+func TestConfigRaces(t *testing.T) {
+	m := New(DefaultConfig())
+	if got := apply(m, 0, "a", "1"); got.Err != nil || got.Revision != 1 {
+		t.Fatalf("got %+v, want revision 1", got)
+	}
+	if got := apply(m, 0, "b", "2"); got.Err == nil || got.Err.Code != kwcode.RevisionConflict || got.Revision != 1 {
+		t.Errorf("got %+v, want %d at revision 1", got, kwcode.RevisionConflict)
+	}
+	if got := apply(m, 1, "c", "3"); got.Err != nil || got.Revision != 2 {
+		t.Errorf("got %+v, want revision 2", got)
+	}
+	if got := apply(m, 0, "a", "1"); got.Err != nil || got.Revision != 1 {
+		t.Errorf("got %+v, want the first answer", got)
+	}
+	if got := apply(m, 2, "a", "9"); got.Err == nil || got.Err.Code != kwcode.ChangeIDReused {
+		t.Errorf("got %+v, want %d", got, kwcode.ChangeIDReused)
+	}
+	bad := m.Apply(Command{Apply: &ApplyConfig{ChangeID: "bad", Edited: 2}})
+	if bad.Err == nil || m.Revision() != 2 {
+		t.Errorf("got %+v at revision %d, want a refusal that changes nothing", bad, m.Revision())
+	}
+}
+
+// TestClaimLifecycle walks a key through grant, fence, second grant, outcome and resend.
+func TestClaimLifecycle(t *testing.T) {
+	m := New(DefaultConfig())
+	if got := claim(m, 1, "k", "d", "r1", 0); !got.Granted || got.Row.Grant.Attempt != 1 {
+		t.Fatalf("got %+v, want attempt 1", got)
+	}
+	if got := claim(m, 2, "k", "d", "r1", 0); !got.Granted {
+		t.Errorf("got %+v, want the same grant for a resent claim", got)
+	}
+	if got := claim(m, 2, "k", "d", "r2", 0); got.Granted || got.Row.State != RowGranted {
+		t.Errorf("got %+v, want no second grant", got)
+	}
+	if got := claim(m, 2, "k", "other", "r2", 0); got.Err == nil || got.Err.Code != kwcode.KeyReused {
+		t.Errorf("got %+v, want %d", got, kwcode.KeyReused)
+	}
+	scope := Scope{Workspace: "w", Service: "s", Key: "k"}
+	m.Apply(Command{Time: 3, Fenced: &RecordFenced{Scope: scope, Attempt: 1}})
+	if got := claim(m, 4, "k", "d", "r2", 0); !got.Granted || got.Row.Grant.Attempt != 2 {
+		t.Errorf("got %+v, want attempt 2", got)
+	}
+	if got := outcome(m, 5, "k", 1, 200); got.Err == nil || got.Err.Code != kwcode.OldAttempt {
+		t.Errorf("got %+v, want %d", got, kwcode.OldAttempt)
+	}
+	if got := outcome(m, 5, "k", 2, 201); got.Row.State != RowDone {
+		t.Errorf("got %+v, want it done", got)
+	}
+	if got := outcome(m, 6, "k", 2, 500); got.Row.Response.Status != 201 {
+		t.Errorf("got %d, want the first outcome 201", got.Row.Response.Status)
+	}
+	if got := claim(m, 7, "k", "d", "r3", 0); got.Granted || got.Row.Response.Status != 201 {
+		t.Errorf("got %+v, want the recorded outcome", got)
+	}
+}
+
+// TestUnknownWaitsForOperator requires that a key with an unknown outcome is never granted until it is settled.
+func TestUnknownWaitsForOperator(t *testing.T) {
+	m := New(DefaultConfig())
+	claim(m, 1, "k", "d", "r1", 0)
+	scope := Scope{Workspace: "w", Service: "s", Key: "k"}
+	m.Apply(Command{Time: 2, Unknown: &RecordUnknown{Scope: scope, Attempt: 1, Reason: "x"}})
+	if got := claim(m, 3, "k", "d", "r2", 0); got.Granted || got.Row.State != RowUnknown {
+		t.Errorf("got %+v, want no grant", got)
+	}
+	m.Apply(Command{Time: 4, Settle: &Settle{Scope: scope, Verdict: VerdictNotRun, Operator: "o"}})
+	if got := claim(m, 5, "k", "d", "r2", 0); !got.Granted || got.Row.Grant.Attempt != 2 {
+		t.Errorf("got %+v, want attempt 2", got)
+	}
+	if got := m.Apply(Command{Settle: &Settle{Scope: scope, Verdict: VerdictRan}}); got.Err == nil {
+		t.Error("got no error, want a refusal to settle an open row")
+	}
+}
+
+// TestRepeatWindow requires that a call without a key runs again only after its window.
+func TestRepeatWindow(t *testing.T) {
+	m := New(DefaultConfig())
+	claim(m, 0, "repeat-x", "d", "r1", 100)
+	outcome(m, 10, "repeat-x", 1, 200)
+	if got := claim(m, 50, "repeat-x", "d", "r2", 100); got.Granted {
+		t.Errorf("got %+v, want the recorded outcome inside the window", got)
+	}
+	if got := claim(m, 200, "repeat-x", "d", "r3", 100); !got.Granted {
+		t.Errorf("got %+v, want a new grant after the window", got)
+	}
+}
+
+// TestJournalBounds requires backpressure in place of loss, and expiry of ended rows only.
+func TestJournalBounds(t *testing.T) {
+	m := New(Config{JournalRows: 3, KeepMillis: 100, ChangeIDs: 10})
+	for i := range 3 {
+		claim(m, 0, fmt.Sprint(i), "d", "r", 0)
+	}
+	if got := claim(m, 1, "more", "d", "r", 0); got.Err == nil || got.Err.Code != kwcode.JournalFull {
+		t.Errorf("got %+v, want %d", got, kwcode.JournalFull)
+	}
+	outcome(m, 10, "1", 1, 200)
+	if got := claim(m, 200, "more", "d", "r", 0); !got.Granted {
+		t.Errorf("got %+v, want room after the ended row expired", got)
+	}
+	if got := len(m.Open()); got != 3 {
+		t.Errorf("got %d open rows, want 3: open rows never expire", got)
+	}
+}
+
+// TestSnapshotIsExact requires that a restored machine answers as the original does.
+func TestSnapshotIsExact(t *testing.T) {
+	m := New(DefaultConfig())
+	apply(m, 0, "a", "1")
+	m.Apply(Command{Boot: &Boot{Node: "n"}})
+	m.Apply(Command{Drain: &Drain{Endpoint: "e", On: true}})
+	for i := range 20 {
+		key := fmt.Sprint(i)
+		claim(m, int64(i), key, "d", "r", 0)
+		if i%2 == 0 {
+			outcome(m, int64(100-i), key, 1, 200)
+		}
+	}
+	data, err := m.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := New(DefaultConfig())
+	if err := got.Restore(data); err != nil {
+		t.Fatal(err)
+	}
+	if !reflect.DeepEqual(got.Rows(), m.Rows()) || got.Fence() != m.Fence() || got.Revision() != m.Revision() || !got.Draining("e") {
+		t.Error("got another state, want the same")
+	}
+	a, b := claim(m, 500, "3", "d", "r9", 0), claim(got, 500, "3", "d", "r9", 0)
+	if !reflect.DeepEqual(a, b) {
+		t.Errorf("got %+v, want %+v", b, a)
+	}
+	if err := got.Restore([]byte("garbage")); !kwcode.Is(err, kwcode.LogDamaged) {
+		t.Errorf("got %v, want %d", err, kwcode.LogDamaged)
+	}
+}
+
+func BenchmarkClaim(b *testing.B) {
+	m := New(Config{JournalRows: 1 << 20, KeepMillis: 1000, ChangeIDs: 10})
+	var at int64
+	for b.Loop() {
+		key := fmt.Sprint(at)
+		claim(m, at, key, "d", "r", 0)
+		outcome(m, at, key, 1, 200)
+		at++
+	}
+}
--- a/core/kwstep/sequence.go
+++ b/core/kwstep/sequence.go
@@ -85,15 +85,22 @@
 	Running     bool
 }
 
-// Blame returns the index of the stage that holds up a chain, or -1 if every stage still works.
+// Blame returns the index of the stage that holds up a chain, or -1 if every stage still works. A stage that has
+// not got its input yet is not at fault: the first stage that lacks the step decides.
 func Blame(stages []Progress, want kwid.Position) int {
 	for i, p := range stages {
 		if !p.Reachable || !p.EngineAlive {
 			return i
 		}
-		if p.Next < want && !p.Running {
-			return i
+	}
+	for i, p := range stages {
+		if p.Next >= want {
+			continue
+		}
+		if p.Running {
+			return -1
 		}
+		return i
 	}
 	return -1
 }
--- a/io/kwagent/calls.go
+++ b/io/kwagent/calls.go
@@ -215,11 +215,11 @@
 	defer forget()
 	resp, err := transport.RoundTrip(out)
 	if err != nil {
-		return kwstate.Response{}, reached.Load(), kwcode.New(kwcode.PeerUnreachable, "%v", err)
+		return elsewhere(mine, reached.Load(), kwcode.New(kwcode.PeerUnreachable, "%v", err))
 	}
 	response, err := readResponse(resp)
 	if err != nil {
-		return kwstate.Response{}, true, err
+		return elsewhere(mine, true, err)
 	}
 	if req.Idempotent {
 		short, cancel := context.WithTimeout(ctx, crossedWait)
@@ -229,6 +229,16 @@
 	return r.own(ctx, wire, resp.Header.Get(headerRequest), response, mine)
 }
 
+// elsewhere returns the answer that already came with another call's response, or the failure.
+func elsewhere(mine <-chan kwstate.Response, reached bool, err error) (kwstate.Response, bool, error) {
+	select {
+	case got := <-mine:
+		return got, true, nil
+	default:
+		return kwstate.Response{}, reached, err
+	}
+}
+
 // wireID names one attempt towards the service.
 func wireID(request kwid.RequestID, attempt kwid.Attempt) string {
 	if attempt <= 1 {
--- a/io/kwdemo/fleet.go
+++ b/io/kwdemo/fleet.go
@@ -617,3 +617,11 @@
 	}
 	return true
 }
+
+// replaceDisk starts a control process again on an empty data folder.
+func (f *Fleet) replaceDisk(i int) error {
+	if err := os.RemoveAll(f.DataFolder(i)); err != nil {
+		return kwcode.New(kwcode.DiskFailed, "%v", err)
+	}
+	return f.StartControl(i, false)
+}
--- a/io/kwengine/client.go
+++ b/io/kwengine/client.go
@@ -104,11 +104,6 @@
 	return fmt.Sprintf("%s/%d/%d", request, attempt, position)
 }
 
-type posted struct {
-	reply StepReply
-	err   error
-}
-
 // Step runs one step and returns the reply that names it. A reply that names another step is handed to the
 // step's owner; the engine answers a repeated step from its last result, so asking again runs nothing twice.
 func (c *Client) Step(ctx context.Context, in StepRequest) (StepReply, error) {
@@ -127,33 +122,40 @@
 func (c *Client) stepOnce(ctx context.Context, key string, in StepRequest) (StepReply, error) {
 	mine, forget := c.steps.Expect(key)
 	defer forget()
-	own := make(chan posted, 1)
-	go func() {
-		var reply StepReply
-		err := c.post(ctx, PathStep, in, &reply)
-		own <- posted{reply: reply, err: err}
-	}()
+	failed := make(chan error, 1)
+	crossed := make(chan struct{})
+	go c.exchange(ctx, key, in, failed, crossed)
 	var late <-chan time.Time
 	for {
 		select {
 		case reply := <-mine:
 			return reply, nil
+		case err := <-failed:
+			return StepReply{}, err
+		case <-crossed:
+			crossed = nil
+			late = time.After(crossedWait)
 		case <-late:
 			return StepReply{}, kwcode.New(kwcode.StepTimeout, "the engine's answer went to another step")
-		case got := <-own:
-			if got.err != nil {
-				return StepReply{}, got.err
-			}
-			if stepKey(got.reply.Request, got.reply.Attempt, got.reply.Position) == key {
-				return got.reply, nil
-			}
-			c.cfg.Crossed(got.reply.Request)
-			c.steps.Deliver(stepKey(got.reply.Request, got.reply.Attempt, got.reply.Position), got.reply)
-			late = time.After(crossedWait)
 		}
 	}
 }
 
+// exchange posts a step and hands the answer to the step that it names, also after this step has got its own.
+func (c *Client) exchange(ctx context.Context, key string, in StepRequest, failed chan<- error, crossed chan<- struct{}) {
+	var reply StepReply
+	if err := c.post(ctx, PathStep, in, &reply); err != nil {
+		failed <- err
+		return
+	}
+	owner := stepKey(reply.Request, reply.Attempt, reply.Position)
+	if owner != key {
+		c.cfg.Crossed(reply.Request)
+		close(crossed)
+	}
+	c.steps.Deliver(owner, reply)
+}
+
 // Tokenize returns the tokens of a text.
 func (c *Client) Tokenize(ctx context.Context, text string) ([]kwid.Token, error) {
 	var out TokenizeReply
--- a/io/kwentry/once.go
+++ b/io/kwentry/once.go
@@ -71,7 +71,7 @@
 	q.role.inFlight.Add(1)
 	go func() {
 		defer q.role.inFlight.Done()
-		linger, cancel := context.WithTimeout(context.WithoutCancel(ctx), lingerTime)
+		linger, cancel := context.WithTimeout(q.role.life, lingerTime)
 		defer cancel()
 		stopEarly := context.AfterFunc(ctx, func() {
 			if over.giveUp() {
@@ -100,7 +100,7 @@
 	case scope.Key != "":
 		scope.Key = "caller-" + scope.Key
 		return 0
-	case q.rule.RepeatWindow > 0:
+	case q.rule.RepeatWindow.Std() > 0:
 		scope.Key = "repeat-" + q.digest()
 		return q.rule.RepeatWindow.Std()
 	}
--- a/io/kwentry/role.go
+++ b/io/kwentry/role.go
@@ -83,11 +83,15 @@
 	watching  atomic.Int64
 	started   time.Time
 	stopping  atomic.Bool
-	inFlight  sync.WaitGroup
-	chooseMu  sync.Mutex
-	chooser   *kwroute.Chooser
-	cancel    context.CancelFunc
-	done      chan error
+	turn      atomic.Int64
+	// life ends when the process is killed or has stopped; calls that outlive their caller run under it.
+	life     context.Context
+	endLife  context.CancelFunc
+	inFlight sync.WaitGroup
+	chooseMu sync.Mutex
+	chooser  *kwroute.Chooser
+	cancel   context.CancelFunc
+	done     chan error
 }
 
 // New opens the listeners; the role serves after Start.
@@ -104,6 +108,7 @@
 		chooser: kwroute.NewChooser(cfg.Policy, cfg.Seed),
 		done:    make(chan error, 1),
 	}
+	r.life, r.endLife = context.WithCancel(context.Background())
 	r.confirmed.Store(-int64(cfg.ViewLease) - 1)
 	wire, err := kwwire.Listen(kwwire.Config{Listen: cfg.Listen, Keys: deps.Keys, Clock: deps.Clock})
 	if err != nil {
@@ -159,6 +164,7 @@
 	_ = r.server.Shutdown(ctx)
 	r.waitCalls(ctx)
 	r.cancel()
+	r.endLife()
 	r.wire.Close()
 	r.deps.Events.Emit(kwevent.ProcessStopped, "", kwevent.F("role", "entry"))
 }
@@ -181,6 +187,7 @@
 	r.wire.Kill()
 	_ = r.server.Close()
 	r.cancel()
+	r.endLife()
 }
 
 // Serving tells whether the entry admits requests.
--- a/io/kwentry/service.go
+++ b/io/kwentry/service.go
@@ -180,17 +180,19 @@
 		func(e kwmember.Endpoint) bool { return known.Excluded(e.ID) },
 		func(e kwmember.Endpoint) bool { return q.failed[e.ID] },
 	} {
-		if best, ok := least(all, skip, known); ok {
+		if best, ok := least(all, skip, known, int(r.turn.Add(1))); ok {
 			return best, nil
 		}
 	}
 	return kwmember.Endpoint{}, kwcode.New(kwcode.NoEndpoint, "service %q has no live endpoint left to try", q.service.Name).After(retryLater)
 }
 
-func least(all []kwmember.Endpoint, skip func(kwmember.Endpoint) bool, known requestLoads) (kwmember.Endpoint, bool) {
+// least takes the endpoint with the fewest requests; equal ones are taken in turn.
+func least(all []kwmember.Endpoint, skip func(kwmember.Endpoint) bool, known requestLoads, turn int) (kwmember.Endpoint, bool) {
 	var best kwmember.Endpoint
 	found := false
-	for _, e := range all {
+	for i := range all {
+		e := all[(turn+i)%len(all)]
 		if skip(e) {
 			continue
 		}
--- a/io/kwsettings/settings.go
+++ b/io/kwsettings/settings.go
@@ -109,9 +109,9 @@
 	c.require(p.Node != "", kwcode.SettingsMissing, "node", "a process needs a node name")
 	c.require(!strings.Contains(string(p.Node), "@"), kwcode.SettingsBadValue, "node", "a node name holds no \"@\"")
 	c.address("listen", p.Listen)
-	c.require(p.TLS.Authority != "", kwcode.SettingsMissing, "authority", "name the authority's certificate")
-	c.require(p.TLS.Certificate != "", kwcode.SettingsMissing, "certificate", "name the process's certificate")
-	c.require(p.TLS.Key != "", kwcode.SettingsMissing, "key", "name the process's key")
+	c.require(p.TLS.Authority != "", kwcode.SettingsMissing, "tls.authority", "name the authority's certificate")
+	c.require(p.TLS.Certificate != "", kwcode.SettingsMissing, "tls.certificate", "name the process's certificate")
+	c.require(p.TLS.Key != "", kwcode.SettingsMissing, "tls.key", "name the process's key")
 	switch p.Role {
 	case kwkeys.RoleEntry:
 		c.entry(&p)
@@ -163,7 +163,7 @@
 }
 
 func (c *checker) span(key string, d kwconfig.Duration) {
-	c.require(d >= 0 && d.Std() <= time.Hour, kwcode.SettingsBadValue, key, "want up to 1h, got %s", d.Std())
+	c.require(d.Std() >= 0 && d.Std() <= time.Hour, kwcode.SettingsBadValue, key, "want up to 1h, got %s", d.Std())
 }
 
 func (c *checker) entry(p *Process) {
@@ -172,12 +172,12 @@
 	if p.Entry == nil {
 		return
 	}
-	c.address("http-listen", p.Entry.HTTPListen)
-	c.addresses("control", p.Entry.Control)
-	c.require(p.Entry.InFlight >= 0, kwcode.SettingsBadValue, "requests-in-flight", "want 1 or more")
-	c.require(p.Entry.ViewLease.Std() <= maxViewLease, kwcode.SettingsBadValue, "view-lease", "want up to %s, got %s", maxViewLease, p.Entry.ViewLease.Std())
-	c.span("renew", p.Entry.Renew)
-	c.span("drain-timeout", p.Entry.DrainTimeout)
+	c.address("entry.http-listen", p.Entry.HTTPListen)
+	c.addresses("entry.control", p.Entry.Control)
+	c.require(p.Entry.InFlight >= 0, kwcode.SettingsBadValue, "entry.requests-in-flight", "want 1 or more")
+	c.require(p.Entry.ViewLease.Std() <= maxViewLease, kwcode.SettingsBadValue, "entry.view-lease", "want up to %s, got %s", maxViewLease, p.Entry.ViewLease.Std())
+	c.span("entry.renew", p.Entry.Renew)
+	c.span("entry.drain-timeout", p.Entry.DrainTimeout)
 }
 
 func (c *checker) agent(p *Process) {
@@ -188,12 +188,12 @@
 		return
 	}
 	a := p.Agent
-	c.require(a.Endpoint != "", kwcode.SettingsMissing, "endpoint", "an agent needs an endpoint name")
-	c.addresses("control", a.Control)
-	c.require((a.EngineURL == "") != (a.ServiceURL == ""), kwcode.SettingsBadValue, "engine-url", "set exactly one of engine-url and service-url")
-	c.require(a.ServiceURL == "" || a.Service != "", kwcode.SettingsMissing, "service", "service-url needs the service's name")
-	c.span("announce", a.Announce)
-	c.span("drain-timeout", a.DrainTimeout)
+	c.require(a.Endpoint != "", kwcode.SettingsMissing, "agent.endpoint", "an agent needs an endpoint name")
+	c.addresses("agent.control", a.Control)
+	c.require((a.EngineURL == "") != (a.ServiceURL == ""), kwcode.SettingsBadValue, "agent.engine-url", "set exactly one of engine-url and service-url")
+	c.require(a.ServiceURL == "" || a.Service != "", kwcode.SettingsMissing, "agent.service", "service-url needs the service's name")
+	c.span("agent.announce", a.Announce)
+	c.span("agent.drain-timeout", a.DrainTimeout)
 }
 
 func (c *checker) control(p *Process) {
@@ -202,11 +202,11 @@
 	if p.Control == nil {
 		return
 	}
-	c.address("admin-listen", p.Control.AdminListen)
+	c.address("control.admin-listen", p.Control.AdminListen)
 	c.adminToken(p.Control)
 	for _, peer := range p.Control.Peers {
-		c.require(peer.Node != "" && peer.Node != p.Node, kwcode.SettingsBadValue, "peers", "a peer needs another node's name")
-		c.address("peers", peer.Listen)
+		c.require(peer.Node != "" && peer.Node != p.Node, kwcode.SettingsBadValue, "control.peers", "a peer needs another node's name")
+		c.address("control.peers", peer.Listen)
 	}
 }
 
@@ -218,10 +218,10 @@
 	_, err := hex.DecodeString(ctl.AdminTokenSHA256)
 	good := err == nil && len(ctl.AdminTokenSHA256) == sha256HexChars
 	if ctl.AdminTokenSHA256 != "" {
-		c.require(good, kwcode.SettingsBadValue, "admin-token-sha256", "want %d hex characters", sha256HexChars)
+		c.require(good, kwcode.SettingsBadValue, "control.admin-token-sha256", "want %d hex characters", sha256HexChars)
 		return
 	}
 	host, _, _ := net.SplitHostPort(ctl.AdminListen)
 	ip := net.ParseIP(host)
-	c.require(ip != nil && ip.IsLoopback(), kwcode.SettingsMissing, "admin-token-sha256", "required unless admin-listen is a loopback address")
+	c.require(ip != nil && ip.IsLoopback(), kwcode.SettingsMissing, "control.admin-token-sha256", "required unless admin-listen is a loopback address")
 }
--- /dev/null
+++ b/io/kwsettings/settings_test.go
@@ -0,0 +1,74 @@
+package kwsettings
+
+import (
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"knapweedproxy/core/kwcode"
+	"knapweedproxy/core/kwconfig"
+	"knapweedproxy/io/kwkeys"
+)
+
+func TestExamples(t *testing.T) {
+	for _, role := range kwkeys.Roles() {
+		path := filepath.Join("..", "..", "examples", "process", string(role)+".toml")
+		p, err := Load(path, role)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !strings.HasPrefix(p.TLS.Key, filepath.Join("..", "..", "examples", "process", "keys")) {
+			t.Errorf("got key %q, want it beside the settings file", p.TLS.Key)
+		}
+	}
+}
+
+const good = `format = "knapweedproxy-process-1"
+role = "entry"
+node = "e"
+site = "s"
+listen = "127.0.0.1:1"
+[tls]
+authority = "a"
+certificate = "c"
+key = "k"
+[entry]
+http-listen = "127.0.0.1:2"
+control = ["127.0.0.1:3"]
+`
+
+func TestFaults(t *testing.T) {
+	tests := []struct {
+		old, now string
+		code     kwcode.Code
+		where    string
+	}{
+		{`role = "entry"`, `role = "king"`, kwcode.SettingsBadValue, `f:2: key "role"`},
+		{`node = "e"`, `node = "e@1"`, kwcode.SettingsBadValue, `f:3: key "node"`},
+		{`listen = "127.0.0.1:1"`, `listen = "localhost:1"`, kwcode.SettingsBadValue, `f:5: key "listen"`},
+		{`listen = "127.0.0.1:1"`, `listen = "127.0.0.1:99999"`, kwcode.SettingsBadValue, `f:5: key "listen"`},
+		{`key = "k"`, ``, kwcode.SettingsMissing, `f:6: key "tls.key"`},
+		{`control = ["127.0.0.1:3"]`, `control = []`, kwcode.SettingsMissing, `f:12: key "entry.control"`},
+		{`control = ["127.0.0.1:3"]`, "control = [\"127.0.0.1:3\"]\nview-lease = \"11s\"", kwcode.SettingsBadValue, `f:13: key "entry.view-lease"`},
+		{`site = "s"`, `sight = "s"`, kwcode.SettingsUnknownKey, `f:4: key "sight"`},
+	}
+	for _, tt := range tests {
+		text := strings.Replace(good, tt.old, tt.now, 1)
+		_, err := Parse(kwconfig.File{Name: "f", Text: text}, kwkeys.RoleEntry)
+		if !kwcode.Is(err, tt.code) || !strings.Contains(err.Error(), tt.where) {
+			t.Errorf("%s: got %v, want %d at %s", tt.now, err, tt.code, tt.where)
+		}
+	}
+	if _, err := Parse(kwconfig.File{Name: "f", Text: good}, kwkeys.RoleAgent); !kwcode.Is(err, kwcode.SettingsBadValue) {
+		t.Errorf("got %v, want %d for another role", err, kwcode.SettingsBadValue)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add(good)
+	f.Fuzz(func(t *testing.T, text string) {
+		if _, err := Parse(kwconfig.File{Name: "f", Text: text}, ""); err != nil && kwcode.Of(err).Code/1000 != 4 {
+			t.Errorf("got %v, want a settings error", err)
+		}
+	})
+}
--- a/io/kwstandin/faults.go
+++ b/io/kwstandin/faults.go
@@ -95,7 +95,7 @@
 	peer chan T
 }
 
-const crossWait = 150 * time.Millisecond
+const crossWait = 40 * time.Millisecond
 
 // swap returns another request's answer if one is in progress, or its own after a wait.
 func (c *crosser[T]) swap(mine T) T {
--- /dev/null
+++ b/io/kwwire/node_test.go
@@ -0,0 +1,229 @@
+package kwwire
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"knapweedproxy/core/kwclock"
+	"knapweedproxy/core/kwcode"
+	"knapweedproxy/core/kwid"
+	"knapweedproxy/io/kwkeys"
+	"knapweedproxy/io/kwproto"
+)
+
+const loopback = "127.0.0.1:0"
+
+// keys makes an authority and returns a function that issues keys of it.
+func keys(t testing.TB) func(node kwid.NodeID, role kwkeys.Role) *kwkeys.Store {
+	t.Helper()
+	folder := t.TempDir()
+	now := time.Now()
+	if err := kwkeys.Init(folder, now); err != nil {
+		t.Fatal(err)
+	}
+	return func(node kwid.NodeID, role kwkeys.Role) *kwkeys.Store {
+		t.Helper()
+		req := kwkeys.Request{Folder: folder, Node: node, Role: role, Validity: time.Hour}
+		if err := kwkeys.Issue(req, now); err != nil {
+			t.Fatal(err)
+		}
+		store, err := kwkeys.Open(kwkeys.FolderConfig(folder, node))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return store
+	}
+}
+
+func node(t testing.TB, store *kwkeys.Store, routes []Route) *Node {
+	t.Helper()
+	n, err := Listen(Config{Listen: loopback, Keys: store, Clock: kwclock.New(kwclock.Config{}), Routes: routes})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(n.Close)
+	return n
+}
+
+// echoRoute answers a Fence with the state "echo".
+func echoRoute() []Route {
+	return []Route{{
+		Kind:  kwproto.KindFence,
+		Roles: []kwkeys.Role{kwkeys.RoleEntry},
+		Handle: func(_ context.Context, first Frame, s *Stream) error {
+			var in kwproto.Fence
+			if err := first.Decode(&in); err != nil {
+				return err
+			}
+			return s.Send(kwproto.KindReply, kwproto.Fenced{State: "echo " + in.Scope.Key})
+		},
+	}}
+}
+
+func call(t testing.TB, from, to *Node, kind kwproto.Kind) (kwproto.Fenced, error) {
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	var in kwproto.Fence
+	in.Scope.Key = "k"
+	var out kwproto.Fenced
+	err := from.Call(ctx, to.Address(), "", kind, in, &out)
+	return out, err
+}
+
+func TestPeersNeedAKnownKeyAndRole(t *testing.T) {
+	issue := keys(t)
+	server := node(t, issue("server", kwkeys.RoleAgent), echoRoute())
+	entry := node(t, issue("entry", kwkeys.RoleEntry), nil)
+	if got, err := call(t, entry, server, kwproto.KindFence); err != nil || got.State != "echo k" {
+		t.Errorf("got %+v %v, want the echo", got, err)
+	}
+	if _, err := call(t, entry, server, kwproto.KindOrder); !kwcode.Is(err, kwcode.UnknownMessage) {
+		t.Errorf("got %v, want %d", err, kwcode.UnknownMessage)
+	}
+	agent := node(t, issue("agent", kwkeys.RoleAgent), nil)
+	if _, err := call(t, agent, server, kwproto.KindFence); !kwcode.Is(err, kwcode.PeerUnknown) {
+		t.Errorf("got %v, want %d", err, kwcode.PeerUnknown)
+	}
+	stranger := node(t, keys(t)("entry", kwkeys.RoleEntry), nil)
+	if _, err := call(t, stranger, server, kwproto.KindFence); !kwcode.Is(err, kwcode.PeerUnreachable) {
+		t.Errorf("got %v, want %d", err, kwcode.PeerUnreachable)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	if _, err := entry.Open(ctx, server.Address(), "another"); !kwcode.Is(err, kwcode.PeerUnknown) {
+		t.Errorf("got %v, want %d for another node's address", err, kwcode.PeerUnknown)
+	}
+}
+
+// TestRenewedKey replaces an expired key under a running node: new connections use the new one.
+func TestRenewedKey(t *testing.T) {
+	folder := t.TempDir()
+	now := time.Now()
+	if err := kwkeys.Init(folder, now); err != nil {
+		t.Fatal(err)
+	}
+	issue := func(name kwid.NodeID, role kwkeys.Role, validity time.Duration) *kwkeys.Store {
+		req := kwkeys.Request{Folder: folder, Node: name, Role: role, Validity: validity}
+		if err := kwkeys.Issue(req, now); err != nil {
+			t.Fatal(err)
+		}
+		store, err := kwkeys.Open(kwkeys.FolderConfig(folder, name))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return store
+	}
+	server := node(t, issue("server", kwkeys.RoleAgent, time.Hour), echoRoute())
+	entry := node(t, issue("entry", kwkeys.RoleEntry, -time.Minute), nil)
+	if _, err := call(t, entry, server, kwproto.KindFence); !kwcode.Is(err, kwcode.PeerUnreachable) {
+		t.Errorf("got %v, want %d with an expired key", err, kwcode.PeerUnreachable)
+	}
+	issue("entry", kwkeys.RoleEntry, time.Hour)
+	if got, err := call(t, entry, server, kwproto.KindFence); err != nil || got.State != "echo k" {
+		t.Errorf("got %+v %v, want the echo after renewal", got, err)
+	}
+}
+
+// TestMalformedFrames sends damaged frames: each is refused with a number, and the node serves on.
+func TestMalformedFrames(t *testing.T) {
+	issue := keys(t)
+	server := node(t, issue("server", kwkeys.RoleAgent), echoRoute())
+	entry := node(t, issue("entry", kwkeys.RoleEntry), nil)
+	rng := rand.New(rand.NewPCG(5, 6))
+	good, err := encodeFrame(kwclock.Stamp{}, kwproto.KindFence, kwproto.Fence{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	refused := 0
+	for range 300 {
+		data := append([]byte(nil), good...)
+		for range 1 + rng.IntN(4) {
+			data[rng.IntN(len(data))] = byte(rng.IntN(256))
+		}
+		if sendRaw(t, entry, server, data) != nil {
+			refused++
+		}
+	}
+	if refused < 100 {
+		t.Errorf("got %d of 300 refused, want many", refused)
+	}
+	huge := []byte{0xff, 0xff, 0xff, 0xff}
+	if err := sendRaw(t, entry, server, huge); !kwcode.Is(err, kwcode.FrameTooLarge) {
+		t.Errorf("got %v, want %d", err, kwcode.FrameTooLarge)
+	}
+	if got, err := call(t, entry, server, kwproto.KindFence); err != nil || got.State != "echo k" {
+		t.Errorf("got %+v %v, want the echo afterwards", got, err)
+	}
+}
+
+// sendRaw writes bytes as a stream of their own and returns the refusal; every refusal must carry a number.
+func sendRaw(t *testing.T, from, to *Node, data []byte) error {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	s, err := from.Open(ctx, to.Address(), "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	_, _ = s.raw.Write(data)
+	s.CloseSend()
+	f, err := s.Recv()
+	if err != nil {
+		t.Fatalf("got %v, want an answer to %x", err, data)
+	}
+	var out kwproto.Fenced
+	err = f.Expect(kwproto.KindReply, &out)
+	if err != nil && kwcode.Of(err).Code == kwcode.OperationFailed {
+		t.Errorf("got %v, want a numbered refusal", err)
+	}
+	return err
+}
+
+func FuzzFrame(f *testing.F) {
+	good, err := encodeFrame(kwclock.Stamp{}, kwproto.KindFence, kwproto.Fence{})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(good[lengthBytes:])
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var env envelope
+		if err := decMode.Unmarshal(data, &env); err != nil {
+			return
+		}
+		var out kwproto.Session
+		if err := (Frame{Kind: env.Kind, body: env.Body}).Decode(&out); err != nil && !kwcode.Is(err, kwcode.FrameMalformed) {
+			t.Errorf("got %v, want %d", err, kwcode.FrameMalformed)
+		}
+	})
+}
+
+func BenchmarkCall(b *testing.B) {
+	issue := keys(b)
+	server := node(b, issue("server", kwkeys.RoleAgent), echoRoute())
+	entry := node(b, issue("entry", kwkeys.RoleEntry), nil)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := call(b, entry, server, kwproto.KindFence); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkHandshake(b *testing.B) {
+	issue := keys(b)
+	server := node(b, issue("server", kwkeys.RoleAgent), echoRoute())
+	store := issue("entry", kwkeys.RoleEntry)
+	for b.Loop() {
+		entry, err := Listen(Config{Listen: loopback, Keys: store, Clock: kwclock.New(kwclock.Config{})})
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := call(b, entry, server, kwproto.KindFence); err != nil {
+			b.Fatal(err)
+		}
+		entry.Close()
+	}
+}
