Route by lagged load reports, blame a lost stage within two step timeouts, and measure both

A lost stage was blamed after four step timeouts. Change: control hands each entry one quantised byte of load per live endpoint a second; an entry adds what it sent since.

--- /dev/null
+++ b/commands/load.go
@@ -0,0 +1,98 @@
+package commands
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/schollz/progressbar/v3"
+
+	"knapweedproxy/core/kwcode"
+	"knapweedproxy/core/kwroute"
+	"knapweedproxy/io/kwload"
+)
+
+type loadCmd struct {
+	Profile string  `default:"drafting" enum:"drafting,loan-desk" help:"The load: drafting or loan-desk."`
+	JSON    bool    `help:"Print one JSON object."`
+	Seconds float64 `default:"10" help:"Length of each run at saturation."`
+	Seed    uint64  `default:"1" help:"Seed of prompts and choices."`
+	Plot    string  `type:"path" help:"Write the served load of the recovery run to this SVG or PNG file."`
+	Trials  bool    `help:"Run the trials of the routing decisions on a fake clock in place of a profile."`
+}
+
+// loadSteps is how many steps a profile has.
+const loadSteps = 6
+
+// Run measures and prints; a breached promise makes it fail.
+func (c *loadCmd) Run(s *streams) error {
+	if c.Trials {
+		return c.trials(s)
+	}
+	if c.Seconds <= 0 {
+		return kwcode.New(kwcode.Usage, "--seconds: want more than 0")
+	}
+	profile, ok := kwload.FindProfile(c.Profile)
+	if !ok {
+		return kwcode.New(kwcode.Usage, "no profile %q", c.Profile)
+	}
+	bar := progressbar.NewOptions(loadSteps, progressbar.OptionSetWriter(s.err), progressbar.OptionShowCount())
+	report, err := kwload.Run(context.Background(), kwload.Config{
+		Profile: profile,
+		Seconds: c.Seconds,
+		Seed:    c.Seed,
+		Progress: func(text string) {
+			bar.Describe(text)
+			_ = bar.Add(1)
+		},
+	})
+	_ = bar.Finish()
+	_, _ = fmt.Fprintln(s.err)
+	if err != nil {
+		return err
+	}
+	if c.Plot != "" {
+		if err := report.WritePlot(c.Plot); err != nil {
+			return err
+		}
+	}
+	if c.JSON {
+		err = writeJSON(s.out, report)
+	} else {
+		err = report.WriteTable(s.out)
+	}
+	if err == nil && report.Breaches() > 0 {
+		err = kwcode.New(kwcode.WrongAnswer, "%d breaches of promises", report.Breaches())
+	}
+	return err
+}
+
+// trialRow is one trial in the JSON output.
+type trialRow struct {
+	Fleet  string  `json:"fleet"`
+	LagSec float64 `json:"load-lag-seconds"`
+	kwload.TrialResult
+}
+
+func (c *loadCmd) trials(s *streams) error {
+	var rows []trialRow
+	for _, fleet := range kwload.TrialFleets() {
+		for _, lag := range []time.Duration{0, time.Second, 2 * time.Second} {
+			for _, policy := range []kwroute.Policy{kwroute.FlowTwoChoice, kwroute.RoundRobin, kwroute.Random, kwroute.LeastOutstanding} {
+				result, err := kwload.RunTrial(fleet.Config(policy, c.Seed, lag))
+				if err != nil {
+					return err
+				}
+				rows = append(rows, trialRow{Fleet: fleet.Name, LagSec: lag.Seconds(), TrialResult: result})
+			}
+		}
+	}
+	if c.JSON {
+		return writeJSON(s.out, rows)
+	}
+	_, _ = fmt.Fprintf(s.out, "%-8s %-9s %-18s %12s %8s %s\n", "fleet", "load lag", "policy", "tokens/s", "against", "longest queue")
+	for _, r := range rows {
+		_, _ = fmt.Fprintf(s.out, "%-8s %-9s %-18s %12.0f %8.3f %d\n", r.Fleet, fmt.Sprintf("%gs", r.LagSec), r.Policy, r.Tokens, r.Against, r.Longest)
+	}
+	return nil
+}
--- a/core/kwmember/table.go
+++ b/core/kwmember/table.go
@@ -157,7 +157,7 @@
 			delete(t.entries, id)
 		}
 	}
-	slices.SortFunc(lost, func(a, b Endpoint) int { return cmp.Compare(a.ID, b.ID) })
+	SortByID(lost)
 	return lost
 }
 
@@ -173,6 +173,27 @@
 	return out
 }
 
+// Loads returns the quantised load of each live endpoint, in id order.
+func (t *Table) Loads() []byte {
+	var live []Endpoint
+	for _, row := range t.endpoints {
+		if row.endpoint.State == Live {
+			live = append(live, row.endpoint)
+		}
+	}
+	SortByID(live)
+	out := make([]byte, len(live))
+	for i, e := range live {
+		out[i] = e.Load
+	}
+	return out
+}
+
+// SortByID puts endpoints into the order of Loads.
+func SortByID(endpoints []Endpoint) {
+	slices.SortFunc(endpoints, func(a, b Endpoint) int { return cmp.Compare(a.ID, b.ID) })
+}
+
 // Endpoint returns one endpoint row, or false.
 func (t *Table) Endpoint(id kwid.EndpointID) (Endpoint, bool) {
 	row, ok := t.endpoints[id]
--- a/core/kwroute/choose.go
+++ b/core/kwroute/choose.go
@@ -37,9 +37,13 @@
 	turn   int
 }
 
+// maxTurn spreads the first turns of many round-robin choosers.
+const maxTurn = 1 << 16
+
 // NewChooser returns a Chooser with a policy and a seed.
 func NewChooser(policy Policy, seed uint64) *Chooser {
-	return &Chooser{policy: policy, rng: rand.New(rand.NewPCG(seed, seed+1))}
+	rng := rand.New(rand.NewPCG(seed, seed+1))
+	return &Chooser{policy: policy, rng: rng, turn: rng.IntN(maxTurn)}
 }
 
 // Chain picks stages that cover every layer once; it returns NoChain if none can.
@@ -119,8 +123,10 @@
 	return c.sample(edges, viable, func(edge) float64 { return 1 })
 }
 
+// leastOutstanding breaks ties by chance.
 func (c *Chooser) leastOutstanding(g *Graph, edges []edge, viable []bool, loads Loads) int {
 	best := -1
+	ties := 0
 	var least float64
 	for _, e := range edges {
 		if !viable[e.to] {
@@ -128,8 +134,15 @@
 		}
 		n := loads.Outstanding(g.stages[e.to].Endpoint)
 		if best < 0 || n < least {
+			best, least, ties = e.to, n, 1
+			continue
+		}
+		if n > least {
+			continue
+		}
+		ties++
+		if c.rng.IntN(ties) == 0 {
 			best = e.to
-			least = n
 		}
 	}
 	return best
--- a/io/kwagent/calls.go
+++ b/io/kwagent/calls.go
@@ -13,6 +13,7 @@
 	"knapweedproxy/core/kwcall"
 	"knapweedproxy/core/kwcode"
 	"knapweedproxy/core/kwid"
+	"knapweedproxy/core/kwroute"
 	"knapweedproxy/core/kwstate"
 	"knapweedproxy/io/kwcontrol"
 	"knapweedproxy/io/kwevent"
@@ -72,7 +73,7 @@
 }
 
 func (r *Role) load() uint8 {
-	return uint8(min(r.Active(), maxLoad))
+	return kwroute.QuantiseLoad(r.Active())
 }
 
 // writeOnce starts the call on its first arrival and waits for its end; the call goes on when the entry dies.
--- a/io/kwagent/role.go
+++ b/io/kwagent/role.go
@@ -14,6 +14,7 @@
 	"knapweedproxy/core/kwid"
 	"knapweedproxy/core/kwmatch"
 	"knapweedproxy/core/kwmember"
+	"knapweedproxy/core/kwroute"
 	"knapweedproxy/core/kwstate"
 	"knapweedproxy/io/kwcontrol"
 	"knapweedproxy/io/kwengine"
@@ -303,9 +304,6 @@
 	return nil
 }
 
-// maxLoad is the largest load that an announcement can carry.
-const maxLoad = 255
-
 func (r *Role) endpoint() kwmember.Endpoint {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -328,6 +326,6 @@
 		TokenRate:   r.info.TokenRate,
 		Service:     r.cfg.Service,
 		State:       state,
-		Load:        uint8(min(r.active, maxLoad)),
+		Load:        kwroute.QuantiseLoad(r.active),
 	}
 }
--- a/io/kwagent/session.go
+++ b/io/kwagent/session.go
@@ -22,7 +22,6 @@
 	down   *stream
 	tokens chan kwproto.Token
 	cancel context.CancelCauseFunc
-	blamed int
 }
 
 // onSession generates the tokens of one attempt and streams them to the entry.
@@ -44,7 +43,7 @@
 		return r.refused(open.Request, err)
 	}
 	defer r.end(w)
-	t := &session{role: r, open: open, work: w, entry: s, cancel: cancel, blamed: -1}
+	t := &session{role: r, open: open, work: w, entry: s, cancel: cancel}
 	r.deps.Events.Emit(kwevent.SessionStarted, open.Request, kwevent.F("attempt", open.Attempt), kwevent.F("resumed-at", len(open.Delivered)))
 	err = t.run(ctx)
 	r.deps.Events.Emit(kwevent.SessionEnded, open.Request, kwevent.F("attempt", open.Attempt), kwevent.F("ok", err == nil))
@@ -170,9 +169,9 @@
 
 // await waits for the token at a position; late tokens of other positions or attempts are dropped.
 func (t *session) await(ctx context.Context, want kwid.Position) (kwproto.Token, error) {
-	t.blamed = -1
 	timer := time.NewTimer(t.role.cfg.StepTimeout)
 	defer timer.Stop()
+	var verdict <-chan error
 	for {
 		select {
 		case <-ctx.Done():
@@ -182,7 +181,9 @@
 				return token, nil
 			}
 		case <-timer.C:
-			if err := t.probeChain(ctx, want); err != nil {
+			verdict = t.examine(ctx, want)
+		case err := <-verdict:
+			if err != nil {
 				return kwproto.Token{}, err
 			}
 			timer.Reset(t.role.cfg.StepTimeout)
@@ -190,9 +191,39 @@
 	}
 }
 
-// probeChain asks every later stage how far it is; a stage that is found at fault twice in a row is blamed.
-func (t *session) probeChain(ctx context.Context, want kwid.Position) error {
-	ctx, cancel := context.WithTimeout(ctx, t.role.cfg.StepTimeout)
+// probeShare is the part of the step timeout that each of the two probes may take, so that a lost stage is blamed
+// within two step timeouts.
+const probeShare = 2
+
+// examine probes the chain twice beside the wait for the token; a stage that is at fault both times is blamed.
+func (t *session) examine(ctx context.Context, want kwid.Position) <-chan error {
+	verdict := make(chan error, 1)
+	go func() {
+		pause := time.NewTimer(t.role.cfg.StepTimeout / probeShare)
+		defer pause.Stop()
+		first := t.probeChain(ctx, want)
+		if first < 0 {
+			verdict <- nil
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-pause.C:
+		}
+		if t.probeChain(ctx, want) != first {
+			verdict <- nil
+			return
+		}
+		at := string(t.open.Chain[1+first].Endpoint)
+		t.role.deps.Events.Emit(kwevent.StageBlamed, t.open.Request, kwevent.F("endpoint", at))
+		verdict <- kwcode.New(kwcode.StageLost, "the stage makes no progress").At(at)
+	}()
+	return verdict
+}
+
+// probeChain asks every later stage how far it is and returns the index of the one at fault, or -1.
+func (t *session) probeChain(ctx context.Context, want kwid.Position) int {
+	ctx, cancel := context.WithTimeout(ctx, t.role.cfg.StepTimeout/probeShare)
 	defer cancel()
 	later := t.open.Chain[1:]
 	progress := make([]kwstep.Progress, len(later))
@@ -211,13 +242,5 @@
 		})
 	}
 	probes.Wait()
-	index := kwstep.Blame(progress, want)
-	again := index >= 0 && index == t.blamed
-	t.blamed = index
-	if !again {
-		return nil
-	}
-	at := string(later[index].Endpoint)
-	t.role.deps.Events.Emit(kwevent.StageBlamed, t.open.Request, kwevent.F("endpoint", at))
-	return kwcode.New(kwcode.StageLost, "the stage makes no progress").At(at)
+	return kwstep.Blame(progress, want)
 }
--- a/io/kwagent/work.go
+++ b/io/kwagent/work.go
@@ -97,6 +97,9 @@
 	return reply, nil
 }
 
+// engineShare is the part of the step timeout that an engine may take to answer a probe.
+const engineShare = 4
+
 // onProbe tells how far an attempt has come here and whether the engine answers.
 func (r *Role) onProbe(ctx context.Context, first frame, s *stream) error {
 	var req kwproto.Probe
@@ -117,6 +120,8 @@
 		out.Running = w.running
 		w.mu.Unlock()
 	}
+	ctx, cancel := context.WithTimeout(ctx, r.cfg.StepTimeout/engineShare)
+	defer cancel()
 	_, err := r.engine.Load(ctx)
 	out.EngineAlive = err == nil
 	return out
--- a/io/kwcontrol/serve.go
+++ b/io/kwcontrol/serve.go
@@ -112,6 +112,8 @@
 	version  uint64
 	revision kwid.Revision
 	echo     uint64
+	// loads asks for the load table with the next view.
+	loads bool
 }
 
 func (r *Role) onWatch(ctx context.Context, first kwwire.Frame, s *kwwire.Stream) error {
@@ -163,6 +165,7 @@
 		case <-changed:
 		case msg := <-seen:
 			w.echo = msg.Number
+			w.loads = true
 			w.entry.Seen = msg.Version
 			w.entry.Revision = msg.Revision
 		}
@@ -185,6 +188,7 @@
 		return err
 	}
 	w.full = false
+	w.loads = false
 	w.version = view.Version
 	w.revision = view.Revision
 	return nil
@@ -204,6 +208,9 @@
 	if w.full || view.Revision != w.revision {
 		view.Fleet = b.State.Fleet()
 	}
+	if w.loads || w.full {
+		view.Loads = b.Members.Loads()
+	}
 	for _, e := range b.Members.Entries() {
 		view.Entries = append(view.Entries, e.ID)
 	}
--- a/io/kwentry/generation.go
+++ b/io/kwentry/generation.go
@@ -229,26 +229,21 @@
 	return false, nil
 }
 
-// guardTries is how many probes in a row must fail before the first stage is given up.
-const guardTries = 2
+// guardProbes is how many probes in a row must fail before the first stage is given up; together they may take as
+// long as the silence before them.
+const guardProbes = 2
 
 // guard ends the attempt when the first stage is silent and does not answer probes.
 func (g *generation) guard(ctx context.Context, cancel context.CancelCauseFunc, head kwroute.Stage, heard <-chan struct{}) {
 	timer := time.NewTimer(g.role.cfg.StepTimeout)
 	defer timer.Stop()
-	failures := 0
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-heard:
-			failures = 0
 		case <-timer.C:
-			failures++
-			if g.alive(ctx, head) {
-				failures = 0
-			}
-			if failures == guardTries {
+			if !g.anyAlive(ctx, head) {
 				cancel(kwcode.New(kwcode.StageLost, "the first stage is silent").At(string(head.Endpoint)))
 				return
 			}
@@ -257,8 +252,24 @@
 	}
 }
 
+// anyAlive tells whether one of the probes finds the first stage and its engine alive.
+func (g *generation) anyAlive(ctx context.Context, head kwroute.Stage) bool {
+	for range guardProbes {
+		pause := time.NewTimer(g.role.cfg.StepTimeout / guardProbes)
+		if g.alive(ctx, head) {
+			pause.Stop()
+			return true
+		}
+		select {
+		case <-ctx.Done():
+		case <-pause.C:
+		}
+	}
+	return false
+}
+
 func (g *generation) alive(ctx context.Context, head kwroute.Stage) bool {
-	ctx, cancel := context.WithTimeout(ctx, g.role.cfg.StepTimeout)
+	ctx, cancel := context.WithTimeout(ctx, g.role.cfg.StepTimeout/guardProbes)
 	defer cancel()
 	var out kwproto.Probed
 	req := kwproto.Probe{Request: g.request, Attempt: g.attempt}
--- a/io/kwentry/loads.go
+++ b/io/kwentry/loads.go
@@ -6,6 +6,7 @@
 
 	"knapweedproxy/core/kwid"
 	"knapweedproxy/core/kwretry"
+	"knapweedproxy/core/kwroute"
 )
 
 // sentTimes remembers when confirmation requests were sent, since the entry's start.
@@ -34,29 +35,51 @@
 	return at, ok
 }
 
-// loads counts this entry's requests at each endpoint.
+// loads estimates the requests at each endpoint: the last report and what this entry has added since.
 type loads struct {
 	mu   sync.Mutex
-	rows map[kwid.EndpointID]float64
+	rows map[kwid.EndpointID]loadRow
+}
+
+type loadRow struct {
+	own      float64
+	base     float64
+	reported float64
 }
 
 func newLoads() *loads {
-	return &loads{rows: make(map[kwid.EndpointID]float64)}
+	return &loads{rows: make(map[kwid.EndpointID]loadRow)}
 }
 
+// add counts requests of this entry at an endpoint.
 func (l *loads) add(id kwid.EndpointID, n float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.rows[id] += n
-	if l.rows[id] <= 0 {
-		delete(l.rows, id)
+	row := l.rows[id]
+	row.own += n
+	l.rows[id] = row
+}
+
+// report takes the load table of control; ids are in the table's order.
+func (l *loads) report(ids []kwid.EndpointID, table []byte) {
+	if len(ids) != len(table) {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i, id := range ids {
+		row := l.rows[id]
+		row.reported = kwroute.LoadOf(table[i])
+		row.base = row.own
+		l.rows[id] = row
 	}
 }
 
 func (l *loads) get(id kwid.EndpointID) float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.rows[id]
+	row := l.rows[id]
+	return max(row.own, row.reported+row.own-row.base)
 }
 
 // requestLoads is what one request knows: the entry's counts, ejections and the endpoints that failed it.
--- a/io/kwentry/view.go
+++ b/io/kwentry/view.go
@@ -30,6 +30,7 @@
 	tokens    map[string]kwconfig.Workspace
 	graphs    map[kwid.ModelName]modelGraphs
 	services  map[kwid.ServiceName][]kwmember.Endpoint
+	live      []kwid.EndpointID
 }
 
 // modelGraphs holds the layer graphs of a model: over this site, and over all sites as a fallback.
@@ -126,6 +127,7 @@
 		if err != nil {
 			return err
 		}
+		r.loads.report(r.view.Load().live, msg.Loads)
 		r.watching.Store(int64(time.Since(r.started)))
 		if at, ok := sent.take(msg.Echo); ok {
 			r.confirmed.Store(int64(at))
@@ -173,6 +175,7 @@
 	for _, e := range msg.Endpoints {
 		next.endpoints[e.ID] = e
 	}
+	next.live = live(next.endpoints)
 	if next.fleet == nil {
 		return next
 	}
@@ -194,6 +197,17 @@
 	return out
 }
 
+// live lists the live endpoints in the order of control's load table.
+func live(endpoints map[kwid.EndpointID]kwmember.Endpoint) []kwid.EndpointID {
+	var out []kwid.EndpointID
+	for _, id := range slices.Sorted(maps.Keys(endpoints)) {
+		if endpoints[id].State == kwmember.Live {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 func services(endpoints map[kwid.EndpointID]kwmember.Endpoint) map[kwid.ServiceName][]kwmember.Endpoint {
 	out := make(map[kwid.ServiceName][]kwmember.Endpoint)
 	for _, id := range slices.Sorted(maps.Keys(endpoints)) {
--- /dev/null
+++ b/io/kwload/profile.go
@@ -0,0 +1,100 @@
+package kwload
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"knapweedproxy/core/kwid"
+	"knapweedproxy/core/kwroute"
+	"knapweedproxy/io/kwdemo"
+)
+
+// Profile is a named load on a named fleet.
+type Profile struct {
+	Name string
+	// Callers keep one chat request each in progress.
+	Callers int
+	// Writers send one write after another, each with a key of its own.
+	Writers      int
+	PromptWords  int
+	AnswerTokens int
+	// Rates are the token rates of the servers of each range of layers.
+	Rates []float64
+	// Spare callers' share at which recovery is measured, so that the rest of the fleet can carry the load.
+	RecoveryCallers int
+	MaxBatch        int
+}
+
+// Profiles returns the named profiles: the nightly drafting batch and the festival-eve loan desk.
+func Profiles() []Profile {
+	return []Profile{
+		{Name: "drafting", Callers: 144, Writers: 2, PromptWords: 8, AnswerTokens: 24, Rates: []float64{200, 360, 640}, RecoveryCallers: 16, MaxBatch: 8},
+		{Name: "loan-desk", Callers: 72, Writers: 6, PromptWords: 6, AnswerTokens: 12, Rates: []float64{300, 480}, RecoveryCallers: 8, MaxBatch: 6},
+	}
+}
+
+// FindProfile returns the named profile, or false.
+func FindProfile(name string) (Profile, bool) {
+	for _, p := range Profiles() {
+		if p.Name == name {
+			return p, true
+		}
+	}
+	return Profile{}, false
+}
+
+const (
+	loadLayers  = 12
+	loadRecords = 3
+	loadKV      = 1 << 20
+	stepTimeout = 400 * time.Millisecond
+	loadZones   = 2
+	maxInFlight = 4096
+)
+
+// stages builds the servers of a profile: each range of layers held once at each rate.
+func (p Profile) stages() []kwdemo.Stage {
+	zones := [loadZones]kwid.AvailabilityZone{"east", "west"}
+	cuts := []kwid.LayerRange{{From: 0, To: 5}, {From: 5, To: 9}, {From: 9, To: loadLayers}}
+	var out []kwdemo.Stage
+	for c, cut := range cuts {
+		for i, rate := range p.Rates {
+			out = append(out, kwdemo.Stage{
+				Name:      fmt.Sprintf("cut%d-kind%d", c, i),
+				Zone:      zones[i%loadZones],
+				Layers:    cut,
+				TokenRate: rate,
+				Servers:   1,
+			})
+		}
+	}
+	return out
+}
+
+// bound returns the max-flow of the profile's stages in tokens a second.
+func (p Profile) bound() float64 {
+	var stages []kwroute.Stage
+	for _, s := range p.stages() {
+		stages = append(stages, kwroute.Stage{Endpoint: kwid.EndpointID(s.Name), Layers: s.Layers, Rate: s.TokenRate})
+	}
+	return kwroute.Build(loadLayers, stages, nil).Flow()
+}
+
+// fleet starts the profile's fleet with a routing policy.
+func (p Profile) fleet(folder string, policy kwroute.Policy, seed uint64) (*kwdemo.Fleet, error) {
+	cfg := kwdemo.DefaultConfig(folder, logr.Discard())
+	cfg.Layers = loadLayers
+	cfg.Stages = p.stages()
+	cfg.Records = loadRecords
+	cfg.Policy = policy
+	cfg.Seed = seed
+	cfg.MaxBatch = p.MaxBatch
+	cfg.KVTokens = loadKV
+	cfg.PrefixTokens = 0
+	cfg.StepTimeout = stepTimeout
+	cfg.Base = kwdemo.BaseText(loadLayers, maxInFlight)
+	cfg.Overlay = kwdemo.OverlayText(cfg.Site, cfg.Stages, loadRecords)
+	return kwdemo.New(cfg)
+}
--- /dev/null
+++ b/io/kwload/report.go
@@ -0,0 +1,127 @@
+package kwload
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"knapweedproxy/core/kwcode"
+	"knapweedproxy/core/kwroute"
+)
+
+// Quantiles are three points of a distribution, in milliseconds.
+type Quantiles struct {
+	P50 float64 `json:"p50-ms"`
+	P95 float64 `json:"p95-ms"`
+	P99 float64 `json:"p99-ms"`
+}
+
+const (
+	histMinMicros  = 1
+	histMaxMicros  = 600_000_000
+	histDigits     = 3
+	microsPerMilli = 1000
+)
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(histMinMicros, histMaxMicros, histDigits)
+}
+
+func quantiles(h *hdrhistogram.Histogram) Quantiles {
+	at := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / microsPerMilli }
+	return Quantiles{P50: at(50), P95: at(95), P99: at(99)}
+}
+
+// Baseline is the throughput of another policy on the same fleet and load.
+type Baseline struct {
+	Policy        kwroute.Policy `json:"policy"`
+	Tokens        float64        `json:"tokens-per-second"`
+	Against       float64        `json:"throughput-against-bound"`
+	FirstToken    Quantiles      `json:"first-token"`
+	BetweenTokens Quantiles      `json:"between-tokens"`
+}
+
+// Promise is a promise of the brief with the number of breaches that were counted.
+type Promise struct {
+	Name     string `json:"name"`
+	Checked  int    `json:"checked"`
+	Breaches int    `json:"breaches"`
+}
+
+// Refusal counts the errors with one result code.
+type Refusal struct {
+	Code    kwcode.Code    `json:"code"`
+	Name    string         `json:"name"`
+	Outcome kwcode.Outcome `json:"outcome"`
+	Count   int            `json:"count"`
+}
+
+// Point is the served load in one bin of the recovery run.
+type Point struct {
+	Seconds float64 `json:"seconds"`
+	Tokens  float64 `json:"tokens-per-second"`
+}
+
+// Recovery is the run in which a VM is killed.
+type Recovery struct {
+	FaultAt   float64 `json:"fault-at-seconds"`
+	Before    float64 `json:"tokens-per-second-before"`
+	Lowest    float64 `json:"lowest-tokens-per-second"`
+	Detection float64 `json:"detection-interval-seconds"`
+	Points    []Point `json:"points"`
+}
+
+// Report is the outcome of a profile.
+type Report struct {
+	Profile       string     `json:"profile"`
+	Seed          uint64     `json:"seed"`
+	Seconds       float64    `json:"seconds"`
+	Bound         float64    `json:"bound-tokens-per-second"`
+	Tokens        float64    `json:"tokens-per-second"`
+	Against       float64    `json:"throughput-against-bound"`
+	RecoverySecs  float64    `json:"recovery-seconds"`
+	Recovery      Recovery   `json:"recovery"`
+	FirstToken    Quantiles  `json:"first-token"`
+	BetweenTokens Quantiles  `json:"between-tokens"`
+	Fairness      float64    `json:"fairness-between-workspaces"`
+	Wasted        float64    `json:"wasted-work-share"`
+	Refusals      []Refusal  `json:"refusals"`
+	Baselines     []Baseline `json:"baselines"`
+	Promises      []Promise  `json:"promises"`
+}
+
+// WriteTable writes the report for a terminal.
+func (r Report) WriteTable(w io.Writer) error {
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	p := func(format string, args ...any) { _, _ = fmt.Fprintf(tw, format+"\n", args...) }
+	p("profile %s, seed %d, %.0f s a run", r.Profile, r.Seed, r.Seconds)
+	p("\npolicy\ttokens/s\tagainst bound\tfirst token p95\tbetween tokens p95")
+	p("%s\t%.0f\t%.3f\t%.0f ms\t%.0f ms", kwroute.FlowTwoChoice, r.Tokens, r.Against, r.FirstToken.P95, r.BetweenTokens.P95)
+	for _, b := range r.Baselines {
+		p("%s\t%.0f\t%.3f\t%.0f ms\t%.0f ms", b.Policy, b.Tokens, b.Against, b.FirstToken.P95, b.BetweenTokens.P95)
+	}
+	p("bound\t%.0f\t1.000", r.Bound)
+	p("\nrecovery after the loss of a VM\t%.2f s (detection interval %.2f s)", r.RecoverySecs, r.Recovery.Detection)
+	p("served before / lowest\t%.0f / %.0f tokens/s", r.Recovery.Before, r.Recovery.Lowest)
+	p("fairness between workspaces\t%.3f", r.Fairness)
+	p("wasted work\t%.3f of all layer runs", r.Wasted)
+	p("\npromise\tchecked\tbreaches")
+	for _, promise := range r.Promises {
+		p("%s\t%d\t%d", promise.Name, promise.Checked, promise.Breaches)
+	}
+	for _, refusal := range r.Refusals {
+		p("refusal %d %s\t%d", int(refusal.Code), refusal.Name, refusal.Count)
+	}
+	return tw.Flush()
+}
+
+// Breaches returns the breaches of all promises.
+func (r Report) Breaches() int {
+	n := 0
+	for _, p := range r.Promises {
+		n += p.Breaches
+	}
+	return n
+}
