Capacity model from measured slopes; views carry patches and an entry's place

The first measurement showed an entry's control traffic growing with the number of entries (276 B/s at 2, 540 B/s at 32: each view listed all of them), and a change sending the whole declaration (1 MB with 10,000 workspaces).

--- /dev/null
+++ b/commands/capacity.go
@@ -0,0 +1,36 @@
+package commands
+
+import (
+	"time"
+
+	"knapweedproxy/core/kwcap"
+	"knapweedproxy/core/kwcode"
+	"knapweedproxy/core/kwconfig"
+	"knapweedproxy/io/kwload"
+)
+
+type capacityCmd struct {
+	Inputs  string  `default:"docs/capacity.toml" type:"path" help:"The target, the measured slopes and the protocols' spans."`
+	Measure bool    `help:"Measure the slopes of an idle fleet on this machine instead."`
+	Seconds float64 `default:"15" help:"With --measure: length of each observation."`
+}
+
+// Run prints the capacity model, or measures its slopes.
+func (c *capacityCmd) Run(s *streams) error {
+	if c.Measure {
+		return kwload.MeasureIdle(s.out, time.Duration(c.Seconds*float64(time.Second)))
+	}
+	file, err := readFile(c.Inputs)
+	if err != nil {
+		return err
+	}
+	var in kwcap.Inputs
+	if err := kwconfig.Decode(file, &in); err != nil {
+		return err
+	}
+	if in.Target.Entries <= 0 || in.Target.Endpoints <= 0 {
+		return kwcode.New(kwcode.SettingsMissing, "%s: target.entries and target.endpoints are required", c.Inputs)
+	}
+	kwcap.WriteTable(s.out, in.Compute())
+	return nil
+}
--- a/commands/root.go
+++ b/commands/root.go
@@ -41,6 +41,7 @@
 	Drain    drainCmd    `cmd:"" help:"Take an endpoint out of service gracefully, or back in."`
 	Journal  journalCmd  `cmd:"" help:"List, show and settle the calls that must run at most once."`
 	Load     loadCmd     `cmd:"" help:"Measure throughput against the bound, recovery and the promises under load."`
+	Capacity capacityCmd `cmd:"" help:"Print the capacity model at the target size, or measure its slopes."`
 	Timeline timelineCmd `cmd:"" help:"Merge the events of all processes into one time line."`
 	Version  versionCmd  `cmd:"" help:"Show the version."`
 }
--- a/core/kwboard/board.go
+++ b/core/kwboard/board.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"knapweedproxy/core/kwconfig"
-	"knapweedproxy/core/kwid"
 	"knapweedproxy/core/kwmember"
 	"knapweedproxy/core/kwstate"
 )
@@ -19,31 +17,6 @@
 	Stale   []kwstate.Row
 }
 
-// View is an immutable copy of what entries need, safe to share between goroutines.
-type View struct {
-	Version   uint64
-	Revision  kwid.Revision
-	Fence     kwid.Fence
-	Fleet     *kwconfig.Fleet
-	Endpoints []kwmember.Endpoint
-	Entries   []kwid.NodeID
-}
-
-// View copies the board's present rows.
-func (b *Board) View() *View {
-	v := &View{
-		Version:   b.Members.Version(),
-		Revision:  b.State.Revision(),
-		Fence:     b.State.Fence(),
-		Fleet:     b.State.Fleet(),
-		Endpoints: b.Members.Since(0),
-	}
-	for _, e := range b.Members.Entries() {
-		v.Entries = append(v.Entries, e.ID)
-	}
-	return v
-}
-
 // Controller reads some tables and writes others; it does no I/O.
 type Controller interface {
 	Run(now time.Time, b *Board)
--- /dev/null
+++ b/core/kwconfig/patch_test.go
@@ -0,0 +1,43 @@
+package kwconfig
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"testing"
+
+	"knapweedproxy/core/kwid"
+)
+
+// randomFleet returns a declaration with some workspaces at two sites.
+func randomFleet(rng *rand.Rand) *Fleet {
+	f := &Fleet{Name: fmt.Sprint(rng.IntN(3))}
+	for _, site := range []kwid.Site{"a", "b"}[:1+rng.IntN(2)] {
+		s := SiteFleet{Site: site}
+		for i := range 12 {
+			if rng.IntN(3) > 0 {
+				s.Workspaces = append(s.Workspaces, Workspace{Name: kwid.WorkspaceName(fmt.Sprint("w", i)), Weight: 1 + rng.IntN(3)})
+			}
+		}
+		f.Sites = append(f.Sites, s)
+	}
+	return f
+}
+
+// TestPatchesGiveTheNextDeclaration requires that a patched declaration holds what the next one holds.
+func TestPatchesGiveTheNextDeclaration(t *testing.T) {
+	rng := rand.New(rand.NewPCG(3, 4))
+	for range 500 {
+		from, to := randomFleet(rng), randomFleet(rng)
+		got := Patched(from, to.Skeleton(), Diff(from, to))
+		if got.Name != to.Name || len(got.Sites) != len(to.Sites) {
+			t.Fatalf("got %+v, want %+v", got, to)
+		}
+		for i := range to.Sites {
+			g, w := byName(got.Sites[i].Workspaces), byName(to.Sites[i].Workspaces)
+			if !reflect.DeepEqual(g, w) || len(got.Sites[i].Workspaces) != len(w) {
+				t.Fatalf("got %+v, want %+v", g, w)
+			}
+		}
+	}
+}
--- a/core/kwmember/table.go
+++ b/core/kwmember/table.go
@@ -213,6 +213,16 @@
 	return out
 }
 
+// Place returns how many live entries come before an entry in id order, and how many there are.
+func (t *Table) Place(id kwid.NodeID) (place, entries int) {
+	for other := range t.entries {
+		if other < id {
+			place++
+		}
+	}
+	return place, len(t.entries)
+}
+
 // EntryAlive tells whether an entry holds its lease.
 func (t *Table) EntryAlive(id kwid.NodeID) bool {
 	_, ok := t.entries[id]
--- a/io/kwagent/role.go
+++ b/io/kwagent/role.go
@@ -162,6 +162,9 @@
 	r.deps.Events.Emit(kwevent.ProcessStarted, "", kwevent.F("role", "agent"), kwevent.F("endpoint", r.cfg.Endpoint))
 }
 
+// Traffic returns what the role's connections to other processes have carried.
+func (r *Role) Traffic() kwwire.Traffic { return r.wire.Traffic() }
+
 // Done returns a channel that gives the error with which the role ended.
 func (r *Role) Done() <-chan error { return r.done }
 
--- a/io/kwcontrol/admin.go
+++ b/io/kwcontrol/admin.go
@@ -139,9 +139,7 @@
 		c.String(http.StatusServiceUnavailable, "the control loop is stalled\n")
 		return
 	}
-	var leader kwid.NodeID
-	r.loop.Log(func(_ time.Time, n *kwlog.Node) { leader = n.Status().Leader })
-	if leader == "" {
+	if !r.loop.leaderKnown.Load() {
 		c.String(http.StatusServiceUnavailable, "no leader is known\n")
 		return
 	}
--- a/io/kwcontrol/loop.go
+++ b/io/kwcontrol/loop.go
@@ -10,6 +10,7 @@
 
 	"knapweedproxy/core/kwboard"
 	"knapweedproxy/core/kwcode"
+	"knapweedproxy/core/kwconfig"
 	"knapweedproxy/core/kwid"
 	"knapweedproxy/core/kwlog"
 	"knapweedproxy/core/kwmember"
@@ -104,6 +105,8 @@
 	stopOnce    sync.Once
 	alive       atomic.Int64
 	dropped     atomic.Bool
+	leaderKnown atomic.Bool
+	diff        patchCache
 	mu          sync.Mutex
 	changed     chan struct{}
 	version     uint64
@@ -214,6 +217,7 @@
 	l.alive.Store(now.UnixNano())
 	l.raft.Tick(now)
 	l.board.Leading = l.raft.Leading(now)
+	l.leaderKnown.Store(l.raft.Status().Leader != "")
 	for _, c := range l.controllers {
 		c.Run(now, l.board)
 	}
@@ -671,3 +675,18 @@
 	l.dropped.Store(true)
 	l.Stop()
 }
+
+// patchCache keeps the newest difference between two declarations, which nearly all watchers need.
+type patchCache struct {
+	from    *kwconfig.Fleet
+	to      *kwconfig.Fleet
+	patches []kwconfig.Patch
+}
+
+// patches runs on the control goroutine.
+func (l *Loop) patches(from, to *kwconfig.Fleet) []kwconfig.Patch {
+	if l.diff.from != from || l.diff.to != to {
+		l.diff = patchCache{from: from, to: to, patches: kwconfig.Diff(from, to)}
+	}
+	return l.diff.patches
+}
--- a/io/kwcontrol/serve.go
+++ b/io/kwcontrol/serve.go
@@ -6,7 +6,7 @@
 
 	"knapweedproxy/core/kwboard"
 	"knapweedproxy/core/kwcode"
-	"knapweedproxy/core/kwid"
+	"knapweedproxy/core/kwconfig"
 	"knapweedproxy/core/kwmember"
 	"knapweedproxy/core/kwstate"
 	"knapweedproxy/io/kwevent"
@@ -105,13 +105,13 @@
 
 // watcher is the state of one entry's subscription.
 type watcher struct {
-	role     *Role
-	stream   *kwwire.Stream
-	entry    kwmember.Entry
-	full     bool
-	version  uint64
-	revision kwid.Revision
-	echo     uint64
+	role    *Role
+	stream  *kwwire.Stream
+	entry   kwmember.Entry
+	full    bool
+	version uint64
+	fleet   *kwconfig.Fleet
+	echo    uint64
 	// loads asks for the load table with the next view.
 	loads bool
 }
@@ -190,7 +190,6 @@
 	w.full = false
 	w.loads = false
 	w.version = view.Version
-	w.revision = view.Revision
 	return nil
 }
 
@@ -205,14 +204,25 @@
 	if w.full {
 		view.Endpoints = b.Members.Since(0)
 	}
-	if w.full || view.Revision != w.revision {
-		view.Fleet = b.State.Fleet()
-	}
+	w.addFleet(view, b.State.Fleet())
 	if w.loads || w.full {
 		view.Loads = b.Members.Loads()
 	}
-	for _, e := range b.Members.Entries() {
-		view.Entries = append(view.Entries, e.ID)
-	}
+	view.Place, view.Entries = b.Members.Place(w.entry.ID)
 	return view
 }
+
+// addFleet adds a changed declaration: whole at first, then as a skeleton with patches of the workspaces.
+func (w *watcher) addFleet(view *kwproto.View, fleet *kwconfig.Fleet) {
+	if fleet == w.fleet {
+		return
+	}
+	if w.fleet == nil {
+		view.Fleet = fleet
+	} else {
+		view.Fleet = fleet.Skeleton()
+		view.Patched = true
+		view.Patches = w.role.loop.patches(w.fleet, fleet)
+	}
+	w.fleet = fleet
+}
--- a/io/kwdemo/fleet.go
+++ b/io/kwdemo/fleet.go
@@ -61,6 +61,7 @@
 	// ViewLease is how long an entry serves without a confirmation.
 	ViewLease    time.Duration
 	AgentRenew   time.Duration
+	EntryRenew   time.Duration
 	StepTimeout  time.Duration
 	KVTokens     int
 	PrefixTokens int
@@ -510,7 +511,7 @@
 		Zone:         f.cfg.Stages[0].Zone,
 		Control:      f.control,
 		ViewLease:    orSpan(f.cfg.ViewLease, quickViewLease),
-		Renew:        quickRenew,
+		Renew:        orSpan(f.cfg.EntryRenew, quickRenew),
 		InFlight:     kwentry.DefaultInFlight,
 		StepTimeout:  orSpan(f.cfg.StepTimeout, quickStep),
 		DrainTimeout: drainTimeout,
--- /dev/null
+++ b/io/kwdemo/path_test.go
@@ -0,0 +1,346 @@
+package kwdemo
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/go-logr/logr"
+
+	"knapweedproxy/core/kwboard"
+	"knapweedproxy/core/kwcode"
+	"knapweedproxy/core/kwid"
+	"knapweedproxy/core/kwroute"
+	"knapweedproxy/io/kwcontrol"
+	"knapweedproxy/io/kwengine"
+	"knapweedproxy/io/kwkeys"
+	"knapweedproxy/io/kwproto"
+	"knapweedproxy/io/kwstandin"
+	"knapweedproxy/io/kwwire"
+)
+
+// TestMalformedRequests sends damaged requests: each gets a numbered error or a good answer, and the entry serves on.
+func TestMalformedRequests(t *testing.T) {
+	f := start(t, nil)
+	rng := rand.New(rand.NewPCG(21, 22))
+	good := `{"model":"drafting","max_tokens":1,"messages":[{"role":"user","content":"hello there"}]}`
+	paths := []string{"/v1/chat/completions", "/services/records/alerts", "/services/none/x", "/services/records/..%2fx", "/v1/none"}
+	refused := 0
+	for i := range 300 {
+		body := []byte(good)
+		for range 1 + rng.IntN(4) {
+			body[rng.IntN(len(body))] = byte(rng.IntN(256))
+		}
+		method := []string{http.MethodPost, http.MethodPut, "BREW"}[rng.IntN(3)]
+		req, err := http.NewRequest(method, f.Entries[0].URL()+paths[i%len(paths)], bytes.NewReader(body[:rng.IntN(len(body))]))
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set("Authorization", "Bearer "+Workspaces()[rng.IntN(2)].Token)
+		req.Header.Set("X-Request-Timeout", []string{"", "5s", "soon", "-1s"}[rng.IntN(4)])
+		if refusedWell(t, req) {
+			refused++
+		}
+	}
+	if refused < 200 {
+		t.Errorf("got %d of 300 refused, want most", refused)
+	}
+	huge, err := f.caller(0).Service(testContext(t), http.MethodPost, "/alerts", "huge", strings.Repeat("x", 2<<20))
+	if err == nil && (huge.Error == nil || huge.Error.Code != kwcode.BodyTooLarge) {
+		t.Errorf("got %+v, want %d", huge.Error, kwcode.BodyTooLarge)
+	}
+	chats(t, f, 2)
+}
+
+// refusedWell tells whether a request was refused; a refusal must carry a number.
+func refusedWell(t *testing.T, req *http.Request) bool {
+	t.Helper()
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if resp.StatusCode < http.StatusBadRequest {
+		return false
+	}
+	var reply kwcontrol.ErrorReply
+	if err := json.Unmarshal(body, &reply); err != nil || reply.Error.Code == 0 || reply.Error.Code == kwcode.OperationFailed {
+		t.Errorf("got %d %s, want a numbered error", resp.StatusCode, body)
+	}
+	return true
+}
+
+// TestRefusalsRunNothing refuses writes for each reason that an entry has: none of them may reach the service.
+func TestRefusalsRunNothing(t *testing.T) {
+	f := start(t, func(cfg *Config) {
+		cfg.Base = BaseText(modelLayers, 2)
+	})
+	ctx := testContext(t)
+	for _, s := range f.Servers {
+		s.StandIn.SetFaults(kwstandin.Faults{SlowMS: 300})
+	}
+	codes := make(chan kwcode.Code, 20)
+	for i := range 20 {
+		go func() {
+			body := fmt.Sprintf("limit-%d", i)
+			got, err := f.caller(i%2).Service(ctx, http.MethodPost, "/alerts", body, body)
+			if err != nil || got.Error == nil {
+				codes <- 0
+				return
+			}
+			if ran := f.Ran("/alerts", body); got.Error.Outcome != kwcode.NotRun || ran != 0 {
+				t.Errorf("got %+v for %s, which ran %d times", got.Error, body, ran)
+			}
+			codes <- got.Error.Code
+		}()
+	}
+	limited := 0
+	for range 20 {
+		if <-codes == kwcode.WorkspaceLimit {
+			limited++
+		}
+	}
+	if limited == 0 {
+		t.Errorf("got no refusal with %d, want some", kwcode.WorkspaceLimit)
+	}
+	for _, s := range f.Servers {
+		s.Agent.Stop()
+	}
+	got, err := f.caller(0).Service(ctx, http.MethodPost, "/alerts", "none", "none")
+	if err != nil || got.Error == nil || got.Error.Code != kwcode.NoEndpoint || got.Error.Outcome != kwcode.NotRun {
+		t.Errorf("got %+v %v, want %d", got.Error, err, kwcode.NoEndpoint)
+	}
+	if ran := f.Ran("/alerts", "none"); ran != 0 {
+		t.Errorf("got it run %d times, want 0", ran)
+	}
+}
+
+// TestStalledLoopIsNotReady stalls the control goroutine: the process lives, and must not call itself ready.
+func TestStalledLoopIsNotReady(t *testing.T) {
+	f := start(t, nil)
+	release := make(chan struct{})
+	go f.Controls[0].Loop().Do(func(time.Time, *kwboard.Board) { <-release })
+	defer close(release)
+	err := Wait("a process that is not ready", func() bool { return f.probe("/readyz") == http.StatusServiceUnavailable })
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := f.probe("/healthz"); got != http.StatusOK {
+		t.Errorf("got %d, want %d: the process lives", got, http.StatusOK)
+	}
+}
+
+func (f *Fleet) probe(path string) int {
+	resp, err := http.Get(f.admins[0] + path)
+	if err != nil {
+		return 0
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+// TestOrdersAreFenced sends orders as two leaders would: agents refuse old numbers, also where the engine ignores
+// them, and a restarted agent takes no order before it has learned the present number.
+func TestOrdersAreFenced(t *testing.T) {
+	f := start(t, nil)
+	leader, err := f.store("control-9", kwkeys.RoleControl)
+	if err != nil {
+		t.Fatal(err)
+	}
+	wire, err := kwwire.Listen(kwwire.Config{Listen: loopback, Keys: leader, Clock: f.clock})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer wire.Close()
+	status, ok := f.Leader()
+	if !ok {
+		t.Fatal("got no leader, want one")
+	}
+	order := func(e *Engine, fence kwid.Fence) error {
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		req := kwproto.Order{Fence: fence, Model: ModelName}
+		return wire.Call(ctx, e.Agent.Address(), "", kwproto.KindOrder, req, &kwproto.Ordered{})
+	}
+	for _, e := range f.Engines[:2] {
+		if err := order(e, status.Fence+1); err != nil {
+			t.Errorf("got %v, want the newer leader's order run", err)
+		}
+		if err := order(e, status.Fence); !kwcode.Is(err, kwcode.StaleFence) {
+			t.Errorf("got %v, want %d for the older leader", err, kwcode.StaleFence)
+		}
+		if got := e.StandIn.Counts().Orders; got != 1 {
+			t.Errorf("got %d orders at the engine, want 1", got)
+		}
+	}
+	f.Controls[0].Kill()
+	fresh := Stage{Name: "fresh", Zone: "east", Layers: kwid.LayerRange{To: 5}, TokenRate: stageRate}
+	if err := f.StartEngine("fresh-1", fresh); err != nil {
+		t.Fatal(err)
+	}
+	if err := order(f.Engines[len(f.Engines)-1], status.Fence+5); !kwcode.Is(err, kwcode.FenceUnknown) {
+		t.Errorf("got %v, want %d", err, kwcode.FenceUnknown)
+	}
+}
+
+// fast runs a fleet whose engines take no time, to measure the path alone.
+func fast(b *testing.B) *Fleet {
+	b.Helper()
+	cfg := DefaultConfig(b.TempDir(), logr.Discard())
+	for i := range cfg.Stages {
+		cfg.Stages[i].TokenRate = 1e8
+	}
+	cfg.Overlay = OverlayText(cfg.Site, cfg.Stages, cfg.Records)
+	f, err := New(cfg)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(f.Close)
+	return f
+}
+
+// timed runs a step per iteration and reports its distribution.
+func timed(b *testing.B, step func() error) {
+	h := hdrhistogram.New(1, 60_000_000, 3)
+	b.ReportAllocs()
+	for b.Loop() {
+		begin := time.Now()
+		if err := step(); err != nil {
+			b.Fatal(err)
+		}
+		_ = h.RecordValue(max(1, time.Since(begin).Microseconds()))
+	}
+	b.ReportMetric(float64(h.ValueAtQuantile(50)), "p50-us")
+	b.ReportMetric(float64(h.ValueAtQuantile(95)), "p95-us")
+}
+
+// BenchmarkPath compares calls through the path with calls to the stand-ins themselves.
+func BenchmarkPath(b *testing.B) {
+	f := fast(b)
+	ctx := b.Context()
+	direct := Client{URL: f.Servers[0].StandIn.URL()}
+	b.Run("lookup-direct", func(b *testing.B) {
+		timed(b, func() error { return drop(direct.send(ctx, http.MethodGet, "/runs/x", "", nil)) })
+	})
+	b.Run("lookup-path", func(b *testing.B) {
+		timed(b, func() error { return drop(f.caller(0).send(ctx, http.MethodGet, "/services/records/runs/x", "", nil)) })
+	})
+	b.Run("write-direct", func(b *testing.B) {
+		timed(b, func() error { return drop(direct.send(ctx, http.MethodPost, "/alerts", "", []byte("x"))) })
+	})
+	n := 0
+	b.Run("write-path", func(b *testing.B) {
+		timed(b, func() error {
+			n++
+			return drop(f.caller(0).send(ctx, http.MethodPost, "/services/records/alerts", fmt.Sprint("k", n), []byte("x")))
+		})
+	})
+	b.Run("token-direct", func(b *testing.B) { benchDirectTokens(b, f) })
+	b.Run("token-path", func(b *testing.B) { benchPathTokens(b, f) })
+}
+
+func drop(resp *http.Response, err error) error {
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, err = io.Copy(io.Discard, resp.Body)
+	if resp.StatusCode != http.StatusOK {
+		return kwcode.New(kwcode.OperationFailed, "status %d", resp.StatusCode)
+	}
+	return err
+}
+
+// benchDirectTokens drives the three engines of a chain by hand, one token an iteration.
+func benchDirectTokens(b *testing.B, f *Fleet) {
+	engines := []*kwengine.Client{
+		kwengine.New(kwengine.Config{URL: f.Engines[0].StandIn.URL()}),
+		kwengine.New(kwengine.Config{URL: f.Engines[1].StandIn.URL()}),
+		kwengine.New(kwengine.Config{URL: f.Engines[2].StandIn.URL()}),
+	}
+	position := kwid.Position(0)
+	request := kwid.RequestID(fmt.Sprint("direct-", time.Now().UnixNano()))
+	timed(b, func() error {
+		step := kwengine.StepRequest{Request: request, Attempt: 1, Position: position, Tokens: []kwid.Token{5}}
+		for i, e := range engines {
+			step.Layer = f.Engines[i].StandIn.Layers().From
+			reply, err := e.Step(b.Context(), step)
+			if err != nil {
+				return err
+			}
+			step.Tokens, step.Hidden = nil, reply.Hidden
+		}
+		position++
+		return nil
+	})
+}
+
+// benchPathTokens opens sessions at a first stage and takes one token an iteration.
+func benchPathTokens(b *testing.B, f *Fleet) {
+	keys, err := f.store("entry-9", kwkeys.RoleEntry)
+	if err != nil {
+		b.Fatal(err)
+	}
+	wire, err := kwwire.Listen(kwwire.Config{Listen: loopback, Keys: keys, Clock: f.clock})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer wire.Close()
+	var chain []kwroute.Stage
+	for _, e := range f.Engines[:3] {
+		chain = append(chain, kwroute.Stage{Endpoint: e.Endpoint, Incarnation: e.Agent.Incarnation(), Address: e.Agent.Address(), Layers: e.StandIn.Layers()})
+	}
+	var s *kwwire.Stream
+	sessions := 0
+	timed(b, func() error {
+		for {
+			if s == nil {
+				sessions++
+				s, err = openSession(b, wire, chain, sessions)
+				if err != nil {
+					return err
+				}
+			}
+			f, err := s.Recv()
+			if err != nil {
+				return err
+			}
+			if f.Kind == kwproto.KindToken {
+				return nil
+			}
+			s.Close()
+			s = nil
+		}
+	})
+	if s != nil {
+		s.Close()
+	}
+}
+
+func openSession(b *testing.B, wire *kwwire.Node, chain []kwroute.Stage, n int) (*kwwire.Stream, error) {
+	s, err := wire.Open(b.Context(), chain[0].Address, "")
+	if err != nil {
+		return nil, err
+	}
+	return s, s.Send(kwproto.KindSession, kwproto.Session{
+		Request:   kwid.RequestID(fmt.Sprint("bench-", n)),
+		Attempt:   1,
+		Model:     ModelName,
+		Prompt:    fmt.Sprint("prompt ", n),
+		MaxTokens: 1000,
+		Chain:     chain,
+		Timeout:   time.Minute.Milliseconds(),
+	})
+}
--- a/io/kwentry/role.go
+++ b/io/kwentry/role.go
@@ -152,6 +152,9 @@
 	return err
 }
 
+// Traffic returns what the role's connections to other processes have carried.
+func (r *Role) Traffic() kwwire.Traffic { return r.wire.Traffic() }
+
 // Done returns a channel that gives the error with which the role ended.
 func (r *Role) Done() <-chan error { return r.done }
 
--- a/io/kwentry/view.go
+++ b/io/kwentry/view.go
@@ -26,7 +26,8 @@
 	revision  kwid.Revision
 	fleet     *kwconfig.Fleet
 	endpoints map[kwid.EndpointID]kwmember.Endpoint
-	entries   []kwid.NodeID
+	entries   int
+	place     int
 	tokens    map[string]kwconfig.Workspace
 	graphs    map[kwid.ModelName]modelGraphs
 	services  map[kwid.ServiceName][]kwmember.Endpoint
@@ -147,7 +148,7 @@
 	if old != nil && msg.Revision < old.revision {
 		return false, kwcode.New(kwcode.RevisionConflict, "revision %d after %d", msg.Revision, old.revision)
 	}
-	if old != nil && !msg.Full && msg.Fleet == nil && len(msg.Endpoints) == 0 && slices.Equal(msg.Entries, old.entries) {
+	if old != nil && !msg.Full && msg.Fleet == nil && len(msg.Endpoints) == 0 && msg.Entries == old.entries && msg.Place == old.place {
 		return false, nil
 	}
 	next := r.nextView(old, msg)
@@ -164,6 +165,7 @@
 		revision:  msg.Revision,
 		fleet:     msg.Fleet,
 		entries:   msg.Entries,
+		place:     msg.Place,
 		endpoints: make(map[kwid.EndpointID]kwmember.Endpoint),
 	}
 	if old != nil && !msg.Full {
@@ -172,6 +174,9 @@
 	if old != nil && msg.Fleet == nil {
 		next.fleet = old.fleet
 	}
+	if old != nil && msg.Patched {
+		next.fleet = kwconfig.Patched(old.fleet, msg.Fleet, msg.Patches)
+	}
 	for _, e := range msg.Endpoints {
 		next.endpoints[e.ID] = e
 	}
@@ -273,12 +278,11 @@
 
 // applyLimits gives this entry its part of each workspace's fleet-wide limit.
 func (r *Role) applyLimits(v *view) {
-	index := max(0, slices.Index(v.entries, r.cfg.Node))
 	var shares []kwlimit.Share
 	for _, w := range v.tokens {
 		shares = append(shares, kwlimit.Share{
 			Workspace: w.Name,
-			InFlight:  kwlimit.Split(w.RequestsInFlight, len(v.entries), index),
+			InFlight:  kwlimit.Split(w.RequestsInFlight, v.entries, v.place),
 		})
 	}
 	r.limiter.SetShares(shares)
--- /dev/null
+++ b/io/kwload/slopes.go
@@ -0,0 +1,147 @@
+package kwload
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"runtime"
+	"syscall"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gonum.org/v1/gonum/stat"
+
+	"knapweedproxy/core/kwcode"
+	"knapweedproxy/io/kwagent"
+	"knapweedproxy/io/kwcontrol"
+	"knapweedproxy/io/kwdemo"
+	"knapweedproxy/io/kwentry"
+	"knapweedproxy/io/kwwire"
+)
+
+// IdlePoint is what an idle fleet of one size costs.
+type IdlePoint struct {
+	Agents       int
+	Entries      int
+	CPU          float64
+	HeapMB       float64
+	AgentBytes   float64
+	EntryBytes   float64
+	ControlBytes float64
+}
+
+// idleSizes vary agents and entries apart, three sizes each.
+func idleSizes() []IdlePoint {
+	return []IdlePoint{
+		{Agents: 20, Entries: 2},
+		{Agents: 80, Entries: 2},
+		{Agents: 160, Entries: 2},
+		{Agents: 20, Entries: 12},
+		{Agents: 20, Entries: 32},
+	}
+}
+
+// MeasureIdle runs an idle fleet of each size with the spans of a deployed one and prints points and fits.
+func MeasureIdle(w io.Writer, window time.Duration) error {
+	var points []IdlePoint
+	_, _ = fmt.Fprintln(w, "agents entries  cpu-s/s  heap-MB  agent-B/s  entry-B/s  control-B/s")
+	for _, size := range idleSizes() {
+		p, err := measureIdle(size, window)
+		if err != nil {
+			return err
+		}
+		points = append(points, p)
+		_, _ = fmt.Fprintf(w, "%6d %7d  %.5f  %7.2f  %9.0f  %9.0f  %11.0f\n", p.Agents, p.Entries, p.CPU, p.HeapMB, p.AgentBytes, p.EntryBytes, p.ControlBytes)
+	}
+	byAgents, byEntries := points[:3], []IdlePoint{points[0], points[3], points[4]}
+	agents := func(p IdlePoint) float64 { return float64(p.Agents) }
+	entries := func(p IdlePoint) float64 { return float64(p.Entries) }
+	fit := func(name string, points []IdlePoint, x, y func(IdlePoint) float64) {
+		var xs, ys []float64
+		for _, p := range points {
+			xs = append(xs, x(p))
+			ys = append(ys, y(p))
+		}
+		base, slope := stat.LinearRegression(xs, ys, nil, false)
+		_, _ = fmt.Fprintf(w, "%-44s slope %.6g  base %.6g  r2 %.3f\n", name, slope, base, stat.RSquared(xs, ys, nil, base, slope))
+	}
+	fit("cpu seconds a second and agent", byAgents, agents, func(p IdlePoint) float64 { return p.CPU })
+	fit("cpu seconds a second and entry", byEntries, entries, func(p IdlePoint) float64 { return p.CPU })
+	fit("heap MB an agent, both sides", byAgents, agents, func(p IdlePoint) float64 { return p.HeapMB })
+	fit("heap MB an entry, both sides", byEntries, entries, func(p IdlePoint) float64 { return p.HeapMB })
+	fit("entry bytes a second and endpoint", byAgents, agents, func(p IdlePoint) float64 { return p.EntryBytes })
+	fit("agent bytes a second and agent", byAgents, agents, func(p IdlePoint) float64 { return p.AgentBytes })
+	return nil
+}
+
+func measureIdle(size IdlePoint, window time.Duration) (IdlePoint, error) {
+	folder, err := os.MkdirTemp("", "knapweedproxy-idle-")
+	if err != nil {
+		return size, kwcode.New(kwcode.DiskFailed, "%v", err)
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	cfg := kwdemo.DefaultConfig(folder, logr.Discard())
+	cfg.Stages = cfg.Stages[:1]
+	cfg.Stages[0].Servers = 0
+	cfg.Records = size.Agents
+	cfg.Entries = size.Entries
+	cfg.Timing = kwcontrol.DefaultTiming()
+	cfg.AgentRenew = kwagent.DefaultAnnounce
+	cfg.EntryRenew = kwentry.DefaultRenew
+	cfg.ViewLease = kwentry.DefaultViewLease
+	cfg.Base = kwdemo.BaseText(cfg.Layers, maxInFlight)
+	cfg.Overlay = kwdemo.OverlayText(cfg.Site, nil, size.Agents)
+	f, err := kwdemo.New(cfg)
+	if err != nil {
+		return size, err
+	}
+	defer f.Close()
+	return observeIdle(f, size, window), nil
+}
+
+const settleIdle = 3 * time.Second
+
+func observeIdle(f *kwdemo.Fleet, p IdlePoint, window time.Duration) IdlePoint {
+	time.Sleep(settleIdle)
+	agents, entries, control := traffic(f)
+	cpu := cpuSeconds()
+	time.Sleep(window)
+	p.CPU = (cpuSeconds() - cpu) / window.Seconds()
+	agentsAfter, entriesAfter, controlAfter := traffic(f)
+	rate := func(after, before kwwire.Traffic, n int) float64 {
+		return float64(after.Sent+after.Received-before.Sent-before.Received) / window.Seconds() / float64(n)
+	}
+	p.AgentBytes = rate(agentsAfter, agents, p.Agents)
+	p.EntryBytes = rate(entriesAfter, entries, p.Entries)
+	p.ControlBytes = rate(controlAfter, control, 1)
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	p.HeapMB = float64(m.HeapAlloc+m.StackInuse) / (1 << 20)
+	return p
+}
+
+func traffic(f *kwdemo.Fleet) (agents, entries, control kwwire.Traffic) {
+	add := func(sum *kwwire.Traffic, t kwwire.Traffic) {
+		sum.Sent += t.Sent
+		sum.Received += t.Received
+	}
+	for _, s := range f.Servers {
+		add(&agents, s.Agent.Traffic())
+	}
+	for _, e := range f.Entries {
+		add(&entries, e.Traffic())
+	}
+	for _, c := range f.Controls {
+		add(&control, c.Traffic())
+	}
+	return agents, entries, control
+}
+
+func cpuSeconds() float64 {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano()).Seconds()
+}
--- a/io/kwload/trial.go
+++ b/io/kwload/trial.go
@@ -43,7 +43,6 @@
 type station struct {
 	rate     float64
 	free     time.Duration
-	queued   int
 	reported float64
 }
 
--- a/io/kwproto/messages.go
+++ b/io/kwproto/messages.go
@@ -54,16 +54,21 @@
 	Entry kwmember.Entry `cbor:"1,keyasint"`
 }
 
-// View carries the rows that changed; Full replaces all rows. Echo returns the number of the Seen it answers.
+// View carries the rows that changed; Full replaces all rows. Echo returns the number of the Seen it answers. Place is
+// the receiving entry's place among the Entries live ones, which gives it its part of fleet-wide limits.
 type View struct {
 	Version   uint64              `cbor:"1,keyasint"`
 	Revision  kwid.Revision       `cbor:"2,keyasint"`
 	Fleet     *kwconfig.Fleet     `cbor:"3,keyasint,omitempty"`
 	Endpoints []kwmember.Endpoint `cbor:"4,keyasint,omitempty"`
-	Entries   []kwid.NodeID       `cbor:"5,keyasint,omitempty"`
+	Entries   int                 `cbor:"5,keyasint,omitempty"`
+	Place     int                 `cbor:"9,keyasint,omitempty"`
 	Full      bool                `cbor:"6,keyasint,omitempty"`
 	Echo      uint64              `cbor:"7,keyasint"`
 	Loads     []byte              `cbor:"8,keyasint,omitempty"`
+	// Patched tells that Fleet is a skeleton and Patches change the workspaces that the entry holds.
+	Patched bool             `cbor:"10,keyasint,omitempty"`
+	Patches []kwconfig.Patch `cbor:"11,keyasint,omitempty"`
 }
 
 // Seen renews an entry's lease and names the view it serves with.
--- a/io/kwwire/node.go
+++ b/io/kwwire/node.go
@@ -61,9 +61,52 @@
 	cancel    context.CancelFunc
 	mu        sync.Mutex
 	conns     map[string]*pooled
+	open      map[*quic.Conn]struct{}
+	past      Traffic
 	work      sync.WaitGroup
 }
 
+// Traffic counts what a node's connections have carried, in bytes with UDP and IP headers.
+type Traffic struct {
+	Sent     uint64
+	Received uint64
+	Packets  uint64
+}
+
+// headerBytes is the size of the UDP and IPv4 headers of a packet.
+const headerBytes = 28
+
+func (t Traffic) plus(s quic.ConnectionStats) Traffic {
+	t.Sent += s.BytesSent + headerBytes*s.PacketsSent
+	t.Received += s.BytesReceived + headerBytes*s.PacketsReceived
+	t.Packets += s.PacketsSent + s.PacketsReceived
+	return t
+}
+
+// Traffic returns what all connections of the node have carried so far.
+func (n *Node) Traffic() Traffic {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	out := n.past
+	for conn := range n.open {
+		out = out.plus(conn.ConnectionStats())
+	}
+	return out
+}
+
+// track counts a connection's traffic until it ends.
+func (n *Node) track(conn *quic.Conn) {
+	n.mu.Lock()
+	n.open[conn] = struct{}{}
+	n.mu.Unlock()
+	context.AfterFunc(conn.Context(), func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		delete(n.open, conn)
+		n.past = n.past.plus(conn.ConnectionStats())
+	})
+}
+
 type pooled struct {
 	conn     *quic.Conn
 	identity kwkeys.Identity
@@ -86,7 +129,7 @@
 	if err != nil {
 		return nil, kwcode.New(kwcode.ListenFailed, "%v", err)
 	}
-	n := &Node{cfg: cfg, socket: socket, conns: make(map[string]*pooled)}
+	n := &Node{cfg: cfg, socket: socket, conns: make(map[string]*pooled), open: make(map[*quic.Conn]struct{})}
 	n.transport = &quic.Transport{Conn: socket}
 	n.listener, err = n.transport.Listen(cfg.Keys.ServerTLS(Protocol), quicConfig())
 	if err != nil {
@@ -125,6 +168,7 @@
 }
 
 func (n *Node) serve(conn *quic.Conn) {
+	n.track(conn)
 	identity, err := kwkeys.PeerIdentity(conn.ConnectionState().TLS)
 	if err != nil {
 		n.cfg.Refused(err)
@@ -275,6 +319,7 @@
 		p.err = kwcode.New(kwcode.PeerUnreachable, "connect to %s: %v", address, err)
 		return
 	}
+	n.track(conn)
 	p.identity, p.err = kwkeys.PeerIdentity(conn.ConnectionState().TLS)
 	p.conn = conn
 }
--- a/io/kwwire/node_test.go
+++ b/io/kwwire/node_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"testing"
 	"time"
 
@@ -227,3 +229,34 @@
 		entry.Close()
 	}
 }
+
+// BenchmarkConnectionMemory reports the heap and stack of an idle connection, halved for one side.
+func BenchmarkConnectionMemory(b *testing.B) {
+	for _, count := range []int{50, 150, 300} {
+		b.Run(fmt.Sprintf("connections-%d", count), func(b *testing.B) {
+			issue := keys(b)
+			store := issue("server", kwkeys.RoleAgent)
+			entry := node(b, issue("entry", kwkeys.RoleEntry), nil)
+			var servers []*Node
+			for range count {
+				servers = append(servers, node(b, store, echoRoute()))
+			}
+			for b.Loop() {
+				before := memory()
+				for _, s := range servers {
+					if _, err := call(b, entry, s, kwproto.KindFence); err != nil {
+						b.Fatal(err)
+					}
+				}
+				b.ReportMetric(float64(memory()-before)/1024/float64(2*count), "KB/side")
+			}
+		})
+	}
+}
+
+func memory() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc + m.StackInuse
+}
