Move a workspace's writes between sites with a fenced hand-over in the log

Cause: the promises must hold while a fleet is one half of a migration; entries fell back to any site's servers. Change: an owner row per workspace in the log; during a hand-over no site gets a grant until the open attempts elsewhere have ended; entries learn owners with their view and follow the refusal otherwise; move command. Ruled out: ownership by declaration alone, since two entries may hold two revisions for seconds.

--- a/commands/operate.go
+++ b/commands/operate.go
@@ -62,6 +62,9 @@
 	if st.Notice != "" {
 		p("NOTICE: %s\n", st.Notice)
 	}
+	for _, o := range st.Owners {
+		p("writes of %s: site %s next %q\n", o.Workspace, o.Site, o.Next)
+	}
 	p("\nentries:\n")
 	for _, e := range st.Entries {
 		p("  %-16s site=%s revision=%d\n", e.ID, e.Site, e.Revision)
@@ -92,6 +95,26 @@
 	return nil
 }
 
+type moveCmd struct {
+	adminFlags
+	Workspace kwid.WorkspaceName `arg:"" help:"The workspace."`
+	To        kwid.Site          `arg:"" help:"The site that runs its writes from now on."`
+}
+
+// Run starts the hand-over.
+func (c *moveCmd) Run(s *streams) error {
+	var out kwstate.Owner
+	if err := c.call(http.MethodPost, "/admin/move", kwcontrol.MoveBody{Workspace: c.Workspace, To: c.To}, &out); err != nil {
+		return err
+	}
+	if out.Next != "" {
+		_, _ = fmt.Fprintf(s.out, "the writes of %s move to %s once the open ones have ended; see status\n", out.Workspace, out.Next)
+		return nil
+	}
+	_, _ = fmt.Fprintf(s.out, "the writes of %s belong to %s\n", out.Workspace, out.Site)
+	return nil
+}
+
 type journalCmd struct {
 	List   journalListCmd   `cmd:"" help:"List journal rows."`
 	Show   journalShowCmd   `cmd:"" help:"Show one journal row."`
--- a/commands/root.go
+++ b/commands/root.go
@@ -39,6 +39,7 @@
 	Keys     keysCmd     `cmd:"" help:"Make the fleet's authority and the keys of its processes."`
 	Status   statusCmd   `cmd:"" help:"Show the state of the fleet."`
 	Drain    drainCmd    `cmd:"" help:"Take an endpoint out of service gracefully, or back in."`
+	Move     moveCmd     `cmd:"" help:"Hand a workspace's writes over to another site, in the middle of traffic."`
 	Journal  journalCmd  `cmd:"" help:"List, show and settle the calls that must run at most once."`
 	Load     loadCmd     `cmd:"" help:"Measure throughput against the bound, recovery and the promises under load."`
 	Capacity capacityCmd `cmd:"" help:"Print the capacity model at the target size, or measure its slopes."`
--- a/core/kwcode/code.go
+++ b/core/kwcode/code.go
@@ -45,6 +45,8 @@
 	WrongIncarnation   Code = 1017
 	JournalFull        Code = 1018
 	EntryOverloaded    Code = 1019
+	WrongSite          Code = 1020
+	WorkspaceMoving    Code = 1021
 	StreamCut          Code = 2001
 	LookupFailed       Code = 2002
 	OutcomeUnknown     Code = 3001
@@ -116,6 +118,8 @@
 	{WrongIncarnation, "wrong-incarnation", http.StatusServiceUnavailable, NotRun, "The call was granted to an earlier incarnation of the agent."},
 	{JournalFull, "journal-full", http.StatusServiceUnavailable, NotRun, "The idempotency journal is at its size limit and refuses new claims."},
 	{EntryOverloaded, "entry-overloaded", http.StatusServiceUnavailable, NotRun, "The entry is at its limit of requests in flight."},
+	{WrongSite, "wrong-site", http.StatusServiceUnavailable, NotRun, "The workspace's writes belong to another site."},
+	{WorkspaceMoving, "workspace-moving", http.StatusServiceUnavailable, NotRun, "The workspace's writes are moving between sites."},
 	{StreamCut, "stream-cut", http.StatusBadGateway, Ran, "The stream ended with an error after part of the answer was produced."},
 	{LookupFailed, "lookup-failed", http.StatusBadGateway, Ran, "The idempotent call failed on every endpoint that was tried."},
 	{OutcomeUnknown, "outcome-unknown", http.StatusBadGateway, Unknown, "The call may have run; it will not run again until an operator settles it."},
--- a/core/kwstate/command.go
+++ b/core/kwstate/command.go
@@ -17,6 +17,7 @@
 	Unknown *RecordUnknown `cbor:"7,keyasint,omitempty"`
 	Settle  *Settle        `cbor:"8,keyasint,omitempty"`
 	Drain   *Drain         `cbor:"9,keyasint,omitempty"`
+	Move    *Move          `cbor:"10,keyasint,omitempty"`
 }
 
 // Boot raises the fencing number; a control leader logs it before it gives orders.
@@ -48,6 +49,7 @@
 	Address     string           `cbor:"5,keyasint" json:"address"`
 	Endpoint    kwid.EndpointID  `cbor:"6,keyasint" json:"endpoint"`
 	Incarnation kwid.Incarnation `cbor:"7,keyasint" json:"incarnation"`
+	Site        kwid.Site        `cbor:"8,keyasint,omitempty" json:"site"`
 }
 
 // Claim asks for the right to run a call once; Window in milliseconds bounds a derived key's life.
@@ -115,6 +117,12 @@
 	On       bool            `cbor:"2,keyasint"`
 }
 
+// Move hands the ownership of a workspace's writes to a site, once no attempt is open elsewhere.
+type Move struct {
+	Workspace kwid.WorkspaceName `cbor:"1,keyasint"`
+	To        kwid.Site          `cbor:"2,keyasint"`
+}
+
 // Reply is the answer to a command; Err is nil on success.
 type Reply struct {
 	Err      *kwcode.Error `cbor:"1,keyasint,omitempty"`
@@ -122,4 +130,5 @@
 	Row      *Row          `cbor:"3,keyasint,omitempty"`
 	Granted  bool          `cbor:"4,keyasint,omitempty"`
 	Fence    kwid.Fence    `cbor:"5,keyasint,omitempty"`
+	Owner    *Owner        `cbor:"6,keyasint,omitempty"`
 }
--- a/core/kwstate/journal.go
+++ b/core/kwstate/journal.go
@@ -145,15 +145,22 @@
 	delete(j.rows, s)
 }
 
-func (j *journal) claim(now int64, c *Claim) Reply {
+// claim answers from the row, or grants a new attempt unless barred says that the site may not run one.
+func (j *journal) claim(now int64, c *Claim, barred *kwcode.Error) Reply {
 	row := j.find(c.Scope)
 	if row == nil || j.windowOver(row, now) {
+		if barred != nil {
+			return Reply{Err: barred}
+		}
 		return j.grantFirst(now, c)
 	}
 	if row.Digest != c.Digest {
 		return Reply{Err: kwcode.New(kwcode.KeyReused, "key %q was claimed for another request", c.Scope.Key)}
 	}
 	if row.State == RowFenced {
+		if barred != nil {
+			return Reply{Err: barred}
+		}
 		return j.grantNext(now, row, c)
 	}
 	granted := row.State == RowGranted && row.Grant.Request == c.Grant.Request
--- a/core/kwstate/machine.go
+++ b/core/kwstate/machine.go
@@ -45,6 +45,7 @@
 	changes  []change
 	drains   map[kwid.EndpointID]bool
 	journal  *journal
+	owners   *owners
 }
 
 // New returns an empty machine.
@@ -53,6 +54,7 @@
 		cfg:     cfg,
 		drains:  make(map[kwid.EndpointID]bool),
 		journal: newJournal(cfg),
+		owners:  newOwners(),
 	}
 }
 
@@ -67,13 +69,19 @@
 	case c.Apply != nil:
 		return m.applyConfig(c.Apply)
 	case c.Claim != nil:
-		return m.journal.claim(c.Time, c.Claim)
+		return m.journal.claim(c.Time, c.Claim, m.owners.check(c.Claim.Scope.Workspace, c.Claim.Grant.Site))
 	case c.Outcome != nil:
+		defer m.settleMoves(c.Outcome.Scope.Workspace)
 		return m.journal.outcome(c.Time, c.Outcome)
 	case c.Fenced != nil:
+		defer m.settleMoves(c.Fenced.Scope.Workspace)
 		return m.journal.fenced(c.Time, c.Fenced)
 	case c.Unknown != nil:
+		defer m.settleMoves(c.Unknown.Scope.Workspace)
 		return m.journal.unknown(c.Time, c.Unknown)
+	case c.Move != nil:
+		owner := m.owners.move(c.Move, m.journal.settledAt(c.Move.Workspace, c.Move.To))
+		return Reply{Owner: &owner}
 	case c.Settle != nil:
 		return m.journal.settle(c.Time, c.Settle)
 	case c.Drain != nil:
@@ -143,6 +151,12 @@
 // Draining tells whether an endpoint is marked as draining.
 func (m *Machine) Draining(id kwid.EndpointID) bool { return m.drains[id] }
 
+// Owners returns the ownership rows that changed after a version, in version order.
+func (m *Machine) Owners(since uint64) []Owner { return m.owners.since(since) }
+
+// OwnerVersion rises with every change of ownership.
+func (m *Machine) OwnerVersion() uint64 { return m.owners.version }
+
 // Rows returns a copy of the journal rows in claim order.
 func (m *Machine) Rows() []Row { return m.journal.list() }
 
@@ -161,6 +175,7 @@
 	Changes  []change          `cbor:"5,keyasint"`
 	Drains   []kwid.EndpointID `cbor:"6,keyasint"`
 	Rows     []Row             `cbor:"7,keyasint"`
+	Owners   []Owner           `cbor:"8,keyasint,omitempty"`
 }
 
 // Snapshot encodes the whole state.
@@ -172,6 +187,7 @@
 		Source:   m.source,
 		Changes:  m.changes,
 		Rows:     m.journal.list(),
+		Owners:   m.owners.since(0),
 	}
 	for id := range m.drains {
 		img.Drains = append(img.Drains, id)
@@ -202,6 +218,7 @@
 		fresh.drains[id] = true
 	}
 	fresh.journal.load(img.Rows)
+	fresh.owners.load(img.Owners)
 	*m = *fresh
 	return nil
 }
--- a/core/kwstate/machine_test.go
+++ b/core/kwstate/machine_test.go
@@ -190,3 +190,35 @@
 		at++
 	}
 }
+
+// TestMoveWaitsForOpenAttempts requires that the new site gets no grant while an attempt is open at the old one.
+func TestMoveWaitsForOpenAttempts(t *testing.T) {
+	m := New(DefaultConfig())
+	at := func(key string, site kwid.Site) Reply {
+		return m.Apply(Command{Claim: &Claim{
+			Scope: Scope{Workspace: "w", Service: "s", Key: key},
+			Grant: Grant{Request: kwid.RequestID(key), Site: site},
+		}})
+	}
+	if got := at("1", "old"); !got.Granted {
+		t.Fatalf("got %+v, want a grant before any move", got)
+	}
+	if got := m.Apply(Command{Move: &Move{Workspace: "w", To: "new"}}); got.Owner.Next != "new" {
+		t.Errorf("got %+v, want a hand-over under way", got.Owner)
+	}
+	for _, site := range []kwid.Site{"old", "new"} {
+		if got := at("2", site); got.Err == nil || got.Err.Code != kwcode.WorkspaceMoving {
+			t.Errorf("%s: got %+v, want %d", site, got, kwcode.WorkspaceMoving)
+		}
+	}
+	outcome(m, 1, "1", 1, 200)
+	if got := at("2", "old"); got.Err == nil || got.Err.Code != kwcode.WrongSite || got.Err.Endpoint != "new" {
+		t.Errorf("got %+v, want %d that names the owner", got, kwcode.WrongSite)
+	}
+	if got := at("2", "new"); !got.Granted {
+		t.Errorf("got %+v, want a grant at the new site", got)
+	}
+	if got := at("1", "old"); got.Err != nil || got.Row.State != RowDone {
+		t.Errorf("got %+v, want the recorded outcome at either site", got)
+	}
+}
--- /dev/null
+++ b/core/kwstate/owner.go
@@ -0,0 +1,103 @@
+package kwstate
+
+import (
+	"cmp"
+	"slices"
+
+	"knapweedproxy/core/kwcode"
+	"knapweedproxy/core/kwid"
+)
+
+// Owner says which site runs a workspace's writes; Next is set while they move there. Version orders changes.
+type Owner struct {
+	Workspace kwid.WorkspaceName `cbor:"1,keyasint" json:"workspace"`
+	Site      kwid.Site          `cbor:"2,keyasint" json:"site"`
+	Next      kwid.Site          `cbor:"3,keyasint,omitempty" json:"next,omitempty"`
+	Version   uint64             `cbor:"4,keyasint" json:"version"`
+}
+
+// owners holds the ownership of workspaces; a workspace without a row may write at any site.
+type owners struct {
+	version uint64
+	rows    map[kwid.WorkspaceName]*Owner
+}
+
+func newOwners() *owners {
+	return &owners{rows: make(map[kwid.WorkspaceName]*Owner)}
+}
+
+func (o *owners) load(rows []Owner) {
+	for _, row := range rows {
+		o.version = max(o.version, row.Version)
+		o.rows[row.Workspace] = &row
+	}
+}
+
+// since lists the rows that changed after a version, in version order.
+func (o *owners) since(version uint64) []Owner {
+	var out []Owner
+	for _, row := range o.rows {
+		if row.Version > version {
+			out = append(out, *row)
+		}
+	}
+	slices.SortFunc(out, func(a, b Owner) int { return cmp.Compare(a.Version, b.Version) })
+	return out
+}
+
+// check refuses a grant at a site that does not own the workspace's writes.
+func (o *owners) check(w kwid.WorkspaceName, site kwid.Site) *kwcode.Error {
+	row, ok := o.rows[w]
+	if !ok {
+		return nil
+	}
+	if row.Next != "" {
+		return kwcode.New(kwcode.WorkspaceMoving, "the writes of %q are moving to %q", w, row.Next).At(string(row.Next))
+	}
+	if row.Site != site {
+		return kwcode.New(kwcode.WrongSite, "the writes of %q belong to %q", w, row.Site).At(string(row.Site))
+	}
+	return nil
+}
+
+// move starts a hand-over; settled tells whether no attempt of the workspace is open at another site.
+func (o *owners) move(m *Move, settled bool) Owner {
+	row, ok := o.rows[m.Workspace]
+	if !ok {
+		row = &Owner{Workspace: m.Workspace}
+		o.rows[m.Workspace] = row
+	}
+	o.version++
+	row.Version = o.version
+	row.Next = m.To
+	if settled {
+		o.finish(row)
+	}
+	return *row
+}
+
+// finish ends a hand-over: from here on only the new site gets grants.
+func (o *owners) finish(row *Owner) {
+	o.version++
+	row.Version = o.version
+	row.Site = row.Next
+	row.Next = ""
+}
+
+// settleMoves finishes the hand-over of a workspace whose last open attempt elsewhere has ended.
+func (m *Machine) settleMoves(w kwid.WorkspaceName) {
+	row, ok := m.owners.rows[w]
+	if ok && row.Next != "" && m.journal.settledAt(w, row.Next) {
+		m.owners.finish(row)
+	}
+}
+
+// settledAt tells whether no attempt of a workspace is open at a site other than the given one.
+func (j *journal) settledAt(w kwid.WorkspaceName, site kwid.Site) bool {
+	for _, row := range j.open() {
+		if row.Scope.Workspace == w && row.Grant.Site != site {
+			return false
+		}
+	}
+	return true
+}
--- a/io/kwcontrol/admin.go
+++ b/io/kwcontrol/admin.go
@@ -34,6 +34,7 @@
 	Endpoints []kwmember.Endpoint `json:"endpoints"`
 	Entries   []kwmember.Entry    `json:"entries"`
 	OpenRows  int                 `json:"open-rows"`
+	Owners    []kwstate.Owner     `json:"owners"`
 	KeyExpiry time.Time           `json:"key-expires"`
 	Notice    string              `json:"notice,omitempty"`
 }
@@ -65,6 +66,12 @@
 	On       bool            `json:"on"`
 }
 
+// MoveBody names a workspace and the site that its writes move to.
+type MoveBody struct {
+	Workspace kwid.WorkspaceName `json:"workspace"`
+	To        kwid.Site          `json:"to"`
+}
+
 // SettleBody carries an operator's verdict on a journal row.
 type SettleBody struct {
 	Scope    kwstate.Scope   `json:"scope"`
@@ -102,6 +109,7 @@
 	auth.GET("/config", r.onShowConfig)
 	auth.POST("/config", r.onApplyConfig)
 	auth.POST("/drain", r.onDrain)
+	auth.POST("/move", r.onMove)
 	auth.GET("/journal", r.onJournal)
 	auth.POST("/journal/settle", r.onSettle)
 	auth.GET("/events", r.onEvents)
@@ -155,6 +163,7 @@
 		out.Endpoints = b.Members.Since(0)
 		out.Entries = b.Members.Entries()
 		out.OpenRows = len(b.State.Open())
+		out.Owners = b.State.Owners(0)
 		out.Log = r.loop.raft.Status()
 	})
 	if len(out.Log.Members.Voters) == 1 {
@@ -285,6 +294,35 @@
 	c.JSON(http.StatusOK, body)
 }
 
+// onMove starts the hand-over of a workspace's writes to a declared site.
+func (r *Role) onMove(c *gin.Context) {
+	var body MoveBody
+	if !bind(c, &body) {
+		return
+	}
+	declared := false
+	err := r.loop.Lead(func(_ time.Time, b *kwboard.Board) {
+		if fleet := b.State.Fleet(); fleet != nil {
+			_, declared = fleet.SiteOf(body.To)
+		}
+	})
+	if err != nil {
+		refuse(c, err)
+		return
+	}
+	if !declared {
+		refuse(c, kwcode.New(kwcode.NotFound, "no site %q", body.To))
+		return
+	}
+	move := kwstate.Move(body)
+	reply := r.loop.Propose(c.Request.Context(), kwstate.Command{Move: &move})
+	if reply.Err != nil {
+		refuse(c, reply.Err)
+		return
+	}
+	c.JSON(http.StatusOK, reply.Owner)
+}
+
 func (r *Role) onJournal(c *gin.Context) {
 	rows := []kwstate.Row{}
 	err := r.loop.Lead(func(_ time.Time, b *kwboard.Board) {
--- a/io/kwcontrol/loop.go
+++ b/io/kwcontrol/loop.go
@@ -112,6 +112,7 @@
 	version     uint64
 	revision    kwid.Revision
 	entries     int
+	owners      uint64
 }
 
 // NewLoop recovers the state from the files; Run must be called next.
@@ -437,6 +438,8 @@
 		events.Emit(kwevent.RevisionAccepted, "", kwevent.F("revision", reply.Revision), kwevent.F("change", c.Apply.ChangeID))
 	case c.Apply != nil:
 		events.Emit(kwevent.RevisionRefused, "", kwevent.F("change", c.Apply.ChangeID), kwevent.F("error", reply.Err.Error()))
+	case reply.Owner != nil:
+		events.Emit(kwevent.WorkspaceMoved, "", kwevent.F("workspace", reply.Owner.Workspace), kwevent.F("to", c.Move.To), kwevent.F("done", reply.Owner.Next == ""))
 	case c.Settle != nil && reply.Err == nil:
 		events.Emit(kwevent.RowSettled, "", kwevent.F("key", c.Settle.Scope.Key), kwevent.F("verdict", c.Settle.Verdict))
 	case reply.Row != nil:
@@ -498,10 +501,11 @@
 func (l *Loop) publish() {
 	version, revision := l.board.Members.Version(), l.board.State.Revision()
 	entries := len(l.board.Members.Entries())
-	if version == l.version && revision == l.revision && entries == l.entries {
+	owners := l.board.State.OwnerVersion()
+	if version == l.version && revision == l.revision && entries == l.entries && owners == l.owners {
 		return
 	}
-	l.version, l.revision, l.entries = version, revision, entries
+	l.version, l.revision, l.entries, l.owners = version, revision, entries, owners
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	close(l.changed)
--- a/io/kwcontrol/serve.go
+++ b/io/kwcontrol/serve.go
@@ -111,6 +111,7 @@
 	full    bool
 	version uint64
 	fleet   *kwconfig.Fleet
+	owners  uint64
 	echo    uint64
 	// loads asks for the load table with the next view.
 	loads bool
@@ -205,6 +206,8 @@
 		view.Endpoints = b.Members.Since(0)
 	}
 	w.addFleet(view, b.State.Fleet())
+	view.Owners = b.State.Owners(w.owners)
+	w.owners = b.State.OwnerVersion()
 	if w.loads || w.full {
 		view.Loads = b.Members.Loads()
 	}
--- a/io/kwdemo/fleet.go
+++ b/io/kwdemo/fleet.go
@@ -45,19 +45,22 @@
 // Config declares a fleet.
 type Config struct {
 	// Folder keeps the keys and the data folders.
-	Folder   string
-	Site     kwid.Site
-	Model    kwid.ModelName
-	Layers   int
-	Stages   []Stage
-	Records  int
-	Entries  int
-	Controls int
-	Base     string
-	Overlay  string
-	Policy   kwroute.Policy
-	Seed     uint64
-	Timing   kwcontrol.Timing
+	Folder  string
+	Site    kwid.Site
+	Model   kwid.ModelName
+	Layers  int
+	Stages  []Stage
+	Records int
+	// SecondSite, if named, gets as many records servers, with a ledger of their own, and an entry.
+	SecondSite    kwid.Site
+	SecondOverlay string
+	Entries       int
+	Controls      int
+	Base          string
+	Overlay       string
+	Policy        kwroute.Policy
+	Seed          uint64
+	Timing        kwcontrol.Timing
 	// ViewLease is how long an entry serves without a confirmation.
 	ViewLease    time.Duration
 	AgentRenew   time.Duration
@@ -110,6 +113,7 @@
 // Server is one records server with the agent beside it.
 type Server struct {
 	Endpoint kwid.EndpointID
+	Site     kwid.Site
 	StandIn  *kwstandin.Records
 	Agent    *kwagent.Role
 	Events   *kwevent.Emitter
@@ -125,6 +129,7 @@
 	events   []*kwevent.Emitter
 	clock    *kwclock.Clock
 	Ledger   *kwstandin.Ledger
+	Second   *kwstandin.Ledger
 	Engines  []*Engine
 	Servers  []*Server
 	Entries  []*kwentry.Role
@@ -138,6 +143,7 @@
 		keys:   filepath.Join(cfg.Folder, "keys"),
 		clock:  kwclock.New(kwclock.Config{}),
 		Ledger: kwstandin.NewLedger(),
+		Second: kwstandin.NewLedger(),
 	}
 	for _, step := range []func() error{f.startControls, f.startEngines, f.startServers, f.startEntries, f.apply, f.waitReady} {
 		if err := step(); err != nil {
@@ -447,20 +453,26 @@
 
 func (f *Fleet) startServers() error {
 	for k := range f.cfg.Records {
-		if err := f.StartServer(fmt.Sprintf("records-%d", k+1)); err != nil {
+		if err := f.StartServer(fmt.Sprintf("records-%d", k+1), f.cfg.Site, f.Ledger); err != nil {
+			return err
+		}
+		if f.cfg.SecondSite == "" {
+			continue
+		}
+		if err := f.StartServer(fmt.Sprintf("second-%d", k+1), f.cfg.SecondSite, f.Second); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// StartServer starts a records server, which shares the fleet's ledger, and the agent beside it.
-func (f *Fleet) StartServer(name string) error {
-	standIn, err := kwstandin.NewRecords(kwstandin.RecordsConfig{Listen: loopback, Name: name, Ledger: f.Ledger})
+// StartServer starts a records server, which shares its site's ledger, and the agent beside it.
+func (f *Fleet) StartServer(name string, site kwid.Site, ledger *kwstandin.Ledger) error {
+	standIn, err := kwstandin.NewRecords(kwstandin.RecordsConfig{Listen: loopback, Name: name, Ledger: ledger})
 	if err != nil {
 		return err
 	}
-	s := &Server{Endpoint: kwid.EndpointID(name), StandIn: standIn}
+	s := &Server{Endpoint: kwid.EndpointID(name), Site: site, StandIn: standIn}
 	if err := f.StartServerAgent(s); err != nil {
 		return err
 	}
@@ -474,6 +486,7 @@
 	agent, events, err := f.agent(s.Endpoint, zone, func(cfg *kwagent.Config) {
 		cfg.ServiceURL = s.StandIn.URL()
 		cfg.Service = ServiceName
+		cfg.Site = s.Site
 	})
 	if err != nil {
 		return err
@@ -485,15 +498,19 @@
 
 func (f *Fleet) startEntries() error {
 	for range f.cfg.Entries {
-		if _, err := f.StartEntry(); err != nil {
+		if _, err := f.StartEntry(f.cfg.Site); err != nil {
 			return err
 		}
 	}
-	return nil
+	if f.cfg.SecondSite == "" {
+		return nil
+	}
+	_, err := f.StartEntry(f.cfg.SecondSite)
+	return err
 }
 
-// StartEntry starts one more entry.
-func (f *Fleet) StartEntry() (*kwentry.Role, error) {
+// StartEntry starts one more entry at a site.
+func (f *Fleet) StartEntry(site kwid.Site) (*kwentry.Role, error) {
 	node := kwid.NodeID(fmt.Sprintf("entry-%d", len(f.Entries)+1))
 	keys, err := f.store(node, kwkeys.RoleEntry)
 	if err != nil {
@@ -507,7 +524,7 @@
 		Node:         node,
 		Listen:       loopback,
 		HTTPListen:   loopback,
-		Site:         f.cfg.Site,
+		Site:         site,
 		Zone:         f.cfg.Stages[0].Zone,
 		Control:      f.control,
 		ViewLease:    orSpan(f.cfg.ViewLease, quickViewLease),
@@ -534,6 +551,9 @@
 		Base:     kwcontrol.FileBody{Name: "base.toml", Text: f.cfg.Base},
 		Overlays: []kwcontrol.FileBody{{Name: "site.toml", Text: f.cfg.Overlay}},
 	}
+	if f.cfg.SecondSite != "" {
+		body.Overlays = append(body.Overlays, kwcontrol.FileBody{Name: "second.toml", Text: f.cfg.SecondOverlay})
+	}
 	return f.Admin("/admin/config", body, &kwcontrol.ApplyReply{})
 }
 
--- /dev/null
+++ b/io/kwdemo/move_test.go
@@ -0,0 +1,94 @@
+package kwdemo
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"knapweedproxy/core/kwid"
+	"knapweedproxy/core/kwstate"
+	"knapweedproxy/io/kwcontrol"
+	"knapweedproxy/io/kwstandin"
+)
+
+const secondSite kwid.Site = "demo-b"
+
+// ranAt returns how often a body ran at each of the two halves.
+func (f *Fleet) ranAt(body string) (first, second int) {
+	count := func(l *kwstandin.Ledger) int {
+		n := 0
+		for _, w := range l.Counts().Writes {
+			if w.Body == body {
+				n += w.Count
+			}
+		}
+		return n
+	}
+	return count(f.Ledger), count(f.Second)
+}
+
+// TestMoveBetweenDataCentres hands a workspace's writes to another site and back under traffic through both sites:
+// no key runs at both halves, none is lost, and resends at either half get the one outcome.
+func TestMoveBetweenDataCentres(t *testing.T) {
+	f := start(t, func(cfg *Config) {
+		cfg.SecondSite = secondSite
+		cfg.SecondOverlay = OverlayText(secondSite, nil, cfg.Records)
+		cfg.Controls = 3
+	})
+	for _, s := range f.Servers {
+		s.StandIn.SetFaults(kwstandin.Faults{SlowMS: 30})
+	}
+	move := func(to kwid.Site) {
+		t.Helper()
+		body := kwcontrol.MoveBody{Workspace: "road-crews", To: to}
+		if err := f.Admin("/admin/move", body, &kwstate.Owner{}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	move(SiteName)
+	ctx := testContext(t)
+	const writes = 150
+	answers := make([]string, writes)
+	var all sync.WaitGroup
+	for i := range writes {
+		switch i {
+		case 50:
+			move(secondSite)
+		case 100:
+			move(SiteName)
+		}
+		all.Go(func() {
+			body := fmt.Sprintf("alert-%d", i)
+			for entry := range 2 {
+				got, err := f.caller((i+entry)%2*2).Service(ctx, http.MethodPost, "/alerts", body, body)
+				if err != nil || got.Status != http.StatusOK {
+					t.Errorf("got %d %s %v for %s, want %d", got.Status, got.Body, err, body, http.StatusOK)
+				}
+				if entry == 1 && string(got.Body) != answers[i] {
+					t.Errorf("got %s to the resend of %s, want %s", got.Body, body, answers[i])
+				}
+				answers[i] = string(got.Body)
+			}
+		})
+		time.Sleep(8 * time.Millisecond)
+	}
+	all.Wait()
+	moved := 0
+	for i := range writes {
+		body := fmt.Sprintf("alert-%d", i)
+		first, second := f.ranAt(body)
+		if first+second != 1 {
+			t.Errorf("got %s run %d times at one half and %d at the other, want once in all", body, first, second)
+		}
+		moved += second
+	}
+	if moved == 0 || moved == writes {
+		t.Errorf("got %d of %d writes at the second half, want some", moved, writes)
+	}
+	first, _ := f.ranAt("alert-149")
+	if first != 1 {
+		t.Error("got the last write at the second half, want it back at the first")
+	}
+}
--- a/io/kwdemo/scenario_test.go
+++ b/io/kwdemo/scenario_test.go
@@ -533,7 +533,7 @@
 	if err := f.StartControl(0, false); err != nil {
 		t.Fatal(err)
 	}
-	e, err := f.StartEntry()
+	e, err := f.StartEntry(SiteName)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/io/kwentry/once.go
+++ b/io/kwentry/once.go
@@ -25,6 +25,7 @@
 	fencePause  = 100 * time.Millisecond
 	pendingWait = 2 * time.Second
 	awaitSlice  = time.Second
+	movePause   = 50 * time.Millisecond
 )
 
 // handOver decides between the caller's deadline and the sending of the call: only one of them happens first.
@@ -116,6 +117,10 @@
 			return result{err: err}
 		}
 		reply, err := q.claim(ctx, e, window)
+		if q.elsewhere(ctx, err) {
+			tries--
+			continue
+		}
 		if err != nil {
 			return result{err: notSent(err)}
 		}
@@ -133,6 +138,28 @@
 	}
 }
 
+// elsewhere follows the ownership of the workspace's writes: it names the owner's site, or waits for a hand-over.
+func (q *call) elsewhere(ctx context.Context, err error) bool {
+	coded := kwcode.Of(err)
+	if coded == nil || ctx.Err() != nil {
+		return false
+	}
+	switch coded.Code {
+	case kwcode.WrongSite:
+		moved := q.site != kwid.Site(coded.Endpoint)
+		q.site = kwid.Site(coded.Endpoint)
+		return moved
+	case kwcode.WorkspaceMoving:
+		q.site = kwid.Site(coded.Endpoint)
+		select {
+		case <-ctx.Done():
+		case <-time.After(movePause):
+		}
+		return ctx.Err() == nil
+	}
+	return false
+}
+
 // notSent makes an error of a claim say truthfully that the call has not left.
 func notSent(err error) error {
 	coded := kwcode.Of(err)
@@ -155,6 +182,7 @@
 			Address:     e.Address,
 			Endpoint:    e.ID,
 			Incarnation: e.Incarnation,
+			Site:        e.Site,
 		},
 	}
 	var out kwstate.Reply
--- a/io/kwentry/service.go
+++ b/io/kwentry/service.go
@@ -31,6 +31,8 @@
 	message  kwproto.Call
 	failed   map[kwid.EndpointID]bool
 	replayed bool
+	// site is the only site that may run the call; empty means any.
+	site kwid.Site
 }
 
 // onService passes a request through to a service by the rule of its method and path.
@@ -97,6 +99,7 @@
 		return nil, kwcode.New(kwcode.MalformedRequest, "%s: at most %d bytes", HeaderKey, maxKey)
 	}
 	q := &call{role: r, request: request, service: service, rule: rule, failed: make(map[kwid.EndpointID]bool)}
+	q.site = r.view.Load().owners[w.Name]
 	q.message = kwproto.Call{
 		Request:    request,
 		Scope:      kwstate.Scope{Workspace: w.Name, Service: name, Key: key},
@@ -174,7 +177,7 @@
 	r := q.role
 	v := r.view.Load()
 	known := requestLoads{loads: r.loads, ejector: r.ejector, now: time.Now(), failed: q.failed}
-	all := v.services[q.service.Name]
+	all := q.atSite(v.services[q.service.Name])
 	for _, skip := range []func(kwmember.Endpoint) bool{
 		func(e kwmember.Endpoint) bool { return e.Site != r.cfg.Site || known.Excluded(e.ID) },
 		func(e kwmember.Endpoint) bool { return known.Excluded(e.ID) },
@@ -187,6 +190,14 @@
 	return kwmember.Endpoint{}, kwcode.New(kwcode.NoEndpoint, "service %q has no live endpoint left to try", q.service.Name).After(retryLater)
 }
 
+// atSite leaves out the endpoints of sites that may not run the call.
+func (q *call) atSite(all []kwmember.Endpoint) []kwmember.Endpoint {
+	if q.site == "" {
+		return all
+	}
+	return slices.DeleteFunc(slices.Clone(all), func(e kwmember.Endpoint) bool { return e.Site != q.site })
+}
+
 // least takes the endpoint with the fewest requests; equal ones are taken in turn.
 func least(all []kwmember.Endpoint, skip func(kwmember.Endpoint) bool, known requestLoads, turn int) (kwmember.Endpoint, bool) {
 	var best kwmember.Endpoint
--- a/io/kwentry/view.go
+++ b/io/kwentry/view.go
@@ -32,6 +32,7 @@
 	graphs    map[kwid.ModelName]modelGraphs
 	services  map[kwid.ServiceName][]kwmember.Endpoint
 	live      []kwid.EndpointID
+	owners    map[kwid.WorkspaceName]kwid.Site
 }
 
 // modelGraphs holds the layer graphs of a model: over this site, and over all sites as a fallback.
@@ -148,7 +149,7 @@
 	if old != nil && msg.Revision < old.revision {
 		return false, kwcode.New(kwcode.RevisionConflict, "revision %d after %d", msg.Revision, old.revision)
 	}
-	if old != nil && !msg.Full && msg.Fleet == nil && len(msg.Endpoints) == 0 && msg.Entries == old.entries && msg.Place == old.place {
+	if old != nil && !msg.Full && msg.Fleet == nil && len(msg.Endpoints) == 0 && len(msg.Owners) == 0 && msg.Entries == old.entries && msg.Place == old.place {
 		return false, nil
 	}
 	next := r.nextView(old, msg)
@@ -181,6 +182,7 @@
 		next.endpoints[e.ID] = e
 	}
 	next.live = live(next.endpoints)
+	next.owners = ownersOf(old, msg)
 	if next.fleet == nil {
 		return next
 	}
@@ -202,6 +204,24 @@
 	return out
 }
 
+// ownersOf returns the sites that own workspaces' writes; during a hand-over the next site is named.
+func ownersOf(old *view, msg *kwproto.View) map[kwid.WorkspaceName]kwid.Site {
+	if old != nil && !msg.Full && len(msg.Owners) == 0 {
+		return old.owners
+	}
+	out := make(map[kwid.WorkspaceName]kwid.Site)
+	if old != nil && !msg.Full {
+		maps.Copy(out, old.owners)
+	}
+	for _, o := range msg.Owners {
+		out[o.Workspace] = o.Site
+		if o.Next != "" {
+			out[o.Workspace] = o.Next
+		}
+	}
+	return out
+}
+
 // live lists the live endpoints in the order of control's load table.
 func live(endpoints map[kwid.EndpointID]kwmember.Endpoint) []kwid.EndpointID {
 	var out []kwid.EndpointID
--- a/io/kwevent/catalogue.go
+++ b/io/kwevent/catalogue.go
@@ -47,6 +47,7 @@
 	DiskRefused       ID = 413
 	LeaderElected     ID = 414
 	LeaderSteppedDown ID = 415
+	WorkspaceMoved    ID = 416
 	PeerRefused       ID = 501
 	KeyExpires        ID = 502
 )
@@ -108,6 +109,7 @@
 	{DiskRefused, "disk-refused", levelInfo, "A write to the data folder failed and was refused to its caller."},
 	{LeaderElected, "leader-elected", levelInfo, "A control process became leader."},
 	{LeaderSteppedDown, "leader-stepped-down", levelInfo, "A control process stopped being leader."},
+	{WorkspaceMoved, "workspace-moved", levelInfo, "The hand-over of a workspace's writes to another site began or ended."},
 	{PeerRefused, "peer-refused", levelInfo, "A connection or frame from a peer was refused."},
 	{KeyExpires, "key-expires", levelInfo, "The process's certificate expires soon."},
 }
--- a/io/kwproto/messages.go
+++ b/io/kwproto/messages.go
@@ -69,6 +69,8 @@
 	// Patched tells that Fleet is a skeleton and Patches change the workspaces that the entry holds.
 	Patched bool             `cbor:"10,keyasint,omitempty"`
 	Patches []kwconfig.Patch `cbor:"11,keyasint,omitempty"`
+	// Owners holds the ownership rows that changed.
+	Owners []kwstate.Owner `cbor:"12,keyasint,omitempty"`
 }
 
 // Seen renews an entry's lease and names the view it serves with.
