--- a/core/kwboard/board.go
+++ b/core/kwboard/board.go
@@ -15,6 +15,8 @@
 	Gather  time.Time
 	Lost    []kwmember.Endpoint
 	Stale   []kwstate.Row
+	// Doubtful lists unknown rows whose agent is back with its memory.
+	Doubtful []kwstate.Row
 }
 
 // Controller reads some tables and writes others; it does no I/O.
@@ -39,6 +41,27 @@
 	Grace    time.Duration
 }
 
+// FindDoubtful looks for unknown rows that their agent may still know about, once a period.
+type FindDoubtful struct {
+	Period time.Duration
+	next   time.Time
+}
+
+// Run fills the Doubtful table.
+func (c *FindDoubtful) Run(now time.Time, b *Board) {
+	b.Doubtful = nil
+	if !b.Leading || now.Before(b.Gather) || now.Before(c.next) {
+		return
+	}
+	c.next = now.Add(c.Period)
+	for _, row := range b.State.Doubtful() {
+		e, ok := b.Members.Endpoint(row.Grant.Endpoint)
+		if ok && e.Incarnation == row.Grant.Incarnation && (e.State == kwmember.Live || e.State == kwmember.Leaving) {
+			b.Doubtful = append(b.Doubtful, row)
+		}
+	}
+}
+
 // Run fills the Stale table.
 func (c FindStale) Run(now time.Time, b *Board) {
 	b.Stale = nil
--- a/core/kwlog/schedules_test.go
+++ b/core/kwlog/schedules_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/anishathalye/porcupine"
 	"github.com/fxamacker/cbor/v2"
 
 	"knapweedproxy/core/kwconfig"
@@ -100,6 +101,7 @@
 	command kwstate.Command
 	term    kwlog.Term
 	done    bool
+	called  int64
 }
 
 type attemptID struct {
@@ -122,8 +124,11 @@
 	arrived  map[attemptID]bool
 	fenced   map[attemptID]bool
 	grants   []kwstate.Row
+	sent     []*request
 	nextID   int
 	calm     bool
+	tickets  int64
+	history  []porcupine.Operation
 	delay    time.Duration
 	pace     int
 	tally    tally
@@ -457,6 +462,7 @@
 			continue
 		}
 		r.done = true
+		w.recordApply(c, r.called, reply, true)
 		if err := w.acked(c, reply); err != nil {
 			return err
 		}
@@ -516,7 +522,9 @@
 	}
 	index, err := v.node.Propose(now, [][]byte{data})
 	if err == nil {
-		v.pending[index] = &request{command: c, term: v.node.Status().Term}
+		r := &request{command: c, term: v.node.Status().Term, called: w.ticket()}
+		v.pending[index] = r
+		w.sent = append(w.sent, r)
 	}
 }
 
@@ -609,6 +617,7 @@
 		return nil
 	}
 	w.tally.Reads++
+	w.recordRead(v.machine.Revision())
 	if v.machine.Revision() < w.revision {
 		return fmt.Errorf("%s reads revision %d under its lease, %d is acknowledged", v.id, v.machine.Revision(), w.revision)
 	}
--- a/core/kwstate/journal.go
+++ b/core/kwstate/journal.go
@@ -110,11 +110,12 @@
 	return out
 }
 
-func (j *journal) open() []Row {
+// inState lists the rows in a state, in claim order.
+func (j *journal) inState(s RowState) []Row {
 	var out []Row
 	for e := j.order.Front(); e != nil; e = e.Next() {
 		row := e.Value.(*Row)
-		if row.State == RowGranted {
+		if row.State == s {
 			out = append(out, *row)
 		}
 	}
@@ -235,7 +236,7 @@
 	if refused != nil {
 		return *refused
 	}
-	if row.State == RowGranted {
+	if row.State == RowGranted || row.State == RowUnknown {
 		j.end(row, RowFenced, now)
 	}
 	return answer(row, false)
--- a/core/kwstate/machine.go
+++ b/core/kwstate/machine.go
@@ -164,7 +164,10 @@
 func (m *Machine) Row(s Scope) (Row, bool) { return m.journal.get(s) }
 
 // Open returns the rows that have a grant without an outcome, in claim order.
-func (m *Machine) Open() []Row { return m.journal.open() }
+func (m *Machine) Open() []Row { return m.journal.inState(RowGranted) }
+
+// Doubtful returns the rows whose outcome is unknown, in claim order.
+func (m *Machine) Doubtful() []Row { return m.journal.inState(RowUnknown) }
 
 // image is the snapshot format.
 type image struct {
--- a/core/kwstate/machine_test.go
+++ b/core/kwstate/machine_test.go
@@ -222,3 +222,59 @@
 		t.Errorf("got %+v, want the recorded outcome at either site", got)
 	}
 }
+
+// TestUnknownCanBeCleared requires that proof from the agent ends doubt either way.
+func TestUnknownCanBeCleared(t *testing.T) {
+	for _, fenced := range []bool{false, true} {
+		m := New(DefaultConfig())
+		claim(m, 1, "k", "d", "r1", 0)
+		scope := Scope{Workspace: "w", Service: "s", Key: "k"}
+		m.Apply(Command{Time: 2, Unknown: &RecordUnknown{Scope: scope, Attempt: 1, Reason: "cut off"}})
+		if got := len(m.Doubtful()); got != 1 {
+			t.Fatalf("got %d doubtful rows, want 1", got)
+		}
+		want := RowDone
+		if fenced {
+			want = RowFenced
+			m.Apply(Command{Time: 3, Fenced: &RecordFenced{Scope: scope, Attempt: 1}})
+		} else {
+			outcome(m, 3, "k", 1, 200)
+		}
+		if got, _ := m.Row(scope); got.State != want {
+			t.Errorf("got %s, want %s", got.State, want)
+		}
+	}
+}
+
+// BenchmarkSnapshot reports the bytes of a journal row in a snapshot and on the heap.
+func BenchmarkSnapshot(b *testing.B) {
+	for _, rows := range []int{1000, 10_000, 100_000} {
+		b.Run(fmt.Sprintf("rows-%d", rows), func(b *testing.B) {
+			m := New(DefaultConfig())
+			for i := range rows {
+				key := fmt.Sprintf("caller-alert-%08d", i)
+				m.Apply(Command{Claim: &Claim{
+					Scope:  Scope{Workspace: "prefecture-35", Service: "records", Key: key},
+					Digest: fmt.Sprintf("%064d", i),
+					Call:   "POST /alerts",
+					Grant: Grant{
+						Request: kwid.RequestID(fmt.Sprintf("%036d", i)), Entry: "entry-1", Agent: "agent-records-1",
+						Address: "10.0.0.1:7000", Endpoint: "records-1", Incarnation: 1796344789684697492, Site: "bretagne",
+					},
+				}})
+				m.Apply(Command{Outcome: &RecordOutcome{
+					Scope:    Scope{Workspace: "prefecture-35", Service: "records", Key: key},
+					Attempt:  1,
+					Response: Response{Status: 200, Headers: []Header{{Name: "Content-Type", Value: "application/json"}}, Body: make([]byte, 60)},
+				}})
+			}
+			for b.Loop() {
+				data, err := m.Snapshot()
+				if err != nil {
+					b.Fatal(err)
+				}
+				b.ReportMetric(float64(len(data))/float64(rows), "B/row")
+			}
+		})
+	}
+}
--- a/core/kwstate/owner.go
+++ b/core/kwstate/owner.go
@@ -94,7 +94,7 @@
 
 // settledAt tells whether no attempt of a workspace is open at a site other than the given one.
 func (j *journal) settledAt(w kwid.WorkspaceName, site kwid.Site) bool {
-	for _, row := range j.open() {
+	for _, row := range j.inState(RowGranted) {
 		if row.Scope.Workspace == w && row.Grant.Site != site {
 			return false
 		}
--- a/io/kwapp/app.go
+++ b/io/kwapp/app.go
@@ -203,12 +203,13 @@
 		AdminTokenSHA256: p.Control.AdminTokenSHA256,
 		DataFolder:       p.DataFolder,
 		Bootstrap:        opts.Bootstrap,
+		Zone:             p.AvailabilityZone,
 		Timing:           kwcontrol.DefaultTiming(),
 		State:            kwstate.DefaultConfig(),
 		Log:              kwlog.DefaultConfig("", uint64(time.Now().UnixNano())),
 	}
 	for _, peer := range p.Control.Peers {
-		cfg.Peers = append(cfg.Peers, kwcontrol.Peer{Node: peer.Node, Address: peer.Listen})
+		cfg.Peers = append(cfg.Peers, kwcontrol.Peer{Node: peer.Node, Address: peer.Listen, Zone: peer.AvailabilityZone})
 	}
 	return cfg
 }
--- a/io/kwcontrol/admin.go
+++ b/io/kwcontrol/admin.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/gin-gonic/gin"
+	"github.com/rcrowley/go-metrics"
 
 	"knapweedproxy/core/kwboard"
 	"knapweedproxy/core/kwcode"
@@ -104,6 +105,7 @@
 	g.Use(gin.Recovery())
 	g.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
 	g.GET("/readyz", r.onReady)
+	g.GET("/metrics", r.onMetrics)
 	auth := g.Group("/admin", r.checkToken)
 	auth.GET("/status", r.onStatus)
 	auth.GET("/config", r.onShowConfig)
@@ -154,6 +156,11 @@
 	c.String(http.StatusOK, "ready\n")
 }
 
+func (r *Role) onMetrics(c *gin.Context) {
+	c.Header("Content-Type", "application/json")
+	metrics.WriteJSONOnce(r.loop.metrics.registry, c.Writer)
+}
+
 func (r *Role) onStatus(c *gin.Context) {
 	out := StatusReply{Node: r.cfg.Node, KeyExpiry: r.deps.Keys.Self().Expires}
 	r.loop.Do(func(_ time.Time, b *kwboard.Board) {
--- a/io/kwcontrol/join.go
+++ b/io/kwcontrol/join.go
@@ -27,7 +27,7 @@
 		r.loop.Log(func(now time.Time, n *kwlog.Node) {
 			status = n.Status()
 			if status.Role == kwlog.Leader {
-				promote(now, n, status.Members)
+				r.promote(now, n, status.Members)
 			}
 		})
 		if !status.Members.IsVoter(r.member) && !status.Members.IsLearner(r.member) {
@@ -36,12 +36,56 @@
 	}
 }
 
-// promote makes a learner a voter once it holds the committed log.
-func promote(now time.Time, n *kwlog.Node, m kwlog.Members) {
-	if len(m.Learners) == 0 || len(m.Voters) >= maxVoters {
+// promote makes a learner a voter once it holds the committed log and the voters stay spread.
+func (r *Role) promote(now time.Time, n *kwlog.Node, m kwlog.Members) {
+	if len(m.Voters) >= maxVoters {
 		return
 	}
-	_, _ = n.ChangeMembers(now, kwlog.Change{Promote: m.Learners[0]})
+	for _, id := range m.Learners {
+		if !spread(append(m.Voters, id), r.zoneOf) {
+			continue
+		}
+		if _, err := n.ChangeMembers(now, kwlog.Change{Promote: id}); err == nil {
+			return
+		}
+	}
+}
+
+// zoneOf returns the availability zone of a member's node by the settings.
+func (r *Role) zoneOf(member kwid.NodeID) kwid.AvailabilityZone {
+	node := nodeOf(member)
+	if node == r.cfg.Node {
+		return r.cfg.Zone
+	}
+	for _, p := range r.cfg.Peers {
+		if p.Node == node {
+			return p.Zone
+		}
+	}
+	return ""
+}
+
+// spreadFrom is the number of voters from which the loss of one availability zone must leave a quorum.
+const spreadFrom = 3
+
+// spread tells whether no availability zone holds more than half of the voters; an odd number of voters then keeps
+// a quorum when any one of them is lost.
+func spread(voters []kwid.NodeID, zoneOf func(kwid.NodeID) kwid.AvailabilityZone) bool {
+	if len(voters) < spreadFrom {
+		return true
+	}
+	held := make(map[kwid.AvailabilityZone]int)
+	for _, id := range voters {
+		if zone := zoneOf(id); zone != "" {
+			held[zone]++
+		}
+	}
+	for _, n := range held {
+		if n > 1 && n > len(voters)/2 {
+			return false
+		}
+	}
+	return true
 }
 
 // maxVoters bounds the VMs that are set aside for control.
--- a/io/kwcontrol/loop.go
+++ b/io/kwcontrol/loop.go
@@ -68,6 +68,9 @@
 
 const queueLength = 4096
 
+// doubtPeriod is the time between two questions about rows whose outcome is unknown.
+const doubtPeriod = 2 * time.Second
+
 type proposal struct {
 	command kwstate.Command
 	reply   chan kwstate.Reply
@@ -100,6 +103,7 @@
 	proposals   chan proposal
 	messages    chan kwlog.Message
 	calls       chan func()
+	metrics     loopMetrics
 	stop        chan struct{}
 	stopped     chan struct{}
 	stopOnce    sync.Once
@@ -112,7 +116,9 @@
 	version     uint64
 	revision    kwid.Revision
 	entries     int
-	owners      uint64
+	// doubtful are rows that wait to be asked about.
+	doubtful []kwstate.Row
+	owners   uint64
 }
 
 // NewLoop recovers the state from the files; Run must be called next.
@@ -126,6 +132,7 @@
 		proposals: make(chan proposal, queueLength),
 		messages:  make(chan kwlog.Message, queueLength),
 		calls:     make(chan func(), queueLength),
+		metrics:   newLoopMetrics(),
 		stop:      make(chan struct{}),
 		stopped:   make(chan struct{}),
 		changed:   make(chan struct{}),
@@ -133,6 +140,7 @@
 	l.controllers = []kwboard.Controller{
 		kwboard.ExpireMembers{},
 		kwboard.FindStale{Patience: cfg.Timing.Patience, Grace: cfg.Timing.EntryLease},
+		&kwboard.FindDoubtful{Period: doubtPeriod},
 	}
 	if err := l.open(); err != nil {
 		return nil, err
@@ -222,6 +230,7 @@
 	for _, c := range l.controllers {
 		c.Run(now, l.board)
 	}
+	l.doubtful = append(l.doubtful, l.board.Doubtful...)
 	for _, e := range l.board.Lost {
 		l.cfg.Events.Emit(kwevent.EndpointLost, "", kwevent.F("endpoint", e.ID))
 	}
@@ -289,7 +298,11 @@
 	if rd.HardState == nil && len(rd.Entries) == 0 {
 		return nil
 	}
-	return l.disk.save(rd)
+	begin := time.Now()
+	err := l.disk.save(rd)
+	l.metrics.persist.UpdateSince(begin)
+	l.metrics.entries.Update(int64(len(rd.Entries)))
+	return err
 }
 
 // install replaces the machine and all files by a snapshot from the leader.
@@ -363,6 +376,7 @@
 }
 
 func (l *Loop) apply(entries []kwlog.Entry) {
+	l.metrics.applied.Mark(int64(len(entries)))
 	for _, e := range entries {
 		l.appliedAt = e.Index
 		if e.Kind != kwlog.EntryData {
--- a/io/kwcontrol/peers.go
+++ b/io/kwcontrol/peers.go
@@ -12,10 +12,11 @@
 	"knapweedproxy/io/kwwire"
 )
 
-// Peer is another control process by node and address.
+// Peer is another control process by node, address and availability zone; an empty zone is one of its own.
 type Peer struct {
 	Node    kwid.NodeID
 	Address string
+	Zone    kwid.AvailabilityZone
 }
 
 const (
--- a/io/kwcontrol/role.go
+++ b/io/kwcontrol/role.go
@@ -29,6 +29,7 @@
 	DataFolder       string
 	Bootstrap        bool
 	Peers            []Peer
+	Zone             kwid.AvailabilityZone
 	Timing           Timing
 	State            kwstate.Config
 	Log              kwlog.Config
--- a/io/kwcontrol/settle.go
+++ b/io/kwcontrol/settle.go
@@ -31,11 +31,12 @@
 			return nil
 		case <-tick.C:
 		}
-		var stale []kwstate.Row
+		var stale, doubtful []kwstate.Row
 		r.loop.Do(func(_ time.Time, b *kwboard.Board) {
 			stale = append(stale, b.Stale...)
+			doubtful, r.loop.doubtful = r.loop.doubtful, nil
 		})
-		for _, row := range stale {
+		for _, row := range append(stale, doubtful...) {
 			r.settleRow(ctx, row)
 		}
 	}
@@ -48,7 +49,7 @@
 	req := kwproto.Fence{Scope: row.Scope, Attempt: row.Grant.Attempt, Incarnation: row.Grant.Incarnation}
 	err := r.wire.Call(ask, row.Grant.Address, row.Grant.Agent, kwproto.KindFence, req, &answer)
 	command, ok := r.verdict(row, answer, err)
-	if !ok {
+	if !ok || row.State == kwstate.RowUnknown && command.Unknown != nil {
 		return
 	}
 	reply := r.loop.Propose(ctx, command)
--- a/io/kwdemo/client.go
+++ b/io/kwdemo/client.go
@@ -19,6 +19,8 @@
 type Client struct {
 	URL   string
 	Token string
+	// Timeout is the caller's deadline; 0 leaves it to the declaration.
+	Timeout time.Duration
 	// OnToken is told of each streamed part, or nil.
 	OnToken func(text string)
 }
@@ -77,6 +79,9 @@
 	}
 	req.Header.Set("Authorization", "Bearer "+c.Token)
 	req.Header.Set("Content-Type", "application/json")
+	if c.Timeout > 0 {
+		req.Header.Set(kwentry.HeaderTimeout, c.Timeout.String())
+	}
 	if key != "" {
 		req.Header.Set(kwentry.HeaderKey, key)
 	}
--- a/io/kwdemo/path_test.go
+++ b/io/kwdemo/path_test.go
@@ -344,3 +344,33 @@
 		Timeout:   time.Minute.Milliseconds(),
 	})
 }
+
+// TestDeadlineThatCannotBeMet requires a refusal at once, without any work, when recent answers are too slow.
+func TestDeadlineThatCannotBeMet(t *testing.T) {
+	f := start(t, nil)
+	for _, e := range f.Engines {
+		e.StandIn.SetFaults(kwstandin.Faults{SlowMS: 60})
+	}
+	ctx := testContext(t)
+	client := f.caller(0)
+	for i := range 24 {
+		if _, err := client.Chat(ctx, fmt.Sprint("warm up ", i), 2, false); err != nil {
+			t.Fatal(err)
+		}
+	}
+	requests := func() (n int) {
+		for _, e := range f.Engines {
+			n += e.StandIn.Counts().Requests
+		}
+		return n
+	}
+	before := requests()
+	client.Timeout = 100 * time.Millisecond
+	got, err := client.Chat(ctx, "too late", 2, false)
+	if err != nil || got.Error == nil || got.Error.Code != kwcode.DeadlineTooShort || got.Headers.Get("Retry-After") == "" {
+		t.Errorf("got %+v %v, want %d that says when to come back", got.Error, err, kwcode.DeadlineTooShort)
+	}
+	if after := requests(); after != before {
+		t.Errorf("got %d requests at the engines, want none", after-before)
+	}
+}
--- a/io/kwentry/chat.go
+++ b/io/kwentry/chat.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/gin-gonic/gin"
@@ -13,6 +14,7 @@
 	"knapweedproxy/core/kwcode"
 	"knapweedproxy/core/kwconfig"
 	"knapweedproxy/core/kwid"
+	"knapweedproxy/core/kwlimit"
 	"knapweedproxy/io/kwevent"
 )
 
@@ -140,6 +142,10 @@
 		r.refuse(c, request, err)
 		return
 	}
+	if err := r.checkDeadline(model, in.MaxTokens, limit); err != nil {
+		r.refuse(c, request, err)
+		return
+	}
 	release, err := r.limiter.Acquire(w.Name)
 	if err != nil {
 		r.refuse(c, request, err)
@@ -166,11 +172,45 @@
 		return
 	}
 	out.finish(g)
+	r.forecast.of(model.Name).Observe(time.Now(), g.first, time.Since(start), len(g.tokens))
 	r.observe("chat.request", time.Since(start))
 	r.count("chat.tokens", int64(len(g.tokens)))
 	r.deps.Events.Emit(kwevent.RequestAnswered, request, kwevent.F("tokens", len(g.tokens)), kwevent.F("attempts", g.attempt))
 }
 
+// checkDeadline refuses a request at once if recent answers say that its deadline cannot be met.
+func (r *Role) checkDeadline(model kwconfig.Model, maxTokens int, limit time.Duration) error {
+	estimate, ok := r.forecast.of(model.Name).Estimate(time.Now(), maxTokens)
+	if !ok || estimate <= limit {
+		return nil
+	}
+	refusal := kwcode.New(kwcode.DeadlineTooShort, "answers take about %s now, the deadline is %s", estimate.Round(time.Millisecond), limit)
+	return refusal.After(min(max(estimate-limit, time.Second), maxComeBack))
+}
+
+// maxComeBack bounds the time after which a refused caller is asked to come back.
+const maxComeBack = 30 * time.Second
+
+// forecasts holds a forecast for each model.
+type forecasts struct {
+	mu   sync.Mutex
+	rows map[kwid.ModelName]*kwlimit.Forecast
+}
+
+func (f *forecasts) of(name kwid.ModelName) *kwlimit.Forecast {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.rows == nil {
+		f.rows = make(map[kwid.ModelName]*kwlimit.Forecast)
+	}
+	row, ok := f.rows[name]
+	if !ok {
+		row = kwlimit.NewForecast()
+		f.rows[name] = row
+	}
+	return row
+}
+
 // failChat answers with an error; a stream that has begun ends with an error event and without the end mark.
 func (r *Role) failChat(c *gin.Context, request kwid.RequestID, out *chatWriter, err error) {
 	if !out.begun {
--- a/io/kwentry/generation.go
+++ b/io/kwentry/generation.go
@@ -24,6 +24,7 @@
 	priority     kwconfig.Priority
 	emit         func(text string)
 	start        time.Time
+	first        time.Duration
 	attempt      kwid.Attempt
 	tokens       []kwid.Token
 	promptTokens int
@@ -222,7 +223,8 @@
 		return false, kwcode.New(kwcode.StepGap, "token %d of attempt %d, want %d of %d", token.Index, token.Attempt, len(g.tokens), g.attempt)
 	}
 	if len(g.tokens) == 0 {
-		g.role.observe("chat.first-token", time.Since(g.start))
+		g.first = time.Since(g.start)
+		g.role.observe("chat.first-token", g.first)
 	}
 	g.tokens = append(g.tokens, token.Token)
 	g.emit(token.Text)
--- a/io/kwentry/role.go
+++ b/io/kwentry/role.go
@@ -73,6 +73,7 @@
 	listener net.Listener
 	server   *http.Server
 	limiter  *kwlimit.Limiter
+	forecast forecasts
 	budget   *kwretry.Budget
 	ejector  *kwretry.Ejector
 	loads    *loads
--- a/io/kwsettings/settings.go
+++ b/io/kwsettings/settings.go
@@ -29,8 +29,9 @@
 
 // Peer is another control process.
 type Peer struct {
-	Node   kwid.NodeID `toml:"node"`
-	Listen string      `toml:"listen"`
+	Node             kwid.NodeID           `toml:"node"`
+	Listen           string                `toml:"listen"`
+	AvailabilityZone kwid.AvailabilityZone `toml:"availability-zone"`
 }
 
 // Entry holds the settings of the entry role.
