Measure recovery under an offered load

Cause: in a closed loop the served load after a loss depends on the callers, not on the recovery: the loan-desk profile never came back to 95% with 8 callers (6.5 s, the whole run), although no request waited after 1 s. Change: the recovery run starts requests at a steady rate, half of what is left after the loss of the fastest server.

--- a/io/kwload/profile.go
+++ b/io/kwload/profile.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -22,16 +23,18 @@
 	AnswerTokens int
 	// Rates are the token rates of the servers of each range of layers.
 	Rates []float64
-	// Spare callers' share at which recovery is measured, so that the rest of the fleet can carry the load.
-	RecoveryCallers int
-	MaxBatch        int
+	// ArrivalShare is the offered load of the recovery run, as a share of what is left after the loss.
+	ArrivalShare float64
+	// PlannedCallers keep requests in progress while endpoints are drained and stopped.
+	PlannedCallers int
+	MaxBatch       int
 }
 
 // Profiles returns the named profiles: the nightly drafting batch and the festival-eve loan desk.
 func Profiles() []Profile {
 	return []Profile{
-		{Name: "drafting", Callers: 144, Writers: 2, PromptWords: 8, AnswerTokens: 24, Rates: []float64{200, 360, 640}, RecoveryCallers: 16, MaxBatch: 8},
-		{Name: "loan-desk", Callers: 72, Writers: 6, PromptWords: 6, AnswerTokens: 12, Rates: []float64{300, 480}, RecoveryCallers: 8, MaxBatch: 6},
+		{Name: "drafting", Callers: 144, Writers: 2, PromptWords: 8, AnswerTokens: 24, Rates: []float64{200, 360, 640}, ArrivalShare: 0.5, PlannedCallers: 16, MaxBatch: 8},
+		{Name: "loan-desk", Callers: 120, Writers: 6, PromptWords: 6, AnswerTokens: 12, Rates: []float64{300, 480}, ArrivalShare: 0.5, PlannedCallers: 8, MaxBatch: 6},
 	}
 }
 
@@ -82,6 +85,16 @@
 	return kwroute.Build(loadLayers, stages, nil).Flow()
 }
 
+// left returns the bound after the loss of the fastest server of a range, in tokens a second.
+func (p Profile) left() float64 {
+	return p.bound() - slices.Max(p.Rates)
+}
+
+// arrivals returns the requests a second of the recovery run.
+func (p Profile) arrivals() float64 {
+	return p.ArrivalShare * p.left() / float64(p.PromptWords+p.AnswerTokens)
+}
+
 // fleet starts the profile's fleet with a routing policy.
 func (p Profile) fleet(folder string, policy kwroute.Policy, seed uint64) (*kwdemo.Fleet, error) {
 	cfg := kwdemo.DefaultConfig(folder, logr.Discard())
