Choose between two different stages; count only tokens that stages ran

Change: the second candidate is never the first; the engine's schedule earns nothing while idle (with a test); a token is counted when the stages have run what comes before it.

--- a/core/kwroute/choose.go
+++ b/core/kwroute/choose.go
@@ -152,12 +152,16 @@
 const minWeight = 1e-6
 
 func (c *Chooser) twoChoice(g *Graph, edges []edge, viable []bool, loads Loads) int {
-	weight := func(e edge) float64 { return max(e.weight, minWeight) }
-	a := c.sample(edges, viable, weight)
+	a := c.sample(edges, viable, func(e edge) float64 { return max(e.weight, minWeight) })
 	if a < 0 {
 		return -1
 	}
-	b := c.sample(edges, viable, weight)
+	b := c.sample(edges, viable, func(e edge) float64 {
+		if e.to == a {
+			return 0
+		}
+		return max(e.weight, minWeight)
+	})
 	if g.cost(edges, b, loads) < g.cost(edges, a, loads) {
 		return b
 	}
--- a/io/kwload/ledger.go
+++ b/io/kwload/ledger.go
@@ -113,12 +113,6 @@
 	}
 }
 
-func (l *ledger) answered() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.whole
-}
-
 // merge adds another ledger's counts.
 func (l *ledger) merge(o *ledger) {
 	for name, p := range o.checks {
--- a/io/kwload/run.go
+++ b/io/kwload/run.go
@@ -129,7 +129,7 @@
 	}
 }
 
-// note counts tokens that a caller has just been given.
+// note counts tokens that the stages have run for a caller.
 func (m *measurement) note(who, tokens int) {
 	now := time.Now()
 	m.mu.Lock()
@@ -241,10 +241,11 @@
 	who := i % len(kwdemo.Workspaces())
 	prompt := cfg.Profile.prompt(rng)
 	client := kwdemo.Client{URL: f.Entries[i%len(f.Entries)].URL(), Token: kwdemo.Workspaces()[who].Token}
-	pending := len(kwstandin.Tokens(kwdemo.Prompt(prompt)))
+	// A token of the answer proves that the stages ran what comes before it: the prompt, then one token each.
+	ran := len(kwstandin.Tokens(kwdemo.Prompt(prompt)))
 	client.OnToken = func(string) {
-		m.note(who, 1+pending)
-		pending = 0
+		m.note(who, ran)
+		ran = 1
 	}
 	got, err := client.Chat(ctx, prompt, cfg.Profile.AnswerTokens, true)
 	m.times(got)
@@ -300,7 +301,7 @@
 	return m, err
 }
 
-// wasted is the share of all layer runs that served no token of an answer; the last token of an answer runs no layer.
+// wasted is the share of all layer runs that served no answer.
 func wasted(f *kwdemo.Fleet, m *measurement) float64 {
 	var runs uint64
 	for _, e := range f.Engines {
@@ -309,7 +310,7 @@
 	if runs == 0 {
 		return 0
 	}
-	useful := float64(m.useful+m.unfinished-m.ledger.answered()) * loadLayers
+	useful := float64(m.useful+m.unfinished) * loadLayers
 	return max(0, 1-useful/float64(runs))
 }
 
--- a/io/kwstandin/batcher.go
+++ b/io/kwstandin/batcher.go
@@ -76,7 +76,8 @@
 	b.once.Do(func() { close(b.stopped) })
 }
 
-// run keeps a schedule of its own, so that the rate holds although single sleeps are late.
+// run keeps a schedule of its own while it is busy, so that the rate holds although single sleeps are late; idle time
+// earns nothing.
 func (b *batcher) run() {
 	due := time.Now()
 	for {
@@ -84,15 +85,12 @@
 		if tokens == 0 {
 			select {
 			case <-b.arrived:
+				due = later(due, time.Now())
 				continue
 			case <-b.stopped:
 				return
 			}
 		}
-		now := time.Now()
-		if due.Before(now.Add(-b.overhead)) {
-			due = now
-		}
 		due = due.Add(b.overhead + time.Duration(tokens)*b.perToken)
 		if d := time.Until(due); d > 0 {
 			time.Sleep(d)
@@ -108,6 +106,13 @@
 	}
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // iterate takes the tokens of one iteration, interactive work first, and returns the jobs that it ends.
 func (b *batcher) iterate() (tokens int, finished []*job) {
 	b.mu.Lock()
--- /dev/null
+++ b/io/kwstandin/engine_test.go
@@ -0,0 +1,71 @@
+package kwstandin
+
+import (
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"knapweedproxy/core/kwconfig"
+)
+
+// TestBatcherKeepsItsRate requires that neither idle gaps nor full batches let an engine pass its declared rate.
+func TestBatcherKeepsItsRate(t *testing.T) {
+	for _, gap := range []time.Duration{0, time.Millisecond, 7 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			const rate, maxBatch, jobs, callers = 1000, 10, 3000, 30
+			b := newBatcher(rate, maxBatch)
+			go b.run()
+			start := time.Now()
+			var all sync.WaitGroup
+			for range callers {
+				all.Go(func() {
+					for range jobs / callers {
+						b.wait(1, kwconfig.Interactive, nil)
+						time.Sleep(gap)
+					}
+				})
+			}
+			all.Wait()
+			b.stop()
+			got := jobs / (time.Since(start) - gap).Seconds()
+			if got > rate*1.001 {
+				t.Errorf("gap %s: got %.0f tokens a second, want at most %d", gap, got, rate)
+			}
+			if gap == 0 && got < rate*0.99 {
+				t.Errorf("got %.0f tokens a second at full batches, want %d", got, rate)
+			}
+		})
+	}
+}
+
+// TestInteractiveGoesFirst requires that batch work gives way.
+func TestInteractiveGoesFirst(t *testing.T) {
+	b := newBatcher(1000, 4)
+	b.jobs = []*job{
+		{left: 4, rank: priorityRank(kwconfig.Batch), finished: make(chan struct{})},
+		{left: 3, rank: priorityRank(kwconfig.Interactive), finished: make(chan struct{})},
+	}
+	tokens, finished := b.iterate()
+	if tokens != 4 || len(finished) != 1 || finished[0].rank != 0 || b.jobs[0].left != 3 {
+		t.Errorf("got %d tokens, %d finished, %d left of the batch job, want 4, 1 and 3", tokens, len(finished), b.jobs[0].left)
+	}
+}
+
+func TestPrefixCacheIsBounded(t *testing.T) {
+	p := newPrefixCache(2 * prefixBlock)
+	long := make([]uint64, 4*prefixBlock)
+	for i := range long {
+		long[i] = uint64(i + 1)
+	}
+	if got := p.hit(long); got != 0 {
+		t.Errorf("got %d cached tokens of a first prompt, want 0", got)
+	}
+	if got := p.order.Len(); got != 2 {
+		t.Errorf("got %d blocks kept, want 2", got)
+	}
+	short := []uint64{1, 2, 3}
+	if got := p.hit(short); got != 0 {
+		t.Errorf("got %d cached tokens of a short prompt, want 0", got)
+	}
+}
