Split large files, serve twins by one piece of code

Change: loop.go into loop, apply, mend, ask, finish, patches; fleet.go into fleet, controls, endpoints, admin; one admit for both kinds of request, one Ask for one-frame calls, one fault handler; operators send the commands themselves.

--- a/commands/operate.go
+++ b/commands/operate.go
@@ -87,8 +87,8 @@
 
 // Run sets or clears the draining mark.
 func (c *drainCmd) Run(s *streams) error {
-	var out kwcontrol.DrainBody
-	if err := c.call(http.MethodPost, "/admin/drain", kwcontrol.DrainBody{Endpoint: c.Endpoint, On: !c.Off}, &out); err != nil {
+	var out kwstate.Drain
+	if err := c.call(http.MethodPost, "/admin/drain", kwstate.Drain{Endpoint: c.Endpoint, On: !c.Off}, &out); err != nil {
 		return err
 	}
 	_, _ = fmt.Fprintf(s.out, "%s draining: %t\n", out.Endpoint, out.On)
@@ -104,7 +104,7 @@
 // Run starts the hand-over.
 func (c *moveCmd) Run(s *streams) error {
 	var out kwstate.Owner
-	if err := c.call(http.MethodPost, "/admin/move", kwcontrol.MoveBody{Workspace: c.Workspace, To: c.To}, &out); err != nil {
+	if err := c.call(http.MethodPost, "/admin/move", kwstate.Move{Workspace: c.Workspace, To: c.To}, &out); err != nil {
 		return err
 	}
 	if out.Next != "" {
@@ -184,7 +184,7 @@
 // Run settles the row.
 func (c *journalSettleCmd) Run(s *streams) error {
 	var row kwstate.Row
-	body := kwcontrol.SettleBody{Scope: c.scope(), Verdict: c.Verdict, Operator: c.Operator}
+	body := kwstate.Settle{Scope: c.scope(), Verdict: c.Verdict, Operator: c.Operator}
 	if err := c.call(http.MethodPost, "/admin/journal/settle", body, &row); err != nil {
 		return err
 	}
--- a/core/kwstate/command.go
+++ b/core/kwstate/command.go
@@ -106,21 +106,21 @@
 
 // Settle ends a row whose outcome is unknown.
 type Settle struct {
-	Scope    Scope   `cbor:"1,keyasint"`
-	Verdict  Verdict `cbor:"2,keyasint"`
-	Operator string  `cbor:"3,keyasint"`
+	Scope    Scope   `cbor:"1,keyasint" json:"scope"`
+	Verdict  Verdict `cbor:"2,keyasint" json:"verdict"`
+	Operator string  `cbor:"3,keyasint" json:"operator"`
 }
 
 // Drain sets or clears the draining mark of an endpoint.
 type Drain struct {
-	Endpoint kwid.EndpointID `cbor:"1,keyasint"`
-	On       bool            `cbor:"2,keyasint"`
+	Endpoint kwid.EndpointID `cbor:"1,keyasint" json:"endpoint"`
+	On       bool            `cbor:"2,keyasint" json:"on"`
 }
 
 // Move hands the ownership of a workspace's writes to a site, once no attempt is open elsewhere.
 type Move struct {
-	Workspace kwid.WorkspaceName `cbor:"1,keyasint"`
-	To        kwid.Site          `cbor:"2,keyasint"`
+	Workspace kwid.WorkspaceName `cbor:"1,keyasint" json:"workspace"`
+	To        kwid.Site          `cbor:"2,keyasint" json:"to"`
 }
 
 // Reply is the answer to a command; Err is nil on success.
--- a/io/kwcontrol/admin.go
+++ b/io/kwcontrol/admin.go
@@ -61,25 +61,6 @@
 	InForce  bool          `json:"in-force"`
 }
 
-// DrainBody names an endpoint to drain or to take back.
-type DrainBody struct {
-	Endpoint kwid.EndpointID `json:"endpoint"`
-	On       bool            `json:"on"`
-}
-
-// MoveBody names a workspace and the site that its writes move to.
-type MoveBody struct {
-	Workspace kwid.WorkspaceName `json:"workspace"`
-	To        kwid.Site          `json:"to"`
-}
-
-// SettleBody carries an operator's verdict on a journal row.
-type SettleBody struct {
-	Scope    kwstate.Scope   `json:"scope"`
-	Verdict  kwstate.Verdict `json:"verdict"`
-	Operator string          `json:"operator"`
-}
-
 // ErrorReply is the body of every refused operator request.
 type ErrorReply struct {
 	Error ErrorDetail `json:"error"`
@@ -280,7 +261,7 @@
 }
 
 func (r *Role) onDrain(c *gin.Context) {
-	var body DrainBody
+	var body kwstate.Drain
 	if !bind(c, &body) {
 		return
 	}
@@ -293,7 +274,7 @@
 		refuse(c, kwcode.New(kwcode.NotFound, "no endpoint %q", body.Endpoint))
 		return
 	}
-	reply := r.loop.Propose(c.Request.Context(), kwstate.Command{Drain: &kwstate.Drain{Endpoint: body.Endpoint, On: body.On}})
+	reply := r.loop.Propose(c.Request.Context(), kwstate.Command{Drain: &body})
 	if reply.Err != nil {
 		refuse(c, reply.Err)
 		return
@@ -303,7 +284,7 @@
 
 // onMove starts the hand-over of a workspace's writes to a declared site.
 func (r *Role) onMove(c *gin.Context) {
-	var body MoveBody
+	var body kwstate.Move
 	if !bind(c, &body) {
 		return
 	}
@@ -321,8 +302,7 @@
 		refuse(c, kwcode.New(kwcode.NotFound, "no site %q", body.To))
 		return
 	}
-	move := kwstate.Move(body)
-	reply := r.loop.Propose(c.Request.Context(), kwstate.Command{Move: &move})
+	reply := r.loop.Propose(c.Request.Context(), kwstate.Command{Move: &body})
 	if reply.Err != nil {
 		refuse(c, reply.Err)
 		return
@@ -347,7 +327,7 @@
 }
 
 func (r *Role) onSettle(c *gin.Context) {
-	var body SettleBody
+	var body kwstate.Settle
 	if !bind(c, &body) {
 		return
 	}
@@ -355,8 +335,7 @@
 		refuse(c, kwcode.New(kwcode.MalformedRequest, "want verdict %q or %q", kwstate.VerdictRan, kwstate.VerdictNotRun))
 		return
 	}
-	settle := kwstate.Settle(body)
-	reply := r.loop.Propose(c.Request.Context(), kwstate.Command{Settle: &settle})
+	reply := r.loop.Propose(c.Request.Context(), kwstate.Command{Settle: &body})
 	if reply.Err != nil {
 		refuse(c, reply.Err)
 		return
--- /dev/null
+++ b/io/kwcontrol/apply.go
@@ -0,0 +1,100 @@
+package kwcontrol
+
+import (
+	"github.com/fxamacker/cbor/v2"
+
+	"knapweedproxy/core/kwcode"
+	"knapweedproxy/core/kwlog"
+	"knapweedproxy/core/kwmember"
+	"knapweedproxy/core/kwstate"
+	"knapweedproxy/io/kwevent"
+)
+
+func (l *Loop) apply(entries []kwlog.Entry) {
+	l.metrics.applied.Mark(int64(len(entries)))
+	for _, e := range entries {
+		l.appliedAt = e.Index
+		if e.Kind != kwlog.EntryData {
+			continue
+		}
+		var command kwstate.Command
+		reply := kwstate.Reply{}
+		if err := cbor.Unmarshal(e.Data, &command); err != nil {
+			reply.Err = kwcode.New(kwcode.FrameMalformed, "%v", err)
+		} else {
+			reply = l.board.State.Apply(command)
+			l.applied(command, reply)
+		}
+		l.answer(e, reply)
+	}
+}
+
+func (l *Loop) answer(e kwlog.Entry, reply kwstate.Reply) {
+	p, ok := l.pending[e.Index]
+	if !ok {
+		return
+	}
+	delete(l.pending, e.Index)
+	if p.term != e.Term {
+		reply = kwstate.Reply{Err: l.notLeader()}
+	}
+	p.reply <- reply
+}
+
+// applied updates the membership and wakes the requests that wait for a journal row.
+func (l *Loop) applied(c kwstate.Command, reply kwstate.Reply) {
+	if c.Drain != nil {
+		l.drained(c.Drain)
+	}
+	if c.Boot != nil && c.Boot.Node == l.cfg.Member {
+		l.booted = true
+	}
+	if reply.Row != nil && reply.Row.State != kwstate.RowGranted {
+		l.wake(*reply.Row)
+	}
+	if l.raft.Status().Role == kwlog.Leader {
+		l.emit(c, reply)
+	}
+}
+
+func (l *Loop) drained(d *kwstate.Drain) {
+	state := kwmember.Live
+	if d.On {
+		state = kwmember.Leaving
+	}
+	e, ok := l.board.Members.Endpoint(d.Endpoint)
+	if ok && (e.State == kwmember.Live || e.State == kwmember.Leaving) {
+		l.board.Members.Mark(d.Endpoint, state)
+	}
+}
+
+func (l *Loop) wake(row kwstate.Row) {
+	for _, w := range l.waiters[row.Scope] {
+		w.reply <- row
+	}
+	delete(l.waiters, row.Scope)
+}
+
+func (l *Loop) emit(c kwstate.Command, reply kwstate.Reply) {
+	events := l.cfg.Events
+	switch {
+	case c.Claim != nil && reply.Granted:
+		events.Emit(kwevent.ClaimGranted, c.Claim.Grant.Request,
+			kwevent.F("key", c.Claim.Scope.Key), kwevent.F("attempt", reply.Row.Grant.Attempt))
+	case c.Claim != nil:
+		events.Emit(kwevent.ClaimAnswered, c.Claim.Grant.Request, kwevent.F("key", c.Claim.Scope.Key))
+	case c.Apply != nil && reply.Err == nil:
+		events.Emit(kwevent.RevisionAccepted, "", kwevent.F("revision", reply.Revision), kwevent.F("change", c.Apply.ChangeID))
+	case c.Apply != nil:
+		events.Emit(kwevent.RevisionRefused, "", kwevent.F("change", c.Apply.ChangeID), kwevent.F("error", reply.Err.Error()))
+	case reply.Owner != nil:
+		events.Emit(kwevent.WorkspaceMoved, "", kwevent.F("workspace", reply.Owner.Workspace), kwevent.F("to", c.Move.To), kwevent.F("done", reply.Owner.Next == ""))
+	case c.Settle != nil && reply.Err == nil:
+		events.Emit(kwevent.RowSettled, "", kwevent.F("key", c.Settle.Scope.Key), kwevent.F("verdict", c.Settle.Verdict))
+	case reply.Row != nil:
+		events.Emit(kwevent.OutcomeLogged, reply.Row.Grant.Request,
+			kwevent.F("key", reply.Row.Scope.Key), kwevent.F("state", reply.Row.State))
+	case c.Drain != nil:
+		events.Emit(kwevent.EndpointLeaving, "", kwevent.F("endpoint", c.Drain.Endpoint), kwevent.F("on", c.Drain.On))
+	}
+}
--- a/io/kwcontrol/client.go
+++ b/io/kwcontrol/client.go
@@ -73,20 +73,11 @@
 	if err != nil {
 		return err
 	}
-	defer s.Close()
 	if s.Peer().Role != kwkeys.RoleControl {
+		s.Close()
 		return kwcode.New(kwcode.PeerUnreachable, "%s is no control process", address)
 	}
-	stop := context.AfterFunc(try, s.Abort)
-	defer stop()
-	if err := s.Send(kind, in); err != nil {
-		return err
-	}
-	f, err := s.Recv()
-	if err != nil {
-		return err
-	}
-	return f.Expect(kwproto.KindReply, out)
+	return s.Ask(try, kind, in, out)
 }
 
 // Address returns the address that answered last.
--- a/io/kwcontrol/loop.go
+++ b/io/kwcontrol/loop.go
@@ -1,7 +1,6 @@
 package kwcontrol
 
 import (
-	"context"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -10,7 +9,6 @@
 
 	"knapweedproxy/core/kwboard"
 	"knapweedproxy/core/kwcode"
-	"knapweedproxy/core/kwconfig"
 	"knapweedproxy/core/kwid"
 	"knapweedproxy/core/kwlog"
 	"knapweedproxy/core/kwmember"
@@ -315,59 +313,6 @@
 	return l.disk.rewrite(l.raft.Disk())
 }
 
-// mendPause is the time between tries to use a failed disk again.
-const mendPause = 500 * time.Millisecond
-
-// mend refuses what is under way and starts again from the files, once they take a full rewrite.
-func (l *Loop) mend(cause error) error {
-	l.cfg.Events.Emit(kwevent.DiskRefused, "", kwevent.F("error", cause.Error()))
-	l.failPending(kwcode.New(kwcode.DiskFailed, "%s", kwcode.Of(cause).Detail).After(mendPause))
-	l.disk.close()
-	for {
-		err := l.reopen()
-		if err == nil {
-			return nil
-		}
-		if kwcode.Is(err, kwcode.LogDamaged) {
-			return err
-		}
-		if l.refuseFor(mendPause, err) {
-			return err
-		}
-	}
-}
-
-func (l *Loop) reopen() error {
-	if err := l.open(); err != nil {
-		return err
-	}
-	if err := l.disk.rewrite(l.raft.Disk()); err != nil {
-		l.disk.close()
-		return err
-	}
-	return nil
-}
-
-// refuseFor answers proposals with the disk's error for a while; true means that the loop must stop.
-func (l *Loop) refuseFor(d time.Duration, cause error) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	refused := kwcode.New(kwcode.DiskFailed, "%s", kwcode.Of(cause).Detail).After(d)
-	for {
-		select {
-		case <-l.stop:
-			return true
-		case <-timer.C:
-			return false
-		case p := <-l.proposals:
-			p.reply <- kwstate.Reply{Err: refused}
-		case f := <-l.calls:
-			f()
-		case <-l.messages:
-		}
-	}
-}
-
 func (l *Loop) failPending(cause *kwcode.Error) {
 	for index, p := range l.pending {
 		p.reply <- kwstate.Reply{Err: cause}
@@ -375,95 +320,6 @@
 	}
 }
 
-func (l *Loop) apply(entries []kwlog.Entry) {
-	l.metrics.applied.Mark(int64(len(entries)))
-	for _, e := range entries {
-		l.appliedAt = e.Index
-		if e.Kind != kwlog.EntryData {
-			continue
-		}
-		var command kwstate.Command
-		reply := kwstate.Reply{}
-		if err := cbor.Unmarshal(e.Data, &command); err != nil {
-			reply.Err = kwcode.New(kwcode.FrameMalformed, "%v", err)
-		} else {
-			reply = l.board.State.Apply(command)
-			l.applied(command, reply)
-		}
-		l.answer(e, reply)
-	}
-}
-
-func (l *Loop) answer(e kwlog.Entry, reply kwstate.Reply) {
-	p, ok := l.pending[e.Index]
-	if !ok {
-		return
-	}
-	delete(l.pending, e.Index)
-	if p.term != e.Term {
-		reply = kwstate.Reply{Err: l.notLeader()}
-	}
-	p.reply <- reply
-}
-
-// applied updates the membership and wakes the requests that wait for a journal row.
-func (l *Loop) applied(c kwstate.Command, reply kwstate.Reply) {
-	if c.Drain != nil {
-		l.drained(c.Drain)
-	}
-	if c.Boot != nil && c.Boot.Node == l.cfg.Member {
-		l.booted = true
-	}
-	if reply.Row != nil && reply.Row.State != kwstate.RowGranted {
-		l.wake(*reply.Row)
-	}
-	if l.raft.Status().Role == kwlog.Leader {
-		l.emit(c, reply)
-	}
-}
-
-func (l *Loop) drained(d *kwstate.Drain) {
-	state := kwmember.Live
-	if d.On {
-		state = kwmember.Leaving
-	}
-	e, ok := l.board.Members.Endpoint(d.Endpoint)
-	if ok && (e.State == kwmember.Live || e.State == kwmember.Leaving) {
-		l.board.Members.Mark(d.Endpoint, state)
-	}
-}
-
-func (l *Loop) wake(row kwstate.Row) {
-	for _, w := range l.waiters[row.Scope] {
-		w.reply <- row
-	}
-	delete(l.waiters, row.Scope)
-}
-
-func (l *Loop) emit(c kwstate.Command, reply kwstate.Reply) {
-	events := l.cfg.Events
-	switch {
-	case c.Claim != nil && reply.Granted:
-		events.Emit(kwevent.ClaimGranted, c.Claim.Grant.Request,
-			kwevent.F("key", c.Claim.Scope.Key), kwevent.F("attempt", reply.Row.Grant.Attempt))
-	case c.Claim != nil:
-		events.Emit(kwevent.ClaimAnswered, c.Claim.Grant.Request, kwevent.F("key", c.Claim.Scope.Key))
-	case c.Apply != nil && reply.Err == nil:
-		events.Emit(kwevent.RevisionAccepted, "", kwevent.F("revision", reply.Revision), kwevent.F("change", c.Apply.ChangeID))
-	case c.Apply != nil:
-		events.Emit(kwevent.RevisionRefused, "", kwevent.F("change", c.Apply.ChangeID), kwevent.F("error", reply.Err.Error()))
-	case reply.Owner != nil:
-		events.Emit(kwevent.WorkspaceMoved, "", kwevent.F("workspace", reply.Owner.Workspace), kwevent.F("to", c.Move.To), kwevent.F("done", reply.Owner.Next == ""))
-	case c.Settle != nil && reply.Err == nil:
-		events.Emit(kwevent.RowSettled, "", kwevent.F("key", c.Settle.Scope.Key), kwevent.F("verdict", c.Settle.Verdict))
-	case reply.Row != nil:
-		events.Emit(kwevent.OutcomeLogged, reply.Row.Grant.Request,
-			kwevent.F("key", reply.Row.Scope.Key), kwevent.F("state", reply.Row.State))
-	case c.Drain != nil:
-		events.Emit(kwevent.EndpointLeaving, "", kwevent.F("endpoint", c.Drain.Endpoint), kwevent.F("on", c.Drain.On))
-	}
-}
-
 // noteLeadership reacts to a gain or a loss of leadership.
 func (l *Loop) noteLeadership() {
 	leads := l.raft.Status().Role == kwlog.Leader
@@ -538,173 +394,7 @@
 	return kwcode.New(kwcode.NotLeader, "the leader is %q", nodeOf(leader)).At(string(nodeOf(leader)))
 }
 
-// finish hands leadership on, then closes the files.
-func (l *Loop) finish() error {
-	if !l.dropped.Load() && l.raft.Transfer(l.now()) {
-		l.handOver()
-	}
-	l.failPending(kwcode.New(kwcode.ControlStopping, "%s is shutting down", l.cfg.Member))
-	l.disk.close()
-	return nil
-}
-
-// handOver keeps serving the log until another member leads or the hand-over has failed.
-func (l *Loop) handOver() {
-	tick := time.NewTicker(l.cfg.Timing.Tick)
-	defer tick.Stop()
-	for l.raft.Status().Role == kwlog.Leader {
-		select {
-		case m := <-l.messages:
-			l.raft.Step(l.now(), m)
-		case p := <-l.proposals:
-			p.reply <- kwstate.Reply{Err: l.notLeader()}
-		case f := <-l.calls:
-			f()
-		case <-tick.C:
-			l.raft.Tick(l.now())
-		}
-		if err := l.settleWork(); err != nil {
-			return
-		}
-	}
-}
-
-// Stop begins a graceful shutdown and waits for its end.
-func (l *Loop) Stop() {
-	l.stopOnce.Do(func() { close(l.stop) })
-	<-l.stopped
-}
-
-// Deliver takes a message from another member; a full queue drops it, and its sender will repeat it.
-func (l *Loop) Deliver(m kwlog.Message) {
-	select {
-	case l.messages <- m:
-	default:
-	}
-}
-
-// Propose logs a command and returns its reply once a quorum has synced it.
-func (l *Loop) Propose(ctx context.Context, c kwstate.Command) kwstate.Reply {
-	c.Time = l.millis()
-	p := proposal{command: c, reply: make(chan kwstate.Reply, 1)}
-	select {
-	case l.proposals <- p:
-	case <-l.stopped:
-		return kwstate.Reply{Err: kwcode.New(kwcode.ControlStopping, "%s has stopped", l.cfg.Member)}
-	case <-ctx.Done():
-		return kwstate.Reply{Err: kwcode.New(kwcode.JournalUnavailable, "%v", ctx.Err())}
-	}
-	select {
-	case r := <-p.reply:
-		return r
-	case <-l.stopped:
-		return kwstate.Reply{Err: kwcode.New(kwcode.ControlStopping, "%s has stopped", l.cfg.Member)}
-	case <-ctx.Done():
-		return kwstate.Reply{Err: kwcode.New(kwcode.JournalUnavailable, "%v", ctx.Err())}
-	}
-}
-
-// Do runs f on the control goroutine and waits for it; false means that the loop has stopped.
-func (l *Loop) Do(f func(now time.Time, b *kwboard.Board)) bool {
-	done := make(chan struct{})
-	call := func() {
-		now := l.now()
-		l.board.Leading = l.raft.Leading(now)
-		f(now, l.board)
-		close(done)
-	}
-	select {
-	case l.calls <- call:
-	case <-l.stopped:
-		return false
-	}
-	select {
-	case <-done:
-		return true
-	case <-l.stopped:
-		return false
-	}
-}
-
-// Lead runs f on the control goroutine if this member leads and its lease stands.
-func (l *Loop) Lead(f func(now time.Time, b *kwboard.Board)) error {
-	err := kwcode.New(kwcode.ControlStopping, "%s has stopped", l.cfg.Member)
-	l.Do(func(now time.Time, b *kwboard.Board) {
-		if !b.Leading {
-			err = l.notLeader()
-			return
-		}
-		err = nil
-		f(now, b)
-	})
-	if err == nil {
-		return nil
-	}
-	return err
-}
-
-// Log runs f with the replicated log on the control goroutine.
-func (l *Loop) Log(f func(now time.Time, n *kwlog.Node)) bool {
-	return l.Do(func(now time.Time, _ *kwboard.Board) { f(now, l.raft) })
-}
-
-// Await returns a journal row once its attempt is no longer open; false means that the context ended first.
-func (l *Loop) Await(ctx context.Context, scope kwstate.Scope, attempt kwid.Attempt) (kwstate.Row, bool) {
-	reply := make(chan kwstate.Row, 1)
-	l.Do(func(_ time.Time, b *kwboard.Board) {
-		row, ok := b.State.Row(scope)
-		if ok && (row.State != kwstate.RowGranted || row.Grant.Attempt != attempt) {
-			reply <- row
-			return
-		}
-		l.waiters[scope] = append(l.waiters[scope], waiter{attempt: attempt, reply: reply})
-	})
-	select {
-	case row := <-reply:
-		return row, true
-	case <-ctx.Done():
-	case <-l.stopped:
-	}
-	l.Do(func(time.Time, *kwboard.Board) { l.forget(scope, reply) })
-	return kwstate.Row{}, false
-}
-
-func (l *Loop) forget(scope kwstate.Scope, reply chan kwstate.Row) {
-	var kept []waiter
-	for _, w := range l.waiters[scope] {
-		if w.reply != reply {
-			kept = append(kept, w)
-		}
-	}
-	if len(kept) == 0 {
-		delete(l.waiters, scope)
-		return
-	}
-	l.waiters[scope] = kept
-}
-
 // Alive returns when the loop last ran its controllers.
 func (l *Loop) Alive() time.Time {
 	return time.Unix(0, l.alive.Load())
 }
-
-// abandon stops the loop without a hand-over.
-func (l *Loop) abandon() {
-	l.dropped.Store(true)
-	l.Stop()
-}
-
-// patchCache keeps the newest difference between two declarations, which nearly all watchers need.
-type patchCache struct {
-	from    *kwconfig.Fleet
-	to      *kwconfig.Fleet
-	patches []kwconfig.Patch
-}
-
-// patches runs on the control goroutine.
-func (l *Loop) patches(from, to *kwconfig.Fleet) []kwconfig.Patch {
-	if l.diff.from != from || l.diff.to != to {
-		l.diff = patchCache{from: from, to: to, patches: kwconfig.Diff(from, to)}
-	}
-	return l.diff.patches
-}
--- /dev/null
+++ b/io/kwdemo/endpoints.go
@@ -0,0 +1,194 @@
+package kwdemo
+
+import (
+	"fmt"
+	"time"
+
+	"knapweedproxy/core/kwid"
+	"knapweedproxy/core/kwretry"
+	"knapweedproxy/core/kwroute"
+	"knapweedproxy/io/kwagent"
+	"knapweedproxy/io/kwentry"
+	"knapweedproxy/io/kwevent"
+	"knapweedproxy/io/kwkeys"
+	"knapweedproxy/io/kwstandin"
+)
+
+func (f *Fleet) startEngines() error {
+	for _, s := range f.cfg.Stages {
+		for k := range s.Servers {
+			name := fmt.Sprintf("%s-%d", s.Name, k+1)
+			if err := f.StartEngine(name, s); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+const (
+	defaultKV       = 1 << 20
+	defaultMaxBatch = 256
+	loadLag         = 200 * time.Millisecond
+)
+
+// StartEngine starts a model server and the agent beside it.
+func (f *Fleet) StartEngine(name string, s Stage) error {
+	standIn, err := kwstandin.NewEngine(kwstandin.EngineConfig{
+		Listen:       loopback,
+		Model:        f.cfg.Model,
+		ModelLayers:  f.cfg.Layers,
+		Layers:       s.Layers,
+		TokenRate:    s.TokenRate,
+		MaxBatch:     orInt(f.cfg.MaxBatch, defaultMaxBatch),
+		KVTokens:     orInt(f.cfg.KVTokens, defaultKV),
+		PrefixTokens: f.cfg.PrefixTokens,
+		LoadLag:      loadLag,
+		ChecksFence:  len(f.Engines)%2 == 0,
+	})
+	if err != nil {
+		return err
+	}
+	e := &Engine{Endpoint: kwid.EndpointID(name), Zone: s.Zone, StandIn: standIn}
+	e.Agent, e.Events, err = f.agent(e.Endpoint, s.Zone, func(cfg *kwagent.Config) { cfg.EngineURL = standIn.URL() })
+	if err != nil {
+		return err
+	}
+	f.Engines = append(f.Engines, e)
+	return nil
+}
+
+func orInt(n, usual int) int {
+	if n > 0 {
+		return n
+	}
+	return usual
+}
+
+func orSpan(d, usual time.Duration) time.Duration {
+	if d > 0 {
+		return d
+	}
+	return usual
+}
+
+func (f *Fleet) agent(endpoint kwid.EndpointID, zone kwid.AvailabilityZone, set func(*kwagent.Config)) (*kwagent.Role, *kwevent.Emitter, error) {
+	node := kwid.NodeID("agent-" + string(endpoint))
+	keys, err := f.store(node, kwkeys.RoleAgent)
+	if err != nil {
+		return nil, nil, err
+	}
+	cfg := kwagent.Config{
+		Node:         node,
+		Listen:       loopback,
+		Endpoint:     endpoint,
+		Site:         f.cfg.Site,
+		Zone:         zone,
+		Control:      f.control,
+		Announce:     orSpan(f.cfg.AgentRenew, quickAnnounce),
+		StepTimeout:  orSpan(f.cfg.StepTimeout, quickStep),
+		DrainTimeout: drainTimeout,
+	}
+	set(&cfg)
+	events := f.emitter(node)
+	role, err := kwagent.New(cfg, kwagent.Deps{Keys: keys, Clock: f.clock, Events: events})
+	if err != nil {
+		return nil, nil, err
+	}
+	role.Start()
+	return role, events, nil
+}
+
+func (f *Fleet) startServers() error {
+	for k := range f.cfg.Records {
+		if err := f.StartServer(fmt.Sprintf("records-%d", k+1), f.cfg.Site, f.Ledger); err != nil {
+			return err
+		}
+		if f.cfg.SecondSite == "" {
+			continue
+		}
+		if err := f.StartServer(fmt.Sprintf("second-%d", k+1), f.cfg.SecondSite, f.Second); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// StartServer starts a records server, which shares its site's ledger, and the agent beside it.
+func (f *Fleet) StartServer(name string, site kwid.Site, ledger *kwstandin.Ledger) error {
+	standIn, err := kwstandin.NewRecords(kwstandin.RecordsConfig{Listen: loopback, Name: name, Ledger: ledger})
+	if err != nil {
+		return err
+	}
+	s := &Server{Endpoint: kwid.EndpointID(name), Site: site, StandIn: standIn}
+	if err := f.StartServerAgent(s); err != nil {
+		return err
+	}
+	f.Servers = append(f.Servers, s)
+	return nil
+}
+
+// StartServerAgent starts a new incarnation of the agent beside a records server.
+func (f *Fleet) StartServerAgent(s *Server) error {
+	zone := f.cfg.Stages[0].Zone
+	agent, events, err := f.agent(s.Endpoint, zone, func(cfg *kwagent.Config) {
+		cfg.ServiceURL = s.StandIn.URL()
+		cfg.Service = ServiceName
+		cfg.Site = s.Site
+	})
+	if err != nil {
+		return err
+	}
+	s.Agent = agent
+	s.Events = events
+	return nil
+}
+
+func (f *Fleet) startEntries() error {
+	for range f.cfg.Entries {
+		if _, err := f.StartEntry(f.cfg.Site); err != nil {
+			return err
+		}
+	}
+	if f.cfg.SecondSite == "" {
+		return nil
+	}
+	_, err := f.StartEntry(f.cfg.SecondSite)
+	return err
+}
+
+// StartEntry starts one more entry at a site.
+func (f *Fleet) StartEntry(site kwid.Site) (*kwentry.Role, error) {
+	node := kwid.NodeID(fmt.Sprintf("entry-%d", len(f.Entries)+1))
+	keys, err := f.store(node, kwkeys.RoleEntry)
+	if err != nil {
+		return nil, err
+	}
+	policy := f.cfg.Policy
+	if policy == "" {
+		policy = kwroute.FlowTwoChoice
+	}
+	role, err := kwentry.New(kwentry.Config{
+		Node:         node,
+		Listen:       loopback,
+		HTTPListen:   loopback,
+		Site:         site,
+		Zone:         f.cfg.Stages[0].Zone,
+		Control:      f.control,
+		ViewLease:    orSpan(f.cfg.ViewLease, quickViewLease),
+		Renew:        orSpan(f.cfg.EntryRenew, quickRenew),
+		InFlight:     kwentry.DefaultInFlight,
+		StepTimeout:  orSpan(f.cfg.StepTimeout, quickStep),
+		DrainTimeout: drainTimeout,
+		Policy:       policy,
+		Seed:         f.cfg.Seed + uint64(len(f.Entries)),
+		Retry:        kwretry.DefaultConfig(),
+		Eject:        kwretry.DefaultEjectConfig(),
+	}, kwentry.Deps{Keys: keys, Clock: f.clock, Events: f.emitter(node)})
+	if err != nil {
+		return nil, err
+	}
+	role.Start()
+	f.Entries = append(f.Entries, role)
+	return role, nil
+}
--- a/io/kwdemo/move_test.go
+++ b/io/kwdemo/move_test.go
@@ -9,7 +9,6 @@
 
 	"knapweedproxy/core/kwid"
 	"knapweedproxy/core/kwstate"
-	"knapweedproxy/io/kwcontrol"
 	"knapweedproxy/io/kwstandin"
 )
 
@@ -42,7 +41,7 @@
 	}
 	move := func(to kwid.Site) {
 		t.Helper()
-		body := kwcontrol.MoveBody{Workspace: "road-crews", To: to}
+		body := kwstate.Move{Workspace: "road-crews", To: to}
 		if err := f.Admin("/admin/move", body, &kwstate.Owner{}); err != nil {
 			t.Fatal(err)
 		}
--- a/io/kwdemo/scenario_test.go
+++ b/io/kwdemo/scenario_test.go
@@ -250,8 +250,8 @@
 func TestLeavingEndpointGetsNoNewWork(t *testing.T) {
 	f := start(t, nil)
 	for _, endpoint := range []kwid.EndpointID{f.Engines[1].Endpoint, f.Servers[0].Endpoint} {
-		body := kwcontrol.DrainBody{Endpoint: endpoint, On: true}
-		if err := f.Admin("/admin/drain", body, &kwcontrol.DrainBody{}); err != nil {
+		body := kwstate.Drain{Endpoint: endpoint, On: true}
+		if err := f.Admin("/admin/drain", body, &kwstate.Drain{}); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -389,7 +389,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	settle := kwcontrol.SettleBody{
+	settle := kwstate.Settle{
 		Scope:    kwstate.Scope{Workspace: "road-crews", Service: ServiceName, Key: "caller-k"},
 		Verdict:  kwstate.VerdictRan,
 		Operator: "test",
--- a/io/kwdemo/script.go
+++ b/io/kwdemo/script.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"knapweedproxy/core/kwcode"
-	"knapweedproxy/io/kwcontrol"
+	"knapweedproxy/core/kwstate"
 	"knapweedproxy/io/kwentry"
 	"knapweedproxy/io/kwstandin"
 )
@@ -70,6 +70,18 @@
 	return Client{URL: s.fleet.Entries[entry].URL(), Token: Workspaces()[workspace].Token}
 }
 
+// ask sends a chat request, prints it with its answer and checks the answer.
+func (s *script) ask(ctx context.Context, client Client, prompt string, maxTokens int, stream bool) error {
+	got, err := client.Chat(ctx, prompt, maxTokens, stream)
+	if err != nil {
+		return err
+	}
+	s.line("asked:    %s", prompt)
+	s.line("answered:%s", got.Text)
+	s.checkText(got, prompt, maxTokens)
+	return nil
+}
+
 func (s *script) checkText(got Answer, prompt string, maxTokens int) {
 	want, _, stopped := kwstandin.Reference(modelLayers, Prompt(prompt), maxTokens)
 	reason := "length"
@@ -82,34 +94,17 @@
 
 func (s *script) streamed(ctx context.Context) error {
 	s.title("a drafter asks for a section summary, streamed")
-	prompt := "summarise wet grip on section D20 km 4 to 9"
-	got, err := s.client(0, 0).Chat(ctx, prompt, shortAnswer, true)
-	if err != nil {
-		return err
-	}
-	s.line("asked:    %s", prompt)
-	s.line("answered:%s", got.Text)
-	s.checkText(got, prompt, shortAnswer)
-	return nil
+	return s.ask(ctx, s.client(0, 0), "summarise wet grip on section D20 km 4 to 9", shortAnswer, true)
 }
 
 func (s *script) whole(ctx context.Context) error {
 	s.title("a parent asks at the counter, through the other entry, in one piece")
-	prompt := "which toys suit a child of four"
-	got, err := s.client(1, 1).Chat(ctx, prompt, shortAnswer, false)
-	if err != nil {
-		return err
-	}
-	s.line("asked:    %s", prompt)
-	s.line("answered:%s", got.Text)
-	s.checkText(got, prompt, shortAnswer)
-	return nil
+	return s.ask(ctx, s.client(1, 1), "which toys suit a child of four", shortAnswer, false)
 }
 
 // stageLost kills the VM of a middle stage while its tokens stream.
 func (s *script) stageLost(ctx context.Context) error {
 	s.title("a stage dies in the middle of a stream")
-	prompt := "write the long note on resurfacing for the district engineer"
 	client := s.client(0, 0)
 	var once sync.Once
 	seen := 0
@@ -119,14 +114,7 @@
 			once.Do(s.killBusyStage)
 		}
 	}
-	got, err := client.Chat(ctx, prompt, longAnswer, true)
-	if err != nil {
-		return err
-	}
-	s.line("asked:    %s", prompt)
-	s.line("answered:%s", got.Text)
-	s.checkText(got, prompt, longAnswer)
-	return nil
+	return s.ask(ctx, client, "write the long note on resurfacing for the district engineer", longAnswer, true)
 }
 
 // killBusyStage kills the middle stage that works on a request.
@@ -205,8 +193,8 @@
 func (s *script) drain(ctx context.Context) error {
 	s.title("an operator drains a records server")
 	leaving := s.fleet.Servers[0]
-	body := kwcontrol.DrainBody{Endpoint: leaving.Endpoint, On: true}
-	if err := s.fleet.Admin("/admin/drain", body, &kwcontrol.DrainBody{}); err != nil {
+	body := kwstate.Drain{Endpoint: leaving.Endpoint, On: true}
+	if err := s.fleet.Admin("/admin/drain", body, &kwstate.Drain{}); err != nil {
 		return err
 	}
 	if err := Wait("the drain at every entry", func() bool { return s.fleet.Seen(leaving, "leaving") }); err != nil {
@@ -230,7 +218,6 @@
 // entryStop stops an entry while it streams.
 func (s *script) entryStop(ctx context.Context) error {
 	s.title("an entry is stopped in the middle of a stream")
-	prompt := "list the loans of the Bayanzurkh branch"
 	client := s.client(1, 1)
 	stopped := make(chan struct{})
 	var once sync.Once
@@ -242,13 +229,9 @@
 			}()
 		})
 	}
-	got, err := client.Chat(ctx, prompt, longAnswer, true)
-	if err != nil {
+	if err := s.ask(ctx, client, "list the loans of the Bayanzurkh branch", longAnswer, true); err != nil {
 		return err
 	}
 	<-stopped
-	s.line("asked:    %s", prompt)
-	s.line("answered:%s", got.Text)
-	s.checkText(got, prompt, longAnswer)
 	return nil
 }
--- a/io/kwentry/chat.go
+++ b/io/kwentry/chat.go
@@ -137,25 +137,19 @@
 		r.refuse(c, request, err)
 		return
 	}
-	limit, err := timeout(c, model.RequestTimeout.Std())
+	check := func(limit time.Duration) error { return r.checkDeadline(model, in.MaxTokens, limit) }
+	a, err := r.admit(c, request, model.RequestTimeout.Std(), check)
 	if err != nil {
 		r.refuse(c, request, err)
 		return
 	}
-	if err := r.checkDeadline(model, in.MaxTokens, limit); err != nil {
-		r.refuse(c, request, err)
-		return
-	}
-	release, err := r.limiter.Acquire(w.Name)
-	if err != nil {
-		r.refuse(c, request, err)
-		return
-	}
-	start := time.Now()
-	defer func() { release(time.Since(start)) }()
-	r.deps.Events.Emit(kwevent.RequestAdmitted, request, kwevent.F("workspace", w.Name), kwevent.F("model", model.Name))
-	ctx, cancel := withTimeout(c, limit)
-	defer cancel()
+	defer a.end()
+	r.generate(c, a, in, model, w)
+}
+
+// generate runs an admitted request and writes its answer.
+func (r *Role) generate(c *gin.Context, a *admission, in ChatRequest, model kwconfig.Model, w kwconfig.Workspace) {
+	request := a.request
 	out := newChatWriter(c, request, in)
 	g := &generation{
 		role:      r,
@@ -165,15 +159,15 @@
 		maxTokens: in.MaxTokens,
 		priority:  w.Priority,
 		emit:      out.token,
-		start:     start,
+		start:     a.start,
 	}
-	if err := g.run(ctx); err != nil {
+	if err := g.run(a.ctx); err != nil {
 		r.failChat(c, request, out, err)
 		return
 	}
 	out.finish(g)
-	r.forecast.of(model.Name).Observe(time.Now(), g.first, time.Since(start), len(g.tokens))
-	r.observe("chat.request", time.Since(start))
+	r.forecast.of(model.Name).Observe(time.Now(), g.first, time.Since(a.start), len(g.tokens))
+	r.observe("chat.request", time.Since(a.start))
 	r.count("chat.tokens", int64(len(g.tokens)))
 	r.deps.Events.Emit(kwevent.RequestAnswered, request, kwevent.F("tokens", len(g.tokens)), kwevent.F("attempts", g.attempt))
 }
--- a/io/kwentry/http.go
+++ b/io/kwentry/http.go
@@ -1,7 +1,6 @@
 package kwentry
 
 import (
-	"context"
 	"fmt"
 	"math"
 	"net/http"
@@ -167,10 +166,6 @@
 // maxStretch bounds a caller's deadline as a multiple of the declared one.
 const maxStretch = 10
 
-func withTimeout(c *gin.Context, d time.Duration) (context.Context, context.CancelFunc) {
-	return context.WithTimeout(c.Request.Context(), d)
-}
-
 // modelList is the answer to GET /v1/models.
 type modelList struct {
 	Object string      `json:"object"`
--- a/io/kwentry/service.go
+++ b/io/kwentry/service.go
@@ -44,34 +44,24 @@
 		r.refuse(c, request, err)
 		return
 	}
-	limit, err := timeout(c, q.service.Timeout.Std())
+	a, err := r.admit(c, request, q.service.Timeout.Std(), nil)
 	if err != nil {
 		r.refuse(c, request, err)
 		return
 	}
-	release, err := r.limiter.Acquire(w.Name)
-	if err != nil {
-		r.refuse(c, request, err)
-		return
-	}
-	start := time.Now()
-	defer func() { release(time.Since(start)) }()
-	r.deps.Events.Emit(kwevent.RequestAdmitted, request, kwevent.F("workspace", w.Name), kwevent.F("service", q.service.Name))
-	ctx, cancel := withTimeout(c, limit)
-	defer cancel()
-	q.message.Timeout = limit.Milliseconds()
+	defer a.end()
+	q.message.Timeout = a.limit.Milliseconds()
 	var response kwstate.Response
 	if q.message.Idempotent {
-		response, err = q.repeat(ctx)
+		response, err = q.repeat(a.ctx)
 	} else {
-		c.Header(HeaderKey, q.message.Scope.Key)
-		response, err = q.once(ctx)
+		response, err = q.once(a.ctx)
 	}
 	if err != nil {
 		r.refuse(c, request, err)
 		return
 	}
-	r.observe("service.request", time.Since(start))
+	r.observe("service.request", time.Since(a.start))
 	q.answer(c, response)
 	r.deps.Events.Emit(kwevent.RequestAnswered, request, kwevent.F("status", response.Status))
 }
--- a/io/kwload/run.go
+++ b/io/kwload/run.go
@@ -15,7 +15,7 @@
 
 	"knapweedproxy/core/kwcode"
 	"knapweedproxy/core/kwroute"
-	"knapweedproxy/io/kwcontrol"
+	"knapweedproxy/core/kwstate"
 	"knapweedproxy/io/kwdemo"
 	"knapweedproxy/io/kwstandin"
 )
@@ -379,8 +379,8 @@
 		all := cfg.callers(run, f, cfg.Profile.PlannedCallers, m)
 		time.Sleep(warmUp)
 		leaving := f.Servers[0]
-		drain := kwcontrol.DrainBody{Endpoint: leaving.Endpoint, On: true}
-		if err := f.Admin("/admin/drain", drain, &kwcontrol.DrainBody{}); err != nil {
+		drain := kwstate.Drain{Endpoint: leaving.Endpoint, On: true}
+		if err := f.Admin("/admin/drain", drain, &kwstate.Drain{}); err != nil {
 			return err
 		}
 		f.Engines[0].Agent.Stop()
--- a/io/kwstandin/engine.go
+++ b/io/kwstandin/engine.go
@@ -169,16 +169,7 @@
 }
 
 func (e *Engine) onFaults(c *gin.Context) {
-	var f Faults
-	if err := c.ShouldBindJSON(&f); err != nil {
-		fail(c, http.StatusBadRequest, err.Error())
-		return
-	}
-	e.faults.set(f)
-	if f.Die {
-		go e.Close()
-	}
-	c.JSON(http.StatusOK, f)
+	e.faults.serve(c, e.Close)
 }
 
 func (e *Engine) onTokenize(c *gin.Context) {
--- a/io/kwstandin/faults.go
+++ b/io/kwstandin/faults.go
@@ -1,8 +1,11 @@
 package kwstandin
 
 import (
+	"net/http"
 	"sync"
 	"time"
+
+	"github.com/gin-gonic/gin"
 )
 
 // Faults are the ways in which a stand-in misbehaves; spans are in milliseconds.
@@ -37,6 +40,20 @@
 	s.wake = make(chan struct{})
 }
 
+// serve sets the faults from a request; die ends the stand-in.
+func (s *switches) serve(c *gin.Context, die func()) {
+	var f Faults
+	if err := c.ShouldBindJSON(&f); err != nil {
+		fail(c, http.StatusBadRequest, err.Error())
+		return
+	}
+	s.set(f)
+	if f.Die {
+		go die()
+	}
+	c.JSON(http.StatusOK, f)
+}
+
 func (s *switches) get() (Faults, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/io/kwstandin/records.go
+++ b/io/kwstandin/records.go
@@ -172,16 +172,7 @@
 }
 
 func (r *Records) onFaults(c *gin.Context) {
-	var f Faults
-	if err := c.ShouldBindJSON(&f); err != nil {
-		fail(c, http.StatusBadRequest, err.Error())
-		return
-	}
-	r.faults.set(f)
-	if f.Die {
-		go r.Close()
-	}
-	c.JSON(http.StatusOK, f)
+	r.faults.serve(c, r.Close)
 }
 
 func (r *Records) onCall(c *gin.Context) {
--- a/io/kwwire/node.go
+++ b/io/kwwire/node.go
@@ -249,17 +249,7 @@
 	if err != nil {
 		return err
 	}
-	defer s.Close()
-	stop := context.AfterFunc(ctx, s.Abort)
-	defer stop()
-	if err := s.Send(kind, in); err != nil {
-		return err
-	}
-	f, err := s.Recv()
-	if err != nil {
-		return err
-	}
-	return f.Expect(kwproto.KindReply, out)
+	return s.Ask(ctx, kind, in, out)
 }
 
 func (n *Node) count(p *pooled, delta int) {
--- a/io/kwwire/stream.go
+++ b/io/kwwire/stream.go
@@ -114,6 +114,21 @@
 	return nil
 }
 
+// Ask sends one frame, decodes the answer into out and closes the stream.
+func (s *Stream) Ask(ctx context.Context, kind kwproto.Kind, in, out any) error {
+	defer s.Close()
+	stop := context.AfterFunc(ctx, s.Abort)
+	defer stop()
+	if err := s.Send(kind, in); err != nil {
+		return err
+	}
+	f, err := s.Recv()
+	if err != nil {
+		return err
+	}
+	return f.Expect(kwproto.KindReply, out)
+}
+
 // SendError writes an error frame.
 func (s *Stream) SendError(err error) error {
 	return s.Send(kwproto.KindError, kwproto.Failure{Error: *kwcode.Of(err)})
