--- a/core/kwstate/machine.go
+++ b/core/kwstate/machine.go
@@ -1,9 +1,8 @@
 package kwstate
 
 import (
-	"github.com/fxamacker/cbor/v2"
-
 	"knapweedproxy/core/kwcode"
+	"knapweedproxy/core/kwcodec"
 	"knapweedproxy/core/kwconfig"
 	"knapweedproxy/core/kwid"
 )
@@ -195,13 +194,13 @@
 	for id := range m.drains {
 		img.Drains = append(img.Drains, id)
 	}
-	return cbor.Marshal(img)
+	return kwcodec.Marshal(img)
 }
 
 // Restore replaces the state with a snapshot; it returns LogDamaged for bytes it cannot use.
 func (m *Machine) Restore(data []byte) error {
 	var img image
-	if err := cbor.Unmarshal(data, &img); err != nil {
+	if err := kwcodec.Unmarshal(data, &img); err != nil {
 		return kwcode.New(kwcode.LogDamaged, "the snapshot cannot be decoded: %v", err)
 	}
 	fresh := New(m.cfg)
--- a/core/kwstate/machine_test.go
+++ b/core/kwstate/machine_test.go
@@ -278,3 +278,23 @@
 		})
 	}
 }
+
+// TestFullJournalComesBack restores a snapshot with as many rows as the journal may hold.
+func TestFullJournalComesBack(t *testing.T) {
+	cfg := DefaultConfig()
+	m := New(cfg)
+	for i := range cfg.JournalRows {
+		claim(m, 1, fmt.Sprint(i), "d", "r", 0)
+	}
+	data, err := m.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := New(cfg)
+	if err := got.Restore(data); err != nil {
+		t.Fatal(err)
+	}
+	if n := len(got.Open()); n != cfg.JournalRows {
+		t.Errorf("got %d rows, want %d", n, cfg.JournalRows)
+	}
+}
--- a/io/kwagent/calls.go
+++ b/io/kwagent/calls.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"knapweedproxy/core/kwcall"
 	"knapweedproxy/core/kwcode"
 	"knapweedproxy/core/kwid"
@@ -212,6 +214,8 @@
 	}
 	wire := wireID(req.Request, req.Attempt)
 	out.Header.Set(headerRequest, wire)
+	begin := time.Now()
+	defer func() { metrics.GetOrRegisterTimer("service.call", r.registry).UpdateSince(begin) }()
 	mine, forget := r.answers.Expect(wire)
 	defer forget()
 	resp, err := transport.RoundTrip(out)
--- a/io/kwagent/role.go
+++ b/io/kwagent/role.go
@@ -4,9 +4,11 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/oklog/run"
+	"github.com/rcrowley/go-metrics"
 
 	"knapweedproxy/core/kwcall"
 	"knapweedproxy/core/kwclock"
@@ -35,6 +37,8 @@
 	EngineURL  string
 	ServiceURL string
 	Service    kwid.ServiceName
+	// HTTPListen serves health and metrics; empty means not at all.
+	HTTPListen string
 	Announce   time.Duration
 	// StepTimeout is how long a token may take before the chain's stages are probed.
 	StepTimeout time.Duration
@@ -73,6 +77,10 @@
 	cancel      context.CancelFunc
 	done        chan error
 	kick        chan struct{}
+	health      *health
+	registry    metrics.Registry
+	// announced is when control last answered an announcement, in Unix nanoseconds.
+	announced atomic.Int64
 
 	mu       sync.Mutex
 	info     kwengine.Info
@@ -98,6 +106,7 @@
 		answers:     kwmatch.New[kwstate.Response](),
 		done:        make(chan error, 1),
 		kick:        make(chan struct{}, 1),
+		registry:    metrics.NewRegistry(),
 		work:        make(map[kwid.RequestID]*work),
 		returns:     make(map[returnKey]chan kwproto.Token),
 		calls:       kwcall.New(keepCalls),
@@ -118,6 +127,14 @@
 	}
 	r.wire = wire
 	r.control = kwcontrol.NewClient(wire, cfg.Control)
+	if cfg.HTTPListen == "" {
+		return r, nil
+	}
+	r.health, err = r.openHealth(cfg.HTTPListen)
+	if err != nil {
+		wire.Close()
+		return nil, err
+	}
 	return r, nil
 }
 
@@ -158,6 +175,9 @@
 	r.cancel = cancel
 	var g run.Group
 	g.Add(func() error { return r.announce(ctx) }, func(error) { cancel() })
+	if r.health != nil {
+		g.Add(r.health.serve, func(error) { r.health.close() })
+	}
 	go func() { r.done <- g.Run() }()
 	r.deps.Events.Emit(kwevent.ProcessStarted, "", kwevent.F("role", "agent"), kwevent.F("endpoint", r.cfg.Endpoint))
 }
@@ -286,6 +306,7 @@
 	if err := r.control.Call(ctx, kwproto.KindAnnounce, kwproto.Announce{Endpoint: r.endpoint()}, &out); err != nil {
 		return err
 	}
+	r.announced.Store(time.Now().UnixNano())
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.fence = max(r.fence, out.Fence)
--- a/io/kwagent/work.go
+++ b/io/kwagent/work.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"knapweedproxy/core/kwcode"
 	"knapweedproxy/core/kwid"
 	"knapweedproxy/core/kwroute"
@@ -85,7 +87,10 @@
 	if verdict == kwstep.Replay {
 		return reply, nil
 	}
+	begin := time.Now()
 	reply, err = r.engine.Step(ctx, in)
+	metrics.GetOrRegisterTimer("engine.step", r.registry).UpdateSince(begin)
+	metrics.GetOrRegisterCounter("engine.tokens", r.registry).Inc(int64(count))
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.running = false
--- a/io/kwapp/app.go
+++ b/io/kwapp/app.go
@@ -188,6 +188,7 @@
 		Control:      a.Control,
 		EngineURL:    a.EngineURL,
 		ServiceURL:   a.ServiceURL,
+		HTTPListen:   a.HTTPListen,
 		Service:      a.Service,
 		Announce:     or(a.Announce.Std(), kwagent.DefaultAnnounce),
 		StepTimeout:  kwagent.DefaultStepTimeout,
--- a/io/kwcontrol/apply.go
+++ b/io/kwcontrol/apply.go
@@ -1,9 +1,8 @@
 package kwcontrol
 
 import (
-	"github.com/fxamacker/cbor/v2"
-
 	"knapweedproxy/core/kwcode"
+	"knapweedproxy/core/kwcodec"
 	"knapweedproxy/core/kwlog"
 	"knapweedproxy/core/kwmember"
 	"knapweedproxy/core/kwstate"
@@ -19,7 +18,7 @@
 		}
 		var command kwstate.Command
 		reply := kwstate.Reply{}
-		if err := cbor.Unmarshal(e.Data, &command); err != nil {
+		if err := kwcodec.Unmarshal(e.Data, &command); err != nil {
 			reply.Err = kwcode.New(kwcode.FrameMalformed, "%v", err)
 		} else {
 			reply = l.board.State.Apply(command)
--- a/io/kwcontrol/disk.go
+++ b/io/kwcontrol/disk.go
@@ -7,9 +7,8 @@
 	"path/filepath"
 	"strings"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"knapweedproxy/core/kwcode"
+	"knapweedproxy/core/kwcodec"
 	"knapweedproxy/core/kwid"
 	"knapweedproxy/core/kwlog"
 	"knapweedproxy/io/kwwal"
@@ -44,13 +43,13 @@
 func replay(r kwwal.Recovered) (kwlog.Restored, error) {
 	var out kwlog.Restored
 	if len(r.Snapshot) > 0 {
-		if err := cbor.Unmarshal(r.Snapshot, &out); err != nil {
+		if err := kwcodec.Unmarshal(r.Snapshot, &out); err != nil {
 			return out, kwcode.New(kwcode.LogDamaged, "the snapshot cannot be decoded: %v", err)
 		}
 	}
 	for i, data := range r.Records {
 		var record walRecord
-		if err := cbor.Unmarshal(data, &record); err != nil {
+		if err := kwcodec.Unmarshal(data, &record); err != nil {
 			return out, kwcode.New(kwcode.LogDamaged, "record %d cannot be decoded: %v", i, err)
 		}
 		if record.HardState != nil {
@@ -79,7 +78,7 @@
 }
 
 func (d *disk) save(rd kwlog.Ready) error {
-	data, err := cbor.Marshal(walRecord{HardState: rd.HardState, Entries: rd.Entries})
+	data, err := kwcodec.Marshal(walRecord{HardState: rd.HardState, Entries: rd.Entries})
 	if err != nil {
 		return kwcode.New(kwcode.DiskFailed, "encode a record: %v", err)
 	}
@@ -88,7 +87,7 @@
 
 // rewrite replaces all files by one snapshot of the member's whole disk content.
 func (d *disk) rewrite(whole kwlog.Restored) error {
-	data, err := cbor.Marshal(whole)
+	data, err := kwcodec.Marshal(whole)
 	if err != nil {
 		return kwcode.New(kwcode.DiskFailed, "encode a snapshot: %v", err)
 	}
--- a/io/kwcontrol/join_test.go
+++ b/io/kwcontrol/join_test.go
@@ -1,9 +1,17 @@
 package kwcontrol
 
 import (
+	"bytes"
+	"context"
 	"testing"
+	"time"
 
+	"knapweedproxy/core/kwclock"
 	"knapweedproxy/core/kwid"
+	"knapweedproxy/core/kwlog"
+	"knapweedproxy/io/kwkeys"
+	"knapweedproxy/io/kwproto"
+	"knapweedproxy/io/kwwire"
 )
 
 // TestVotersStaySpread requires that the loss of one availability zone leaves a quorum.
@@ -28,3 +36,61 @@
 		}
 	}
 }
+
+// TestLargeSnapshotTravelsInParts sends a snapshot larger than a frame to a receiver and compares it.
+func TestLargeSnapshotTravelsInParts(t *testing.T) {
+	state := make([]byte, 3*raftPart+12345)
+	for i := range state {
+		state[i] = byte(i * 7)
+	}
+	got := make(chan kwlog.Message, 1)
+	route := kwwire.Route{
+		Kind:  kwproto.KindRaftPart,
+		Roles: []kwkeys.Role{kwkeys.RoleControl},
+		Handle: func(_ context.Context, first kwwire.Frame, s *kwwire.Stream) error {
+			var reader raftReader
+			for f := first; ; {
+				m, err := reader.take(f)
+				if err != nil || m != nil {
+					got <- *m
+					return err
+				}
+				if f, err = s.Recv(); err != nil {
+					return err
+				}
+			}
+		},
+	}
+	keys := t.TempDir()
+	if err := kwkeys.Init(keys, time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	listen := func(node kwid.NodeID, routes ...kwwire.Route) *kwwire.Node {
+		req := kwkeys.Request{Folder: keys, Node: node, Role: kwkeys.RoleControl, Validity: time.Hour}
+		if err := kwkeys.Issue(req, time.Now()); err != nil {
+			t.Fatal(err)
+		}
+		store, err := kwkeys.Open(kwkeys.FolderConfig(keys, node))
+		if err != nil {
+			t.Fatal(err)
+		}
+		n, err := kwwire.Listen(kwwire.Config{Listen: "127.0.0.1:0", Keys: store, Clock: kwclock.New(kwclock.Config{}), Routes: routes})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(n.Close)
+		return n
+	}
+	to, from := listen("to", route), listen("from")
+	s, err := from.Open(t.Context(), to.Address(), "to")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := sendRaft(s, kwlog.Message{Kind: kwlog.MsgSnapshot, From: "from@1", Snapshot: &kwlog.Snapshot{Index: 9, State: state}}); err != nil {
+		t.Fatal(err)
+	}
+	m := <-got
+	if m.Snapshot == nil || m.Snapshot.Index != 9 || !bytes.Equal(m.Snapshot.State, state) {
+		t.Error("got another snapshot, want the one that was sent")
+	}
+}
--- a/io/kwcontrol/loop.go
+++ b/io/kwcontrol/loop.go
@@ -5,10 +5,9 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"knapweedproxy/core/kwboard"
 	"knapweedproxy/core/kwcode"
+	"knapweedproxy/core/kwcodec"
 	"knapweedproxy/core/kwid"
 	"knapweedproxy/core/kwlog"
 	"knapweedproxy/core/kwmember"
@@ -242,7 +241,7 @@
 	}
 	data := make([][]byte, 0, len(batch))
 	for i := range batch {
-		raw, err := cbor.Marshal(batch[i].command)
+		raw, err := kwcodec.Marshal(batch[i].command)
 		if err != nil {
 			raw = nil
 		}
--- a/io/kwcontrol/peers.go
+++ b/io/kwcontrol/peers.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"knapweedproxy/core/kwcode"
+	"knapweedproxy/core/kwcodec"
 	"knapweedproxy/core/kwid"
 	"knapweedproxy/core/kwlog"
 	"knapweedproxy/io/kwproto"
@@ -89,13 +90,69 @@
 	if s == nil {
 		return nil
 	}
-	if err := s.Send(kwproto.KindRaft, m); err != nil {
+	if err := sendRaft(s, m); err != nil {
 		s.Abort()
 		return nil
 	}
 	return s
 }
 
+// Sizes of log messages that travel in parts, in bytes.
+const (
+	raftPart = 4 << 20
+	maxRaft  = 512 << 20
+)
+
+// sendRaft sends a message in one frame, or one with a large snapshot in parts.
+func sendRaft(s *kwwire.Stream, m kwlog.Message) error {
+	if m.Snapshot == nil || len(m.Snapshot.State) < raftPart {
+		return s.Send(kwproto.KindRaft, m)
+	}
+	data, err := kwcodec.Marshal(m)
+	if err != nil {
+		return kwcode.New(kwcode.FrameMalformed, "%v", err)
+	}
+	for len(data) > 0 {
+		n := min(raftPart, len(data))
+		part := kwproto.RaftPart{Last: n == len(data), Data: data[:n]}
+		if err := s.Send(kwproto.KindRaftPart, part); err != nil {
+			return err
+		}
+		data = data[n:]
+	}
+	return nil
+}
+
+// raftReader puts the messages of one stream together again.
+type raftReader struct {
+	data []byte
+}
+
+// take returns the message that a frame completes, or nil while parts are missing.
+func (r *raftReader) take(f kwwire.Frame) (*kwlog.Message, error) {
+	var m kwlog.Message
+	if f.Kind != kwproto.KindRaftPart {
+		return &m, f.Expect(kwproto.KindRaft, &m)
+	}
+	var part kwproto.RaftPart
+	if err := f.Decode(&part); err != nil {
+		return nil, err
+	}
+	if len(r.data)+len(part.Data) > maxRaft {
+		return nil, kwcode.New(kwcode.FrameTooLarge, "a message of more than %d bytes", maxRaft)
+	}
+	r.data = append(r.data, part.Data...)
+	if !part.Last {
+		return nil, nil
+	}
+	err := kwcodec.Unmarshal(r.data, &m)
+	r.data = nil
+	if err != nil {
+		return nil, kwcode.New(kwcode.FrameMalformed, "%v", err)
+	}
+	return &m, nil
+}
+
 func (p *Peers) open(peer Peer) *kwwire.Stream {
 	ctx, cancel := context.WithTimeout(p.ctx, dialTimeout)
 	defer cancel()
@@ -119,15 +176,18 @@
 // receive delivers the log messages of one peer's stream to the loop.
 func (r *Role) receive(_ context.Context, first kwwire.Frame, s *kwwire.Stream) error {
 	f := first
+	var reader raftReader
 	for {
-		var m kwlog.Message
-		if err := f.Expect(kwproto.KindRaft, &m); err != nil {
+		m, err := reader.take(f)
+		if err != nil {
 			return err
 		}
-		if nodeOf(m.From) != s.Peer().Node {
+		if m != nil && nodeOf(m.From) != s.Peer().Node {
 			return kwcode.New(kwcode.PeerUnknown, "%s sent a message of %s", s.Peer().Node, m.From)
 		}
-		r.loop.Deliver(m)
+		if m != nil {
+			r.loop.Deliver(*m)
+		}
 		next, err := s.Recv()
 		if err != nil {
 			return nil
--- a/io/kwcontrol/role.go
+++ b/io/kwcontrol/role.go
@@ -142,6 +142,7 @@
 		{Kind: kwproto.KindPropose, Roles: append(entries, agents...), Handle: r.onPropose},
 		{Kind: kwproto.KindAwait, Roles: entries, Handle: r.onAwait},
 		{Kind: kwproto.KindRaft, Roles: controls, Handle: r.receive},
+		{Kind: kwproto.KindRaftPart, Roles: controls, Handle: r.receive},
 		{Kind: kwproto.KindJoin, Roles: controls, Handle: r.onJoin},
 	}
 }
--- a/io/kwproto/messages.go
+++ b/io/kwproto/messages.go
@@ -34,6 +34,7 @@
 	KindOrder    Kind = 32
 	KindRaft     Kind = 40
 	KindJoin     Kind = 41
+	KindRaftPart Kind = 42
 )
 
 // Announce renews an endpoint's lease.
@@ -212,6 +213,12 @@
 	Error kwcode.Error `cbor:"1,keyasint"`
 }
 
+// RaftPart is a piece of a log message that is too large for one frame; the parts follow each other on one stream.
+type RaftPart struct {
+	Last bool   `cbor:"1,keyasint"`
+	Data []byte `cbor:"2,keyasint"`
+}
+
 // Join asks the leader to take a control member in; Member names its node and disk.
 type Join struct {
 	Member kwid.NodeID `cbor:"1,keyasint"`
--- a/io/kwsettings/settings.go
+++ b/io/kwsettings/settings.go
@@ -51,6 +51,7 @@
 	EngineURL    string            `toml:"engine-url"`
 	ServiceURL   string            `toml:"service-url"`
 	Service      kwid.ServiceName  `toml:"service"`
+	HTTPListen   string            `toml:"http-listen"`
 	Announce     kwconfig.Duration `toml:"announce"`
 	DrainTimeout kwconfig.Duration `toml:"drain-timeout"`
 }
@@ -193,6 +194,9 @@
 	c.addresses("agent.control", a.Control)
 	c.require((a.EngineURL == "") != (a.ServiceURL == ""), kwcode.SettingsBadValue, "agent.engine-url", "set exactly one of engine-url and service-url")
 	c.require(a.ServiceURL == "" || a.Service != "", kwcode.SettingsMissing, "agent.service", "service-url needs the service's name")
+	if a.HTTPListen != "" {
+		c.address("agent.http-listen", a.HTTPListen)
+	}
 	c.span("agent.announce", a.Announce)
 	c.span("agent.drain-timeout", a.DrainTimeout)
 }
