--- a/scripts_test.go
+++ b/scripts_test.go
@@ -51,9 +51,10 @@
 			return nil
 		},
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
-			"ready": ready,
-			"http":  httpCall,
-			"fill":  fill,
+			"ready":      ready,
+			"http":       httpCall,
+			"eventually": eventually,
+			"fill":       fill,
 		},
 	})
 }
@@ -86,6 +87,28 @@
 
 // httpCall METHOD URL STATUS FILE [header...] [body] sends a request, checks the status and writes the body to FILE.
 func httpCall(ts *testscript.TestScript, neg bool, args []string) {
+	if status, body := send(ts, args); status != args[2] {
+		ts.Fatalf("got status %s, want %s; body %s", status, args[2], body)
+	}
+}
+
+// eventually is http for a request that an entry may refuse until it has heard of all endpoints.
+func eventually(ts *testscript.TestScript, neg bool, args []string) {
+	deadline := time.Now().Add(readyLimit)
+	for {
+		status, body := send(ts, args)
+		if status == args[2] {
+			return
+		}
+		if time.Now().After(deadline) {
+			ts.Fatalf("got status %s for %s, want %s; body %s", status, readyLimit, args[2], body)
+		}
+		time.Sleep(readyPeriod)
+	}
+}
+
+// send makes the request of an http line and returns the status.
+func send(ts *testscript.TestScript, args []string) (status string, reply []byte) {
 	if len(args) < 4 {
 		ts.Fatalf("usage: http METHOD URL STATUS FILE [header: value]... [body]")
 	}
@@ -108,9 +131,7 @@
 	got, err := io.ReadAll(resp.Body)
 	ts.Check(err)
 	ts.Check(os.WriteFile(ts.MkAbs(args[3]), got, 0o600))
-	if fmt.Sprint(resp.StatusCode) != args[2] {
-		ts.Fatalf("got status %d, want %s; body %s", resp.StatusCode, args[2], got)
-	}
+	return fmt.Sprint(resp.StatusCode), got
 }
 
 // fill FILE... replaces $PORTn in files by the script's ports.
