--- a/io/kwdemo/path_test.go
+++ b/io/kwdemo/path_test.go
@@ -418,3 +418,31 @@
 		t.Errorf("got it run %d times, want 1", ran)
 	}
 }
+
+// BenchmarkLeaderLoss reports how long writes are refused or wait after the leading control process is silently gone.
+func BenchmarkLeaderLoss(b *testing.B) {
+	worst := time.Duration(0)
+	for b.Loop() {
+		cfg := DefaultConfig(b.TempDir(), logr.Discard())
+		cfg.Controls = 3
+		f, err := New(cfg)
+		if err != nil {
+			b.Fatal(err)
+		}
+		write := func(key string) bool {
+			got, err := f.caller(0).Service(b.Context(), http.MethodPost, "/alerts", key, key)
+			return err == nil && got.Status == http.StatusOK
+		}
+		if !write("before") {
+			b.Fatal("got no answer before the loss")
+		}
+		f.Controls[f.LeaderIndex()].Kill()
+		begin := time.Now()
+		if err := Wait("a write", func() bool { return write("after") }); err != nil {
+			b.Fatal(err)
+		}
+		worst = max(worst, time.Since(begin))
+		f.Close()
+	}
+	b.ReportMetric(float64(worst.Milliseconds()), "worst-ms")
+}
