--- a/core/kwmember/table.go
+++ b/core/kwmember/table.go
@@ -213,6 +213,9 @@
 	return out
 }
 
+// EntryCount returns how many entries are live.
+func (t *Table) EntryCount() int { return len(t.entries) }
+
 // Place returns how many live entries come before an entry in id order, and how many there are.
 func (t *Table) Place(id kwid.NodeID) (place, entries int) {
 	for other := range t.entries {
--- a/core/kwstate/journal.go
+++ b/core/kwstate/journal.go
@@ -48,14 +48,17 @@
 	rows  map[Scope]*list.Element
 	order *list.List
 	ended *list.List
+	// unsettled indexes the rows that are granted or unknown, which are few.
+	unsettled map[Scope]*Row
 }
 
 func newJournal(cfg Config) *journal {
 	return &journal{
-		cfg:   cfg,
-		rows:  make(map[Scope]*list.Element),
-		order: list.New(),
-		ended: list.New(),
+		cfg:       cfg,
+		rows:      make(map[Scope]*list.Element),
+		order:     list.New(),
+		ended:     list.New(),
+		unsettled: make(map[Scope]*Row),
 	}
 }
 
@@ -77,15 +80,26 @@
 func (j *journal) end(row *Row, state RowState, now int64) {
 	row.State = state
 	row.Ended = now
+	j.index(row)
 	j.ended.PushBack(ending{scope: row.Scope, at: now})
 }
 
 func (j *journal) insert(row Row) *Row {
 	kept := &row
 	j.rows[row.Scope] = j.order.PushBack(kept)
+	j.index(kept)
 	return kept
 }
 
+// index keeps the unsettled rows in step with a row's state.
+func (j *journal) index(row *Row) {
+	if row.State == RowGranted || row.State == RowUnknown {
+		j.unsettled[row.Scope] = row
+		return
+	}
+	delete(j.unsettled, row.Scope)
+}
+
 func (j *journal) find(s Scope) *Row {
 	elem, ok := j.rows[s]
 	if !ok {
@@ -110,15 +124,22 @@
 	return out
 }
 
-// inState lists the rows in a state, in claim order.
+// inState lists the rows that are granted or unknown, in the order of their claims.
 func (j *journal) inState(s RowState) []Row {
 	var out []Row
-	for e := j.order.Front(); e != nil; e = e.Next() {
-		row := e.Value.(*Row)
+	for _, row := range j.unsettled {
 		if row.State == s {
 			out = append(out, *row)
 		}
 	}
+	slices.SortFunc(out, func(a, b Row) int {
+		return cmp.Or(
+			cmp.Compare(a.Claimed, b.Claimed),
+			cmp.Compare(a.Scope.Workspace, b.Scope.Workspace),
+			cmp.Compare(a.Scope.Service, b.Scope.Service),
+			cmp.Compare(a.Scope.Key, b.Scope.Key),
+		)
+	})
 	return out
 }
 
@@ -144,6 +165,7 @@
 	}
 	j.order.Remove(elem)
 	delete(j.rows, s)
+	delete(j.unsettled, s)
 }
 
 // claim answers from the row, or grants a new attempt unless barred says that the site may not run one.
@@ -199,6 +221,7 @@
 	row.State = RowGranted
 	row.Claimed = now
 	row.Ended = 0
+	j.index(row)
 	return answer(row, true)
 }
 
--- a/core/kwstate/machine.go
+++ b/core/kwstate/machine.go
@@ -36,7 +36,6 @@
 // Machine holds the state; it is owned by one goroutine.
 type Machine struct {
 	cfg      Config
-	applied  uint64
 	fence    kwid.Fence
 	revision kwid.Revision
 	source   kwconfig.Source
@@ -59,7 +58,6 @@
 
 // Apply runs one command; equal command sequences give equal states and replies.
 func (m *Machine) Apply(c Command) Reply {
-	m.applied++
 	m.journal.expire(c.Time)
 	switch {
 	case c.Boot != nil:
@@ -132,9 +130,6 @@
 	return Reply{}
 }
 
-// Applied returns how many commands have been applied since the first.
-func (m *Machine) Applied() uint64 { return m.applied }
-
 // Fence returns the present fencing number.
 func (m *Machine) Fence() kwid.Fence { return m.fence }
 
@@ -170,7 +165,6 @@
 
 // image is the snapshot format.
 type image struct {
-	Applied  uint64            `cbor:"1,keyasint"`
 	Fence    kwid.Fence        `cbor:"2,keyasint"`
 	Revision kwid.Revision     `cbor:"3,keyasint"`
 	Source   kwconfig.Source   `cbor:"4,keyasint"`
@@ -183,7 +177,6 @@
 // Snapshot encodes the whole state.
 func (m *Machine) Snapshot() ([]byte, error) {
 	img := image{
-		Applied:  m.applied,
 		Fence:    m.fence,
 		Revision: m.revision,
 		Source:   m.source,
@@ -211,7 +204,6 @@
 		}
 		fresh.fleet = fleet
 	}
-	fresh.applied = img.Applied
 	fresh.fence = img.Fence
 	fresh.revision = img.Revision
 	fresh.source = img.Source
--- a/core/kwstate/machine_test.go
+++ b/core/kwstate/machine_test.go
@@ -298,3 +298,24 @@
 		t.Errorf("got %d rows, want %d", n, cfg.JournalRows)
 	}
 }
+
+// BenchmarkOpen lists the few open rows of a large journal, as the control goroutine does at each tick.
+func BenchmarkOpen(b *testing.B) {
+	for _, rows := range []int{1000, 10_000, 100_000} {
+		b.Run(fmt.Sprintf("rows-%d", rows), func(b *testing.B) {
+			m := New(DefaultConfig())
+			for i := range rows {
+				key := fmt.Sprint(i)
+				claim(m, 1, key, "d", "r", 0)
+				if i > 10 {
+					outcome(m, 1, key, 1, 200)
+				}
+			}
+			for b.Loop() {
+				if got := len(m.Open()); got != 11 {
+					b.Fatalf("got %d open rows, want 11", got)
+				}
+			}
+		})
+	}
+}
--- a/io/kwcontrol/loop.go
+++ b/io/kwcontrol/loop.go
@@ -369,7 +369,7 @@
 // publish wakes the watchers when an entry would see another view.
 func (l *Loop) publish() {
 	version, revision := l.board.Members.Version(), l.board.State.Revision()
-	entries := len(l.board.Members.Entries())
+	entries := l.board.Members.EntryCount()
 	owners := l.board.State.OwnerVersion()
 	if version == l.version && revision == l.revision && entries == l.entries && owners == l.owners {
 		return
--- a/io/kwdemo/controls.go
+++ b/io/kwdemo/controls.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"net/http"
 	"path/filepath"
 	"time"
 
@@ -144,6 +145,6 @@
 // Status asks a control process for its status.
 func (f *Fleet) Status(i int) (kwcontrol.StatusReply, error) {
 	var out kwcontrol.StatusReply
-	err := f.get(f.admins[i]+"/admin/status", &out)
+	err := f.operator().Once(f.admins[i], http.MethodGet, "/admin/status", nil, &out)
 	return out, err
 }
--- a/io/kwstandin/records.go
+++ b/io/kwstandin/records.go
@@ -146,9 +146,6 @@
 // CountsURL returns the address that tells how often each write ran.
 func (r *Records) CountsURL() string { return r.URL() + "/stand-in/counts" }
 
-// Ledger returns the store that the server writes to.
-func (r *Records) Ledger() *Ledger { return r.cfg.Ledger }
-
 // SetFaults switches faults on or off.
 func (r *Records) SetFaults(f Faults) { r.faults.set(f) }
 
--- a/io/kwwire/node.go
+++ b/io/kwwire/node.go
@@ -354,13 +354,6 @@
 	}
 }
 
-// Connections returns how many outgoing connections are open.
-func (n *Node) Connections() int {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return len(n.conns)
-}
-
 // Wait blocks until no incoming stream is being served, or the context ends.
 func (n *Node) Wait(ctx context.Context) {
 	done := make(chan struct{})
