Compare the content of key files, not their time of change

Cause: kwkeys.Store read its key pair again when the certificate file's time of change differed. Two writes within one tick of the file system's clock bear the same time, so a pair renewed right after it was issued stayed out of use for good. A renewal between the read and the stat had the same effect. Ruled out: connections kept by the transport (each attempt of the test dials anew).

--- a/io/kwkeys/store.go
+++ b/io/kwkeys/store.go
@@ -1,6 +1,7 @@
 package kwkeys
 
 import (
+	"bytes"
 	"crypto/tls"
 	"crypto/x509"
 	"os"
@@ -38,12 +39,35 @@
 
 // Store serves the process's key pair to TLS and reads it again after the files change.
 type Store struct {
-	cfg     Config
-	mu      sync.Mutex
-	pair    *tls.Certificate
-	self    Identity
-	changed time.Time
-	roots   *x509.CertPool
+	cfg   Config
+	mu    sync.Mutex
+	files keyFiles
+	pair  *tls.Certificate
+	self  Identity
+	roots *x509.CertPool
+}
+
+// keyFiles is the content of a key pair's files. Content decides whether they changed: two writes within one tick of
+// the file system's clock bear the same time.
+type keyFiles struct {
+	certificate []byte
+	key         []byte
+}
+
+func readKeyFiles(cfg Config) (keyFiles, error) {
+	certificate, err := os.ReadFile(cfg.Certificate)
+	if err != nil {
+		return keyFiles{}, kwcode.New(kwcode.KeyFileBad, "%v", err)
+	}
+	key, err := os.ReadFile(cfg.Key)
+	if err != nil {
+		return keyFiles{}, kwcode.New(kwcode.KeyFileBad, "%v", err)
+	}
+	return keyFiles{certificate: certificate, key: key}, nil
+}
+
+func (f keyFiles) equal(other keyFiles) bool {
+	return bytes.Equal(f.certificate, other.certificate) && bytes.Equal(f.key, other.key)
 }
 
 // Open reads the files; it returns KeyFileBad for files that cannot be used.
@@ -60,8 +84,16 @@
 	return s, nil
 }
 
+// reload takes the files into use if they differ from those in use and belong together.
 func (s *Store) reload() error {
-	pair, err := tls.LoadX509KeyPair(s.cfg.Certificate, s.cfg.Key)
+	files, err := readKeyFiles(s.cfg)
+	if err != nil {
+		return err
+	}
+	if s.pair != nil && files.equal(s.files) {
+		return nil
+	}
+	pair, err := tls.X509KeyPair(files.certificate, files.key)
 	if err != nil {
 		return kwcode.New(kwcode.KeyFileBad, "%s: %v", s.cfg.Certificate, err)
 	}
@@ -69,27 +101,15 @@
 	if err != nil {
 		return kwcode.New(kwcode.KeyFileBad, "%s: %v", s.cfg.Certificate, err)
 	}
-	s.pair = &pair
-	s.self = identityOf(leaf)
-	s.changed = modified(s.cfg.Certificate)
+	s.files, s.pair, s.self = files, &pair, identityOf(leaf)
 	return nil
 }
 
-func modified(path string) time.Time {
-	info, err := os.Stat(path)
-	if err != nil {
-		return time.Time{}
-	}
-	return info.ModTime()
-}
-
-// current returns the newest usable key pair; files that are half renewed keep the old pair in use.
+// current returns the newest usable key pair; files that are missing or half renewed keep the old pair in use.
 func (s *Store) current() *tls.Certificate {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !modified(s.cfg.Certificate).Equal(s.changed) {
-		_ = s.reload()
-	}
+	_ = s.reload()
 	return s.pair
 }
 
