Run the scenarios of io/kwdemo four at a time, one under the race detector

Cause: 24 scenarios of io/kwdemo wait for leases one after the other, 146 s of the 160 s of 'go test ./...'. Six at a time beside a busy machine ran out of processor under the race detector. A place is now taken by each fleet: four without the race detector, which need half a processor together, one with it. No check changed.

--- a/io/kwdemo/scenario_test.go
+++ b/io/kwdemo/scenario_test.go
@@ -20,9 +20,15 @@
 	"knapweedproxy/io/kwstandin"
 )
 
-// start runs a demonstration fleet for a test.
+// places bounds how many fleets run at once.
+var places = make(chan struct{}, fleetsAtOnce)
+
+// start runs a demonstration fleet for a test, beside those of other tests; a test has one fleet.
 func start(t *testing.T, change func(*Config)) *Fleet {
 	t.Helper()
+	t.Parallel()
+	places <- struct{}{}
+	t.Cleanup(func() { <-places })
 	cfg := DefaultConfig(t.TempDir(), logr.Discard())
 	if change != nil {
 		change(&cfg)
