Find a lost stage by connecting to it, and tell control

Ruled out: election, view age, budget of retries (none spent). Change: the endpoints of a chain that is silent for three usual pauses (100 ms at least) are connected to, at most every 300 ms each; those that refuse, or stay silent while others of the chain answer, are left at once with all their streams. Two entries that are refused make the endpoint lost until its next heartbeat (TestRosterRefusal). A server at the address of one that has ended gets its layers at once. The fleet of an engine that is described anew is planned anew.

--- a/core/kwmember/roster.go
+++ b/core/kwmember/roster.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -33,6 +34,10 @@
 	State        State        `cbor:"2,keyasint"`
 	Version      uint64       `cbor:"3,keyasint"`
 	heard        time.Time
+	// refused holds when entries said that the endpoint refuses connections, since its last heartbeat.
+	refused map[kwid.NodeID]time.Time
+	// trusted is until when such words do not count, since a heartbeat has proved them wrong.
+	trusted time.Time
 }
 
 // RosterConfig sets how long rows live; Lease without a heartbeat makes an endpoint lost, Keep is how long rows of
@@ -93,6 +98,7 @@
 	if old != nil && same(old, a) {
 		old.Announcement.Sequence = a.Sequence
 		old.heard = now
+		clear(old.refused)
 		return Renewed
 	}
 	r.put(now, a)
@@ -138,11 +144,44 @@
 		delete(r.byPlace, old.Announcement.Address)
 	}
 	row := &Row{Announcement: a, heard: now}
+	if old, ok := r.rows[a.ID]; ok && old.Announcement.Born == a.Born {
+		row.trusted = old.trusted
+		if old.State == Lost && len(old.refused) > 0 {
+			row.trusted = now.Add(refusalTrust)
+		}
+	}
 	r.rows[a.ID] = row
 	r.byPlace[a.Address] = a.ID
 	r.mark(row, stateOf(a))
 }
 
+const (
+	// refusalTime is how long an entry's word that an endpoint refuses connections counts: several rounds of probes.
+	refusalTime = time.Second
+	// refusalTrust is how long such words do not count after a heartbeat has proved them wrong, so that entries that are cut
+	// off from a sound endpoint do not make it come and go.
+	refusalTrust = 10 * time.Second
+)
+
+// Refuse takes an entry's word that one life of an endpoint refuses connections. Once as many entries as wanted say so at
+// the same time, the endpoint is lost until its next heartbeat; Refuse then reports true.
+func (r *Roster) Refuse(now time.Time, id kwid.EndpointID, born BirthMillis, by kwid.NodeID, wanted int) bool {
+	row, ok := r.rows[id]
+	if !ok || row.Announcement.Born != born || row.State != Live && row.State != Leaving || now.Before(row.trusted) {
+		return false
+	}
+	if row.refused == nil {
+		row.refused = make(map[kwid.NodeID]time.Time)
+	}
+	row.refused[by] = now
+	maps.DeleteFunc(row.refused, func(_ kwid.NodeID, at time.Time) bool { return now.Sub(at) > refusalTime })
+	if len(row.refused) < wanted {
+		return false
+	}
+	r.mark(row, Lost)
+	return true
+}
+
 func (r *Roster) mark(row *Row, s State) {
 	r.version++
 	row.State = s
--- a/core/kwmember/roster_test.go
+++ b/core/kwmember/roster_test.go
@@ -137,3 +137,40 @@
 		t.Errorf("a successor at the address: got %q, want %q", got, Accepted)
 	}
 }
+
+// TestRosterRefusal replays a crash and a cut between some entries and a sound endpoint: two entries that are refused
+// connections make it lost at once, one alone does not, and a heartbeat brings it back for good.
+func TestRosterRefusal(t *testing.T) {
+	now := time.Unix(100, 0)
+	r := NewRoster(rosterCfg)
+	r.Announce(now, beat("e1", "x:1", 10, 1))
+	steps := []struct {
+		name  string
+		after time.Duration
+		do    func(now time.Time) bool
+		want  bool
+		state State
+	}{
+		{"one entry", 0, func(now time.Time) bool { return r.Refuse(now, "e1", 10, "a", 2) }, false, Live},
+		{"the same entry", 0, func(now time.Time) bool { return r.Refuse(now, "e1", 10, "a", 2) }, false, Live},
+		{"another, of an earlier life", 0, func(now time.Time) bool { return r.Refuse(now, "e1", 9, "b", 2) }, false, Live},
+		{"another, too late", 2 * time.Second, func(now time.Time) bool { return r.Refuse(now, "e1", 10, "b", 2) }, false, Live},
+		{"both", 0, func(now time.Time) bool { return r.Refuse(now, "e1", 10, "a", 2) }, true, Lost},
+		{"a heartbeat", 0, func(now time.Time) bool { return r.Announce(now, beat("e1", "x:1", 10, 2)) == Accepted }, true, Live},
+		{"one entry again", 0, func(now time.Time) bool { return r.Refuse(now, "e1", 10, "a", 2) }, false, Live},
+		{"both again, soon after", 0, func(now time.Time) bool { return r.Refuse(now, "e1", 10, "b", 2) }, false, Live},
+		{"one entry, long after", 20 * time.Second, func(now time.Time) bool { return r.Refuse(now, "e1", 10, "a", 2) }, false, Live},
+		{"a heartbeat between", 0, func(now time.Time) bool { return r.Announce(now, beat("e1", "x:1", 10, 3)) == Renewed }, true, Live},
+		{"another entry after it", 0, func(now time.Time) bool { return r.Refuse(now, "e1", 10, "b", 2) }, false, Live},
+		{"an endpoint that nobody knows", 0, func(now time.Time) bool { return r.Refuse(now, "e9", 10, "b", 1) }, false, Live},
+	}
+	for _, s := range steps {
+		now = now.Add(s.after)
+		if got := s.do(now); got != s.want {
+			t.Errorf("%s: got %t, want %t", s.name, got, s.want)
+		}
+		if got := stateOfRow(t, r, "e1"); got != s.state {
+			t.Errorf("%s: state got %q, want %q", s.name, got, s.state)
+		}
+	}
+}
--- a/io/kwevent/catalogue.go
+++ b/io/kwevent/catalogue.go
@@ -26,6 +26,7 @@
 	ReadyChanged        ID = 214
 	RequestQueued       ID = 215
 	CallerGone          ID = 216
+	RefusalUnreported   ID = 217
 	SessionStarted      ID = 301
 	SessionEnded        ID = 302
 	StageStarted        ID = 303
@@ -104,6 +105,7 @@
 	{ReadyChanged, "ready-changed", levelInfo, "An entry became ready for callers, or stopped being so."},
 	{RequestQueued, "request-queued", levelDetail, "A request waits for room on model servers."},
 	{CallerGone, "caller-gone", levelInfo, "A caller left before its answer was complete; the work was cancelled."},
+	{RefusalUnreported, "refusal-unreported", levelInfo, "An entry could not tell control that an endpoint refuses connections."},
 	{SessionStarted, "session-started", levelDetail, "The first stage of a chain began an attempt."},
 	{SessionEnded, "session-ended", levelDetail, "The first stage of a chain ended an attempt."},
 	{StageStarted, "stage-started", levelDetail, "A later stage of a chain began an attempt."},
@@ -119,7 +121,7 @@
 	{OrderRun, "order-run", levelInfo, "An engine took an order."},
 	{EndpointJoined, "endpoint-joined", levelInfo, "An endpoint announced itself."},
 	{EndpointLeaving, "endpoint-leaving", levelInfo, "An endpoint is draining."},
-	{EndpointLost, "endpoint-lost", levelInfo, "An endpoint let its lease run out."},
+	{EndpointLost, "endpoint-lost", levelInfo, "An endpoint let its lease run out, or refuses connections."},
 	{EndpointGone, "endpoint-gone", levelInfo, "An endpoint left after a graceful shutdown."},
 	{RevisionAccepted, "revision-accepted", levelInfo, "A configuration revision was accepted."},
 	{RevisionRefused, "revision-refused", levelInfo, "A configuration change was refused."},
--- a/io/kwgate/active.go
+++ b/io/kwgate/active.go
@@ -1,13 +1,12 @@
 package kwgate
 
 import (
-	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"knapweedproxy/core/kwchain"
 	"knapweedproxy/core/kwid"
-	"knapweedproxy/io/kwevent"
 	"knapweedproxy/io/kwrelay"
 )
 
@@ -19,23 +18,48 @@
 
 // watchedStream is one attempt of a stream; its timer runs out when no event has come for a while.
 type watchedStream struct {
-	conn    *kwrelay.Conn
-	timer   *time.Timer
-	suspect time.Duration
-	blamed  kwid.EndpointID
+	conn  *kwrelay.Conn
+	chain kwchain.Chain
+	timer *time.Timer
+	// patience is how long the stream may be silent until its chain is probed, then until its first endpoint is asked.
+	patience patience
+	// heard is when the last event came, in Unix nanoseconds.
+	heard  atomic.Int64
+	blamed kwid.EndpointID
 }
 
-// watch begins to watch an attempt; ask is called each time it has been silent for the given time.
-func (a *active) watch(id kwid.RequestID, c *kwrelay.Conn, ask func(), suspect time.Duration) *watchedStream {
-	w := &watchedStream{conn: c, suspect: suspect}
+// patience is how long a stream may be silent.
+type patience struct {
+	// probe is the silence after which the chain's endpoints are probed.
+	probe time.Duration
+	// ask is the silence after which its first endpoint is asked who holds it up.
+	ask time.Duration
+}
+
+// silenceActions are what is done about a silent chain.
+type silenceActions struct {
+	probe, ask func(kwchain.Chain)
+}
+
+// watch begins to watch an attempt: its chain is probed, and then its first endpoint is asked, again and again while it is
+// silent.
+func (a *active) watch(id kwid.RequestID, c *kwrelay.Conn, chain kwchain.Chain, p patience, do silenceActions) *watchedStream {
+	w := &watchedStream{conn: c, chain: chain, patience: p}
+	w.heard.Store(time.Now().UnixNano())
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	w.timer = time.AfterFunc(suspect, func() {
-		ask()
+	w.timer = time.AfterFunc(p.probe, func() {
+		do.probe(chain)
+		next := askPeriod
+		if silent := w.silence(); silent >= p.ask {
+			do.ask(chain)
+		} else {
+			next = p.ask - silent
+		}
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		if a.streams[id] == w {
-			w.timer.Reset(askPeriod)
+			w.timer.Reset(next)
 		}
 	})
 	if a.streams == nil {
@@ -46,7 +70,14 @@
 }
 
 // progress notes an event.
-func (w *watchedStream) progress() { w.timer.Reset(w.suspect) }
+func (w *watchedStream) progress() {
+	w.heard.Store(time.Now().UnixNano())
+	w.timer.Reset(w.patience.probe)
+}
+
+func (w *watchedStream) silence() time.Duration {
+	return time.Duration(time.Now().UnixNano() - w.heard.Load())
+}
 
 // leave ends the watch.
 func (a *active) leave(id kwid.RequestID, w *watchedStream) {
@@ -78,32 +109,15 @@
 	}
 }
 
-// blame asks the first endpoint of a silent chain which requests are held up and by whom, turns away from the endpoints
-// at fault and moves the requests that wait for them.
-func (g *Gate) blame(chain kwchain.Chain) {
-	first := chain.First()
-	if !g.chooser.askOnce(first.Endpoint, time.Now()) {
-		return
-	}
-	g.background(func() {
-		ctx, cancel := context.WithTimeout(g.ctx, blameTimeout)
-		defer cancel()
-		stalls, err := g.deps.Stalls.Stalled(ctx, first.Address)
-		if err != nil {
-			stalls = []Stall{{Address: first.Address}}
-		}
-		ejected := make(map[string]kwid.EndpointID)
-		for _, s := range stalls {
-			id, known := ejected[s.Address]
-			if !known {
-				if id, known = g.chooser.failAt(time.Now(), s.Address); !known {
-					continue
-				}
-				ejected[s.Address] = id
-				g.deps.Events.Emit(kwevent.EndpointEjected, "", kwevent.F("endpoint", id), kwevent.F("address", s.Address),
-					kwevent.F("cause", "holds up a chain"), kwevent.F("first", first.Endpoint), kwevent.F("asked", err == nil))
-			}
-			g.active.breakOff(s.Request, id)
+// breakOffAll ends the attempts whose chains use an endpoint and that have been silent for long enough to be probed, or
+// all of them if the endpoint is known to be lost.
+func (a *active) breakOffAll(at kwid.EndpointID, lost bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, w := range a.streams {
+		if w.blamed == "" && w.chain.Uses(at) && (lost || w.silence() >= w.patience.probe) {
+			w.blamed = at
+			w.conn.Close()
 		}
-	})
+	}
 }
--- /dev/null
+++ b/io/kwgate/blame.go
@@ -0,0 +1,136 @@
+package kwgate
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"knapweedproxy/core/kwchain"
+	"knapweedproxy/core/kwid"
+	"knapweedproxy/io/kwevent"
+	"knapweedproxy/io/kwrelay"
+	"knapweedproxy/io/kwview"
+)
+
+// blame asks the first endpoint of a silent chain which requests are held up and by whom, turns away from the endpoints
+// at fault and moves the requests that wait for them.
+func (g *Gate) blame(chain kwchain.Chain) {
+	first := chain.First()
+	if !g.chooser.asked.allow(first.Endpoint, time.Now()) {
+		return
+	}
+	g.background(func() {
+		ctx, cancel := context.WithTimeout(g.ctx, blameTimeout)
+		defer cancel()
+		stalls, err := g.deps.Stalls.Stalled(ctx, first.Address)
+		if err != nil {
+			stalls = []Stall{{Address: first.Address}}
+		}
+		ejected := make(map[string]kwid.EndpointID)
+		for _, s := range stalls {
+			id, known := ejected[s.Address]
+			if !known {
+				if id, known = g.chooser.failAt(time.Now(), s.Address); !known {
+					continue
+				}
+				ejected[s.Address] = id
+				g.deps.Events.Emit(kwevent.EndpointEjected, "", kwevent.F("endpoint", id), kwevent.F("address", s.Address),
+					kwevent.F("cause", "holds up a chain"), kwevent.F("first", first.Endpoint), kwevent.F("asked", err == nil))
+			}
+			g.active.breakOff(s.Request, id)
+		}
+	})
+}
+
+// probe connects to the endpoints of a silent chain, turns away from those at fault and moves their streams. An engine
+// notices a lost stage after seconds, and its report lags behind; a connection is refused at once.
+func (g *Gate) probe(chain kwchain.Chain) {
+	var due []kwchain.Part
+	for _, p := range chain.Parts {
+		if g.chooser.probed.allow(p.Endpoint, time.Now()) {
+			due = append(due, p)
+		}
+	}
+	if len(due) == 0 {
+		return
+	}
+	g.background(func() { g.judge(due) })
+}
+
+// judge connects to parts of a chain and turns away from those at fault.
+func (g *Gate) judge(parts []kwchain.Part) {
+	reach := g.probeParts(parts)
+	for _, i := range kwchain.Faults(reach) {
+		g.turnFrom(parts[i], reach[i])
+	}
+}
+
+func (g *Gate) probeParts(parts []kwchain.Part) []kwchain.Reach {
+	reach := make([]kwchain.Reach, len(parts))
+	var all sync.WaitGroup
+	for i, p := range parts {
+		all.Go(func() { reach[i] = kwrelay.Probe(g.ctx, p.Address) })
+	}
+	all.Wait()
+	return reach
+}
+
+// turnFrom takes a probe's word that an endpoint is lost or silent.
+func (g *Gate) turnFrom(p kwchain.Part, reach kwchain.Reach) {
+	lost := reach == kwchain.Refused
+	g.chooser.fail(time.Now(), p.Endpoint)
+	g.deps.Events.Emit(kwevent.EndpointEjected, "", kwevent.F("endpoint", p.Endpoint), kwevent.F("address", p.Address),
+		kwevent.F("cause", "probed in a silent chain"), kwevent.F("refused", lost))
+	g.active.breakOffAll(p.Endpoint, lost)
+	if lost {
+		g.reportRefusal(p.Endpoint)
+	}
+}
+
+// reportRefusal tells control that an endpoint refuses connections, so that the others need not find out by themselves
+// and its layers are placed anew.
+func (g *Gate) reportRefusal(id kwid.EndpointID) {
+	row, known := g.view.Load().endpoints[id]
+	if !known {
+		return
+	}
+	ctx, cancel := context.WithTimeout(g.ctx, reportTimeout)
+	defer cancel()
+	req := kwview.Refusal{Entry: g.cfg.Node, Endpoint: id, Born: row.Announcement.Born}
+	if err := g.leader.Call(ctx, kwview.KindRefusal, req, nil, 0); err != nil {
+		// The lease of the endpoint runs out anyway.
+		g.deps.Events.Emit(kwevent.RefusalUnreported, "", kwevent.F("endpoint", id), kwevent.F("error", err.Error()))
+	}
+}
+
+// pacer lets an action on an endpoint through once in a period; it is safe for concurrent use.
+type pacer struct {
+	period time.Duration
+	mu     sync.Mutex
+	last   map[kwid.EndpointID]time.Time
+}
+
+func newPacer(period time.Duration) *pacer {
+	return &pacer{period: period, last: make(map[kwid.EndpointID]time.Time)}
+}
+
+func (p *pacer) allow(id kwid.EndpointID, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now.Sub(p.last[id]) < p.period {
+		return false
+	}
+	p.last[id] = now
+	return true
+}
+
+// keep forgets the endpoints that are no longer known.
+func (p *pacer) keep(known func(kwid.EndpointID) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id := range p.last {
+		if !known(id) {
+			delete(p.last, id)
+		}
+	}
+}
--- /dev/null
+++ b/io/kwgate/blame_test.go
@@ -0,0 +1,106 @@
+package kwgate
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"knapweedproxy/core/kwchain"
+	"knapweedproxy/core/kwid"
+	"knapweedproxy/core/kwmember"
+	"knapweedproxy/io/kwrelay"
+)
+
+// closedAddress returns an address at which nothing listens.
+func closedAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// setModels replaces the model servers of a gate.
+func setModels(g *Gate, models ...kwmember.Announcement) {
+	v := *g.view.Load()
+	v.endpoints = make(map[kwid.EndpointID]kwmember.Row)
+	for _, a := range models {
+		a.Service, a.Zone, a.Accelerator = "llm", "a", "fast"
+		v.endpoints[a.ID] = kwmember.Row{State: kwmember.Live, Announcement: a}
+	}
+	v.group()
+	g.view.Store(&v)
+	g.chooser.update(&v, nil)
+}
+
+// TestStreamLeavesALostStage replays the crash of the second stage of a chain in the middle of a stream: the first stage
+// keeps its connection open and says nothing, and the stream goes on elsewhere as soon as the second stage is found to
+// refuse connections, long before the route's pause objective of 10 s has passed.
+func TestStreamLeavesALostStage(t *testing.T) {
+	silent := make(chan struct{})
+	t.Cleanup(func() { close(silent) })
+	first := serveRaw(t, func(w io.Writer, id string) bool {
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n7\r\nid: 1\n\n\r\n", id)
+		<-silent
+		return false
+	})
+	whole := serveRaw(t, func(w io.Writer, id string) bool {
+		_, err := fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n7\r\nid: 2\n\n\r\n0\r\n\r\n", id)
+		return err == nil
+	})
+	g := testGate(t, first, "127.0.0.1:1")
+	lost := kwmember.Announcement{ID: "lost", Address: closedAddress(t), Layers: kwid.LayerRange{From: 4, To: 8}}
+	setModels(g, kwmember.Announcement{ID: "first", Address: first, Layers: kwid.LayerRange{To: 4}}, lost)
+	time.AfterFunc(10*time.Millisecond, func() {
+		setModels(g, kwmember.Announcement{ID: "first", Address: first, Layers: kwid.LayerRange{To: 4}}, lost,
+			kwmember.Announcement{ID: "whole", Address: whole, Layers: kwid.LayerRange{To: 8}})
+	})
+	client := &http.Client{Timeout: 8 * time.Second}
+	status, body := ask(t, client, g, "/notes/x", "q1")
+	if want := "id: 1\n\nid: 2\n\n"; status != http.StatusOK || body != want {
+		t.Errorf("got %d %q, want %q", status, body, want)
+	}
+	if !g.chooser.eject.Out(time.Now(), "lost") {
+		t.Error("the stage that refuses connections is not ejected")
+	}
+	if g.chooser.eject.Out(time.Now(), "first") {
+		t.Error("the sound first stage is ejected")
+	}
+}
+
+// TestSilentAlone replays an entry that is cut off: no endpoint answers, and none is blamed for it.
+func TestSilentAlone(t *testing.T) {
+	g := testGate(t, closedAddress(t), "127.0.0.1:1")
+	g.cancel()
+	g.judge([]kwchain.Part{{Endpoint: "m", Address: "127.0.0.1:1", Layers: kwid.LayerRange{To: 8}}})
+	if g.chooser.eject.Out(time.Now(), "m") {
+		t.Error("got an endpoint blamed by a gate that reaches none, want none")
+	}
+}
+
+func TestProbe(t *testing.T) {
+	open := serveRaw(t, func(io.Writer, string) bool { return false })
+	gone, cancel := context.WithCancel(t.Context())
+	cancel()
+	cases := []struct {
+		name    string
+		ctx     context.Context
+		address string
+		want    kwchain.Reach
+	}{
+		{"open", t.Context(), open, kwchain.Open},
+		{"refused", t.Context(), closedAddress(t), kwchain.Refused},
+		{"no answer", gone, open, kwchain.Silent},
+	}
+	for _, c := range cases {
+		if got := kwrelay.Probe(c.ctx, c.address); got != c.want {
+			t.Errorf("%s: got %d, want %d", c.name, got, c.want)
+		}
+	}
+}
--- a/io/kwgate/chooser.go
+++ b/io/kwgate/chooser.go
@@ -27,7 +27,8 @@
 	eject   *kwretry.Ejector
 	queue   *kwadmit.Queue
 	wake    map[*kwadmit.Ticket]chan struct{}
-	asked   map[kwid.EndpointID]time.Time
+	// asked and probed bound how often an endpoint is asked who holds up its chains, and probed.
+	asked, probed *pacer
 	// latency estimates the wait for the first event by the first endpoint of a chain.
 	latency map[kwid.EndpointID]*kwadmit.Latency
 	// first is when the first view came, peers how many entries there are for each availability zone.
@@ -45,7 +46,8 @@
 		eject:   kwretry.NewEjector(cfg.Eject),
 		queue:   kwadmit.NewQueue(cfg.Admit),
 		wake:    make(map[*kwadmit.Ticket]chan struct{}),
-		asked:   make(map[kwid.EndpointID]time.Time),
+		asked:   newPacer(askPeriod),
+		probed:  newPacer(askPeriod),
 		latency: make(map[kwid.EndpointID]*kwadmit.Latency),
 	}
 }
@@ -64,10 +66,10 @@
 		c.byPlace[row.Announcement.Address] = id
 	}
 	clear(c.others)
-	maps.DeleteFunc(c.latency, func(id kwid.EndpointID, _ *kwadmit.Latency) bool {
-		_, known := v.endpoints[id]
-		return !known
-	})
+	known := func(id kwid.EndpointID) bool { _, ok := v.endpoints[id]; return ok }
+	maps.DeleteFunc(c.latency, func(id kwid.EndpointID, _ *kwadmit.Latency) bool { return !known(id) })
+	c.asked.keep(known)
+	c.probed.keep(known)
 	for _, l := range loads {
 		c.others[l.Endpoint] = l
 	}
@@ -256,18 +258,3 @@
 		c.eject.Succeed(p.Endpoint)
 	}
 }
-
-// askPeriod bounds how often the first endpoint of a chain is asked who holds it up; its report lags by some hundred
-// milliseconds.
-const askPeriod = 300 * time.Millisecond
-
-// askOnce tells whether to ask a first endpoint now.
-func (c *chooser) askOnce(id kwid.EndpointID, now time.Time) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if now.Sub(c.asked[id]) < askPeriod {
-		return false
-	}
-	c.asked[id] = now
-	return true
-}
--- a/io/kwgate/config.go
+++ b/io/kwgate/config.go
@@ -78,6 +78,15 @@
 	suspectPauses = 1.5
 	// leastSuspect bounds that time from below: a pass of a loaded engine takes a tenth of a second.
 	leastSuspect = 250 * time.Millisecond
+	// probePauses is how many usual pauses of a chain may pass without an event until its endpoints are probed.
+	probePauses = 3
+	// leastProbe bounds that time from below: half the pause that callers usually bear, so that a stream whose stage was lost
+	// can go on elsewhere before its caller notices, and more than prompts that are read in between take.
+	leastProbe = 100 * time.Millisecond
+	// askPeriod bounds how often an endpoint is asked or probed; its report lags by some hundred milliseconds.
+	askPeriod = 300 * time.Millisecond
+	// reportTimeout bounds the report of a refusal.
+	reportTimeout = time.Second
 	// leastPause bounds the wait between events from below where a route declares no pause.
 	leastPause = 500 * time.Millisecond
 	// plainShare is the share of the time left that an idempotent try may take while others may follow.
--- a/io/kwgate/stream.go
+++ b/io/kwgate/stream.go
@@ -121,7 +121,7 @@
 	if err := c.Send(up); err != nil {
 		return g.lostFirst(s, chain, err, true)
 	}
-	s.watched = g.active.watch(q.call.ID, c, func() { g.blame(chain) }, suspectWait(q))
+	s.watched = g.active.watch(q.call.ID, c, chain, g.patienceFor(q, chain), silenceActions{probe: g.probe, ask: g.blame})
 	defer g.active.leave(q.call.ID, s.watched)
 	c.SetReadDeadline(begin.Add(firstWait(q)))
 	resp, answer, err := c.Receive(up, g.deps.Dialect)
@@ -151,6 +151,17 @@
 	return max(time.Duration(suspectPauses*float64(q.route.PauseObjective)), leastSuspect)
 }
 
+// patienceFor is how long an attempt on a chain may be silent.
+func (g *Gate) patienceFor(q *request, chain kwchain.Chain) patience {
+	ask := suspectWait(q)
+	steps := 1
+	if s := q.view.index.Service(q.service); s != nil && s.Engine != nil {
+		steps = max(1, s.Engine.StepsPerPass)
+	}
+	probe := max(leastProbe, probePauses*time.Duration(steps)*chain.TokenTime)
+	return patience{probe: min(probe, ask), ask: ask}
+}
+
 func pauseWait(q *request) time.Duration {
 	return max(pauseObjectives*q.route.PauseObjective, leastPause)
 }
@@ -184,6 +195,7 @@
 	g.chooser.fail(time.Now(), first.Endpoint)
 	g.deps.Events.Emit(kwevent.EndpointEjected, s.q.call.ID, kwevent.F("endpoint", first.Endpoint),
 		kwevent.F("address", first.Address), kwevent.F("cause", err.Error()))
+	g.probe(chain)
 	if !sent {
 		return endRefused
 	}
--- a/io/kwhub/hub.go
+++ b/io/kwhub/hub.go
@@ -55,6 +55,7 @@
 		kwview.KindDeclare:  h.onDeclare,
 		kwview.KindRead:     h.onRead,
 		kwview.KindWatch:    h.onWatch,
+		kwview.KindRefusal:  h.onRefusal,
 	})
 	if err != nil {
 		cancel()
--- a/io/kwhub/placer.go
+++ b/io/kwhub/placer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"reflect"
 	"slices"
 	"sync"
 	"time"
@@ -120,6 +121,7 @@
 	if err == nil {
 		var decl *kwdeclare.Declaration
 		if decl, err = p.cfg.Decoder.Decode(content); err == nil {
+			p.forgetChanged(decl)
 			p.index = kwdeclare.NewIndex(decl)
 			return
 		}
@@ -127,6 +129,19 @@
 	p.cfg.Events.Emit(kwevent.DeclarationFailed, "", kwevent.F("number", d.Number), kwevent.F("error", err.Error()))
 }
 
+// forgetChanged has the fleets of engines that a new declaration describes in another way planned anew.
+func (p *placer) forgetChanged(d *kwdeclare.Declaration) {
+	for i := range d.Services {
+		s := &d.Services[i]
+		if p.index == nil {
+			return
+		}
+		if old := p.index.Service(s.Name); old == nil || !reflect.DeepEqual(old.Engine, s.Engine) {
+			delete(p.planned, s.Name)
+		}
+	}
+}
+
 func (p *placer) noteJoins(now time.Time, rows []kwmember.Row) {
 	if len(rows) > p.known {
 		p.joined = now
@@ -137,6 +152,7 @@
 func (p *placer) place(now time.Time, service *kwdeclare.Service, rows []kwmember.Row) {
 	var servers []kwplace.Server
 	at := make(map[kwid.EndpointID]kwmember.Announcement)
+	ended := endedPlaces(service.Name, rows)
 	fresh := true
 	for _, row := range rows {
 		a := row.Announcement
@@ -148,6 +164,10 @@
 			continue
 		}
 		s := p.stateOf(now, a)
+		if ended[a.Address] {
+			// A server that has started again in place replaces no other.
+			s.joined = time.Time{}
+		}
 		server := kwplace.Server{ID: a.ID, Zone: a.Zone, MemoryMB: kind.MemoryMB, Pace: kind.Pace, Layers: a.Layers, Fresh: now.Sub(s.joined) < freshTime}
 		if s.ordered {
 			server.Layers, server.Ordered = s.target, true
@@ -169,6 +189,17 @@
 	}
 }
 
+// endedPlaces lists the addresses at which servers of a service have ended.
+func endedPlaces(service kwid.ServiceName, rows []kwmember.Row) map[string]bool {
+	out := make(map[string]bool)
+	for _, row := range rows {
+		if row.Announcement.Service == service && (row.State == kwmember.Lost || row.State == kwmember.Gone) {
+			out[row.Announcement.Address] = true
+		}
+	}
+	return out
+}
+
 // stateOf returns the order state of an endpoint's present life; an order is done once the endpoint reports its range.
 func (p *placer) stateOf(now time.Time, a kwmember.Announcement) *engineState {
 	s, ok := p.engines[a.ID]
--- a/io/kwhub/watch.go
+++ b/io/kwhub/watch.go
@@ -13,6 +13,7 @@
 	"knapweedproxy/core/kwid"
 	"knapweedproxy/core/kwlog"
 	"knapweedproxy/io/kwcontrol"
+	"knapweedproxy/io/kwevent"
 	"knapweedproxy/io/kwlink"
 	"knapweedproxy/io/kwview"
 )
@@ -54,6 +55,27 @@
 	}
 }
 
+// refusalWitnesses is how many entries must say that an endpoint refuses connections: one alone may be cut off.
+const refusalWitnesses = 2
+
+// onRefusal takes an entry's word that an endpoint refuses connections.
+func (h *Hub) onRefusal(ctx context.Context, body kwlink.Body) (any, error) {
+	var req kwview.Refusal
+	if err := body.Decode(&req); err != nil {
+		return nil, err
+	}
+	wanted := min(refusalWitnesses, max(1, h.watch.entries(time.Now())))
+	lost := false
+	err := h.lead(ctx, func(now time.Time, b *kwboard.Board) {
+		lost = b.Roster.Refuse(now, req.Endpoint, req.Born, req.Entry, wanted)
+	})
+	if lost {
+		h.deps.Events.Emit(kwevent.EndpointLost, "", kwevent.F("endpoint", req.Endpoint), kwevent.F("cause", "refuses connections"),
+			kwevent.F("entry", req.Entry), kwevent.F("witnesses", wanted))
+	}
+	return nil, err
+}
+
 // view collects what changed since the entry's view, under the leader's lease.
 func (h *Hub) view(ctx context.Context, m *membership, req kwview.Watch) (kwview.View, error) {
 	var v kwview.View
--- a/io/kwview/messages.go
+++ b/io/kwview/messages.go
@@ -20,6 +20,7 @@
 	KindDeclare  kwlink.Kind = 5
 	KindRead     kwlink.Kind = 6
 	KindWatch    kwlink.Kind = 7
+	KindRefusal  kwlink.Kind = 8
 )
 
 // LogBatch carries messages of the replicated log in one call.
@@ -38,6 +39,13 @@
 	Born kwmember.BirthMillis `cbor:"2,keyasint,omitempty"`
 }
 
+// Refusal says that an endpoint refused an entry's connection.
+type Refusal struct {
+	Entry    kwid.NodeID          `cbor:"1,keyasint"`
+	Endpoint kwid.EndpointID      `cbor:"2,keyasint"`
+	Born     kwmember.BirthMillis `cbor:"3,keyasint,omitempty"`
+}
+
 // Declared is a numbered declaration in the adapter's encoding, packed by Pack.
 type Declared struct {
 	Number  kwdeclare.Number `cbor:"1,keyasint"`
