Plan placements beside the control goroutine, large zones in cells

The control goroutine planned zones of 100 servers itself, 0.3 s and more on a whole processor for the loss of one server, again at each heartbeat that changed something; heartbeats and elections waited, and a control process ran out of memory over thousands of orders at once. Change: plans are made beside the control goroutine, and their orders go to the servers that are still as they were (TestPlacerDoesNotWaitForPlans, TestPlacerDropsStaleOrders). Zones of more than 36 servers are planned in cells by place (TestPlanCells). Servers are moved for a gain only while fewer loads are under way than engines carry out side by side (TestPlanMovesFewAtOnce). At most 64 orders wait for an answer (TestPlacerBoundsOrders).

--- a/core/kwplace/plan.go
+++ b/core/kwplace/plan.go
@@ -11,8 +11,10 @@
 
 // Server is a model server that takes new work; Layers is what it holds or was last ordered to hold.
 type Server struct {
-	ID       kwid.EndpointID
-	Zone     kwid.AvailabilityZone
+	ID   kwid.EndpointID
+	Zone kwid.AvailabilityZone
+	// Place is where the server listens; one that starts again in place is planned with the same others.
+	Place    string
 	MemoryMB float64
 	Pace     float64
 	Layers   kwid.LayerRange
@@ -31,16 +33,36 @@
 // minRequests is the KV room, in usual requests, below which a copy of the model is not worth its memory.
 const minRequests = 32
 
-// Plan returns the orders that bring the servers of one engine to a sound placement; no order means none is needed.
+// Plan returns the orders that bring the servers of one engine to a sound placement; no order means none is needed. Servers
+// are only moved for a gain while fewer loads are under way than the engines carry out side by side.
 func Plan(e *kwdeclare.Engine, servers []Server) []Order {
 	m := newModel(e)
 	var out []Order
+	var sound [][]Server
 	for _, pool := range pools(m, servers) {
 		if holdsNothing(pool) {
 			out = append(out, m.tile(pool)...)
 			continue
 		}
-		out = append(out, m.repair(pool)...)
+		orders, whole := m.repair(pool)
+		out = append(out, orders...)
+		if whole && len(orders) == 0 {
+			sound = append(sound, pool)
+		}
+	}
+	loads := len(out)
+	for _, s := range servers {
+		if s.Ordered {
+			loads++
+		}
+	}
+	for _, pool := range sound {
+		if loads >= max(1, e.LoadsAtOnce) {
+			break
+		}
+		moves := m.improve(pool)
+		loads += len(moves)
+		out = append(out, moves...)
 	}
 	return out
 }
@@ -99,10 +121,14 @@
 	if len(joint) > 0 {
 		out = append(out, joint)
 	}
+	var cells [][]Server
 	for _, pool := range out {
-		slices.SortFunc(pool, fastFirst)
+		cells = append(cells, m.cells(pool)...)
 	}
-	return out
+	for _, cell := range cells {
+		slices.SortFunc(cell, fastFirst)
+	}
+	return cells
 }
 
 func fastFirst(a, b Server) int {
--- a/core/kwplace/plan_test.go
+++ b/core/kwplace/plan_test.go
@@ -23,7 +23,8 @@
 func pool(zone string, paces ...float64) []Server {
 	var out []Server
 	for i, p := range paces {
-		out = append(out, Server{ID: kwid.EndpointID(fmt.Sprintf("%s-%d", zone, i)), Zone: kwid.AvailabilityZone(zone), Pace: p, MemoryMB: memories[p]})
+		id := fmt.Sprintf("%s-%d", zone, i)
+		out = append(out, Server{ID: kwid.EndpointID(id), Zone: kwid.AvailabilityZone(zone), Place: id, Pace: p, MemoryMB: memories[p]})
 	}
 	return out
 }
@@ -220,14 +221,53 @@
 	}
 }
 
-// BenchmarkPlan plans a zone of the size of today's that needs no order, which the control goroutine does at each change.
-func BenchmarkPlan(b *testing.B) {
-	servers := zones()[0]
-	for _, o := range Plan(engine(), servers) {
-		i := slices.IndexFunc(servers, func(s Server) bool { return s.ID == o.Endpoint })
-		servers[i].Layers = o.Layers
+// TestPlanCells plans a large zone cell by cell: each server gets layers, every layer is held many times, and the loss of one
+// server orders only servers of its own cell.
+func TestPlanCells(t *testing.T) {
+	servers := pool("a", slices.Concat(repeat(2.4, 30), repeat(5.6, 90), repeat(16, 180))...)
+	placed := apply(t, servers, Plan(engine(), servers))
+	if got := least(placed, "a"); got < 8 {
+		t.Errorf("got %d copies of the rarest layer, want one in each of 8 cells at least", got)
+	}
+	m := newModel(engine())
+	for _, cell := range m.cells(placed) {
+		if got := m.sum(cell, m.minRoom()); got < m.layers {
+			t.Errorf("got a cell of %d servers with room for %d layers, want %d at least", len(cell), got, m.layers)
+		}
+		lost := cell[0].ID
+		left := slices.DeleteFunc(slices.Clone(placed), func(s Server) bool { return s.ID == lost })
+		for _, o := range m.repairOrders(left) {
+			if !slices.ContainsFunc(cell, func(s Server) bool { return s.ID == o.Endpoint }) {
+				t.Errorf("without %s got an order to %s of another cell", lost, o.Endpoint)
+			}
+		}
+	}
+}
+
+// repairOrders returns the orders of a plan that moves nothing for a gain.
+func (m model) repairOrders(servers []Server) []Order {
+	e := *m.engine
+	e.LoadsAtOnce = 1
+	busy := append(slices.Clone(servers), Server{ID: "busy", Zone: "z", Ordered: true, Layers: kwid.LayerRange{To: 1}})
+	return Plan(&e, busy)
+}
+
+// TestPlanMovesFewAtOnce has loads under way: no server is moved for a gain while there are as many as the engines carry out
+// side by side.
+func TestPlanMovesFewAtOnce(t *testing.T) {
+	servers := zones()[2]
+	for range 4 {
+		servers = apply(t, servers, Plan(engine(), servers))
+	}
+	fast := slices.IndexFunc(servers, func(s Server) bool { return s.Pace == 2.4 && s.Layers.From == 0 })
+	servers[fast] = Server{ID: "new", Zone: "c", Pace: 2.4, MemoryMB: memories[2.4], Layers: kwid.LayerRange{From: 60, To: 80}}
+	if len(Plan(engine(), servers)) == 0 {
+		t.Fatal("got no move of a badly placed server, want one")
+	}
+	for i := range engine().LoadsAtOnce {
+		servers = append(servers, Server{ID: kwid.EndpointID(fmt.Sprint("busy", i)), Zone: "z", Ordered: true, Layers: kwid.LayerRange{To: 1}})
 	}
-	for b.Loop() {
-		Plan(engine(), servers)
+	if got := Plan(engine(), servers); len(got) != 0 {
+		t.Errorf("got %v with all loads taken, want none", got)
 	}
 }
--- a/core/kwplace/repair.go
+++ b/core/kwplace/repair.go
@@ -6,12 +6,31 @@
 	"knapweedproxy/core/kwid"
 )
 
-// repair gives empty servers the layers that are missing, or else those by which the pool gains most. If a layer is held by none and no server is empty,
-// its neighbours take it where they have the memory; else the slowest server whose own layers all stand elsewhere
-// moves there.
-func (m model) repair(pool []Server) []Order {
+// repair gives empty servers the layers that are missing, or else those by which the pool gains most, and tells whether
+// every layer is held then. If a layer is held by none and no server is empty, its neighbours take it where they have the
+// memory; else the slowest server whose own layers all stand elsewhere moves there.
+func (m model) repair(pool []Server) (out []Order, whole bool) {
 	pool = slices.Clone(pool)
 	cover := m.coverage(pool)
+	taken := make(map[kwid.EndpointID]bool)
+	for _, o := range m.fillEmpty(pool, cover) {
+		taken[o.Endpoint] = true
+		out = append(out, o)
+	}
+	if slices.Min(cover) > 0 {
+		return out, true
+	}
+	for _, step := range []func([]Server, []int, map[kwid.EndpointID]bool) []Order{m.extend, m.move, m.squeeze} {
+		for _, o := range step(pool, cover, taken) {
+			taken[o.Endpoint] = true
+			out = append(out, o)
+		}
+	}
+	return out, slices.Min(cover) > 0
+}
+
+// fillEmpty orders layers to the empty servers of a pool, in which it notes them.
+func (m model) fillEmpty(pool []Server, cover []int) []Order {
 	var out []Order
 	for i, s := range pool {
 		whole := slices.Min(cover) > 0
@@ -29,19 +48,6 @@
 		pool[i].Layers, pool[i].Ordered = layers, true
 		out = append(out, Order{Endpoint: s.ID, Layers: layers})
 	}
-	if slices.Min(cover) > 0 {
-		return append(out, m.improve(pool)...)
-	}
-	taken := make(map[kwid.EndpointID]bool)
-	for _, o := range out {
-		taken[o.Endpoint] = true
-	}
-	for _, step := range []func([]Server, []int, map[kwid.EndpointID]bool) []Order{m.extend, m.move, m.squeeze} {
-		for _, o := range step(pool, cover, taken) {
-			taken[o.Endpoint] = true
-			out = append(out, o)
-		}
-	}
 	return out
 }
 
--- a/io/kwhub/placer.go
+++ b/io/kwhub/placer.go
@@ -28,6 +28,8 @@
 	// orderLife is how long an accepted order may take beyond the usual time of a load before the placement is planned
 	// anew: a few missed heartbeats.
 	orderLife = 5 * time.Second
+	// ordersAtOnce bounds the orders that wait for an answer, and with it the memory of a leader with many servers.
+	ordersAtOnce = 64
 	// freshTime is how long a new server waits for the one that it may replace to say that it leaves: a heartbeat and more.
 	freshTime = 2 * time.Second
 )
@@ -50,11 +52,24 @@
 	joined  time.Time
 	known   int
 	engines map[kwid.EndpointID]*engineState
-	// planned is what the last plan was made from, by service: an unchanged fleet is not planned again.
+	// planned is what the last plan is made from, by service: an unchanged fleet is not planned again.
 	planned map[kwid.ServiceName][]kwplace.Server
-	// answers holds what orders came to, until the control goroutine takes it in.
+	// planning tells which services have a plan in the making.
+	planning map[kwid.ServiceName]bool
+	// asking counts the orders that wait for an answer.
+	asking int
+	// answers and plans hold what orders came to and what was planned, until the control goroutine takes it in.
 	mu      sync.Mutex
 	answers []orderAnswer
+	plans   []plan
+}
+
+// plan is what kwplace made of a fleet of one engine.
+type plan struct {
+	epoch   uint64
+	service kwid.ServiceName
+	servers []kwplace.Server
+	orders  []kwplace.Order
 }
 
 // engineState is what the leader knows of the orders to one engine.
@@ -70,6 +85,7 @@
 }
 
 type orderAnswer struct {
+	epoch  uint64
 	id     kwid.EndpointID
 	born   kwmember.BirthMillis
 	target kwid.LayerRange
@@ -79,19 +95,26 @@
 }
 
 func newPlacer(cfg placerConfig) *placer {
-	return &placer{cfg: cfg, engines: make(map[kwid.EndpointID]*engineState), planned: make(map[kwid.ServiceName][]kwplace.Server)}
+	return &placer{
+		cfg:      cfg,
+		engines:  make(map[kwid.EndpointID]*engineState),
+		planned:  make(map[kwid.ServiceName][]kwplace.Server),
+		planning: make(map[kwid.ServiceName]bool),
+	}
 }
 
-// Run plans and sends orders; it never waits for an engine.
+// Run has plans made and sends orders; it waits neither for a plan, which takes long for a large fleet, nor for an engine.
 func (p *placer) Run(now time.Time, b *kwboard.Board) {
-	if !b.Leading || now.Before(b.Gather) || now.Before(p.next) {
+	if !b.Leading || now.Before(b.Gather) || now.Before(p.next) && !p.hasPlans() {
 		return
 	}
 	p.next = now.Add(planPeriod)
 	if p.epoch != b.Epoch {
 		p.epoch = b.Epoch
 		p.engines = make(map[kwid.EndpointID]*engineState)
+		p.asking = 0
 		clear(p.planned)
+		clear(p.planning)
 		p.joined = now
 		p.known = 0
 	}
@@ -102,10 +125,11 @@
 	}
 	rows := b.Roster.Since(0)
 	p.noteJoins(now, rows)
+	done := p.takePlans()
 	for i := range p.index.Declaration.Services {
 		service := &p.index.Declaration.Services[i]
 		if service.Engine != nil && service.Engine.Layers > 0 {
-			p.place(now, service, rows)
+			p.place(now, service, rows, done[service.Name])
 		}
 	}
 }
@@ -149,11 +173,17 @@
 	p.known = len(rows)
 }
 
-func (p *placer) place(now time.Time, service *kwdeclare.Service, rows []kwmember.Row) {
-	var servers []kwplace.Server
-	at := make(map[kwid.EndpointID]kwmember.Announcement)
+// fleet is the live servers of one engine.
+type fleet struct {
+	servers []kwplace.Server
+	at      map[kwid.EndpointID]kwmember.Announcement
+	// empty means that no server holds layers or was ordered to.
+	empty bool
+}
+
+func (p *placer) fleetOf(now time.Time, service *kwdeclare.Service, rows []kwmember.Row) fleet {
+	f := fleet{at: make(map[kwid.EndpointID]kwmember.Announcement), empty: true}
 	ended := endedPlaces(service.Name, rows)
-	fresh := true
 	for _, row := range rows {
 		a := row.Announcement
 		if a.Service != service.Name || row.State != kwmember.Live {
@@ -168,27 +198,80 @@
 			// A server that has started again in place replaces no other.
 			s.joined = time.Time{}
 		}
-		server := kwplace.Server{ID: a.ID, Zone: a.Zone, MemoryMB: kind.MemoryMB, Pace: kind.Pace, Layers: a.Layers, Fresh: now.Sub(s.joined) < freshTime}
+		server := kwplace.Server{
+			ID: a.ID, Zone: a.Zone, Place: a.Address, MemoryMB: kind.MemoryMB, Pace: kind.Pace, Layers: a.Layers,
+			Fresh: now.Sub(s.joined) < freshTime,
+		}
 		if s.ordered {
 			server.Layers, server.Ordered = s.target, true
 		}
-		fresh = fresh && server.Layers.Len() == 0
-		at[a.ID] = a
-		servers = append(servers, server)
+		f.empty = f.empty && server.Layers.Len() == 0
+		f.at[a.ID] = a
+		f.servers = append(f.servers, server)
 	}
-	p.repeat(now, at)
-	if len(servers) == 0 || fresh && now.Sub(p.joined) < settleTime {
+	return f
+}
+
+func (p *placer) place(now time.Time, service *kwdeclare.Service, rows []kwmember.Row, done plan) {
+	f := p.fleetOf(now, service, rows)
+	p.repeat(now, f.at)
+	p.obey(now, done, service.Engine, f)
+	if len(f.servers) == 0 || f.empty && now.Sub(p.joined) < settleTime {
 		return
 	}
-	if slices.Equal(p.planned[service.Name], servers) {
+	if p.planning[service.Name] || slices.Equal(p.planned[service.Name], f.servers) {
 		return
 	}
-	p.planned[service.Name] = servers
-	for _, o := range kwplace.Plan(service.Engine, servers) {
-		p.order(now, at[o.Endpoint], o.Layers, service.Engine)
+	p.planned[service.Name] = f.servers
+	p.planning[service.Name] = true
+	next := plan{epoch: p.epoch, service: service.Name, servers: f.servers}
+	p.cfg.Run(func() {
+		next.orders = kwplace.Plan(service.Engine, next.servers)
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.plans = append(p.plans, next)
+	})
+}
+
+func (p *placer) hasPlans() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.plans) > 0
+}
+
+// takePlans returns the plans that were finished since the last look, by service.
+func (p *placer) takePlans() map[kwid.ServiceName]plan {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make(map[kwid.ServiceName]plan)
+	for _, done := range p.plans {
+		if done.epoch == p.epoch {
+			out[done.service] = done
+			delete(p.planning, done.service)
+		}
+	}
+	p.plans = nil
+	return out
+}
+
+// obey gives the orders of a plan to the servers that are still as they were when it was made; the others are in the next.
+func (p *placer) obey(now time.Time, done plan, e *kwdeclare.Engine, f fleet) {
+	for _, o := range done.orders {
+		if same(done.servers, f.servers, o.Endpoint) {
+			p.order(now, f.at[o.Endpoint], o.Layers, e)
+		}
 	}
 }
 
+// same tells whether a server is in two fleets with the same layers and orders.
+func same(a, b []kwplace.Server, id kwid.EndpointID) bool {
+	find := func(list []kwplace.Server) int {
+		return slices.IndexFunc(list, func(s kwplace.Server) bool { return s.ID == id })
+	}
+	i, j := find(a), find(b)
+	return i >= 0 && j >= 0 && a[i].Layers == b[j].Layers && a[i].Ordered == b[j].Ordered
+}
+
 // endedPlaces lists the addresses at which servers of a service have ended.
 func endedPlaces(service kwid.ServiceName, rows []kwmember.Row) map[string]bool {
 	out := make(map[string]bool)
@@ -233,16 +316,22 @@
 	}
 }
 
-func (p *placer) send(_ time.Time, a kwmember.Announcement, s *engineState) {
+// send gives an order, or leaves it for the next look if many wait for an answer already.
+func (p *placer) send(now time.Time, a kwmember.Announcement, s *engineState) {
+	if p.asking >= ordersAtOnce {
+		s.retry = now
+		return
+	}
+	p.asking++
 	s.asking = true
 	s.retry = time.Time{}
-	orders, target := s.orders, s.target
+	epoch, orders, target := p.epoch, s.orders, s.target
 	p.cfg.Events.Emit(kwevent.OrderSent, "", kwevent.F("endpoint", a.ID), kwevent.F("address", a.Address),
 		kwevent.F("from", target.From), kwevent.F("to", target.To), kwevent.F("orders", orders))
 	p.cfg.Run(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
 		defer cancel()
-		out := orderAnswer{id: a.ID, born: a.Born, target: target}
+		out := orderAnswer{epoch: epoch, id: a.ID, born: a.Born, target: target}
 		out.result, out.err = p.cfg.Engines.Place(ctx, a.Address, target, orders)
 		if out.err == nil && out.result == OrderConflict {
 			var state EngineState
@@ -262,6 +351,10 @@
 	p.answers = nil
 	p.mu.Unlock()
 	for _, a := range answers {
+		if a.epoch != p.epoch {
+			continue
+		}
+		p.asking--
 		s, ok := p.engines[a.id]
 		if !ok || s.born != a.born {
 			continue
