--- a/core/kwlog/schedules_test.go
+++ b/core/kwlog/schedules_test.go
@@ -51,7 +51,7 @@
 		total.add(w.tally)
 	}
 	t.Logf("%d schedules: %+v", *seedCount, total)
-	if total.Acked == 0 || total.Elections == 0 || total.Crashes == 0 || total.DiskLosses == 0 || total.Promotions == 0 || total.Snapshots == 0 {
+	if total.Acked == 0 || total.Elections == 0 || total.Crashes == 0 || total.Torn == 0 || total.DiskLosses == 0 || total.Promotions == 0 || total.Snapshots == 0 {
 		t.Errorf("got %+v, want every kind of event", total)
 	}
 }
@@ -63,13 +63,14 @@
 
 // tally counts what the schedules covered.
 type tally struct {
-	Acked, Elections, Crashes, DiskLosses, Promotions, Snapshots, Runs, Fences, Reads int
+	Acked, Elections, Crashes, Torn, DiskLosses, Promotions, Snapshots, Runs, Fences, Reads int
 }
 
 func (t *tally) add(o tally) {
 	t.Acked += o.Acked
 	t.Elections += o.Elections
 	t.Crashes += o.Crashes
+	t.Torn += o.Torn
 	t.DiskLosses += o.DiskLosses
 	t.Promotions += o.Promotions
 	t.Snapshots += o.Snapshots
@@ -87,6 +88,8 @@
 	disk    kwlog.Restored
 	rate    float64
 	offset  time.Duration
+	// founds is when a founder starts for the first time, 0 after that.
+	founds  time.Duration
 	applied kwlog.Index
 	frozen  time.Duration
 	pending map[kwlog.Index]*request
@@ -189,6 +192,18 @@
 	return d
 }
 
+// found starts the founders whose time has come.
+func (w *world) found() {
+	for _, v := range w.vms {
+		if v.founds > 0 && w.now >= v.founds {
+			v.founds = 0
+			if v.node == nil {
+				w.start(v)
+			}
+		}
+	}
+}
+
 func (w *world) run() error {
 	for range scheduleSteps {
 		if err := w.step(); err != nil {
@@ -206,6 +221,7 @@
 	if err := w.checkLeases(); err != nil {
 		return err
 	}
+	w.found()
 	for _, v := range w.vms {
 		if v.node == nil || v.frozen > w.now {
 			continue
@@ -388,7 +404,8 @@
 			return w.noteLeader(v)
 		}
 		w.post(rd.Early)
-		if !w.calm && w.rng.IntN(400) == 0 {
+		if !w.calm && w.losesPower(rd) {
+			w.tear(v, rd)
 			w.crash(v)
 			return nil
 		}
@@ -406,6 +423,43 @@
 	return nil
 }
 
+// recordsOf counts what a Ready writes to the log file.
+func recordsOf(rd kwlog.Ready) int {
+	if rd.HardState != nil {
+		return len(rd.Entries) + 1
+	}
+	return len(rd.Entries)
+}
+
+// losesPower tells whether a member crashes in a write, more often in one of several records, which can be torn.
+func (w *world) losesPower(rd kwlog.Ready) bool {
+	if recordsOf(rd) > 1 {
+		return w.rng.IntN(20) == 0
+	}
+	return w.rng.IntN(400) == 0
+}
+
+// tear loses power in the middle of a write: a part of the records from the first on reaches the disk, and what follows is
+// torn or missing, which kwwal cuts off when it reads the file. A snapshot is a file of its own that is there or not.
+func (w *world) tear(v *vm, rd kwlog.Ready) {
+	records := recordsOf(rd)
+	if rd.Snapshot != nil || records == 0 {
+		return
+	}
+	kept := w.rng.IntN(records + 1)
+	if kept == 0 {
+		return
+	}
+	if kept < records {
+		w.tally.Torn++
+	}
+	if rd.HardState != nil {
+		kept--
+	}
+	rd.Entries = rd.Entries[:kept]
+	w.persist(v, rd)
+}
+
 func (w *world) persist(v *vm, rd kwlog.Ready) {
 	if rd.Snapshot != nil {
 		w.tally.Snapshots++
--- a/core/kwlog/steward_test.go
+++ b/core/kwlog/steward_test.go
@@ -20,10 +20,17 @@
 	return kwid.NodeID(name)
 }
 
-// newStewardWorld is a schedule in which members found the log together from known ids, and the steward replaces
-// wiped disks and VMs that are gone.
+// foundingTime is within how long of each other all founders start, in any order.
+const foundingTime = 300 * time.Millisecond
+
+// newStewardWorld is a schedule that begins with founding: members that know each other's ids start one after the other
+// with nothing on their disks, and the steward replaces wiped disks and VMs that are gone.
 func newStewardWorld(seed uint64) *world {
 	w := newWorld(seed)
+	for _, v := range w.vms {
+		v.node = nil
+		v.founds = 1 + time.Duration(w.rng.Int64N(int64(foundingTime)))
+	}
 	w.steward = &kwlog.Steward{Wanted: len(w.vms), VMOf: vmOf, Silence: stewardSilence, Forget: 10 * stewardSilence}
 	return w
 }
@@ -87,7 +94,7 @@
 		total.add(w.tally)
 	}
 	t.Logf("%d schedules: %+v", *seedCount, total)
-	if total.Acked == 0 || total.DiskLosses == 0 || total.Promotions == 0 || total.Snapshots == 0 {
+	if total.Acked == 0 || total.Torn == 0 || total.DiskLosses == 0 || total.Promotions == 0 || total.Snapshots == 0 {
 		t.Errorf("got %+v, want every kind of event", total)
 	}
 }
@@ -96,6 +103,7 @@
 func (w *world) tendFor(t *testing.T, d time.Duration) {
 	t.Helper()
 	for end := w.now + d; w.now < end; {
+		w.found()
 		w.pass(t, 10*time.Millisecond)
 		if v := w.leader(); v != nil {
 			w.tend(v, w.local(v), v.node.Status().Members)
