One copy of the options for silent peers and of the wait with a context

No change of behaviour: io/kwtcp and kwtime.Sleep replace the twins in kwlink, kwrelay, kwgate and kwhub.

--- a/io/kwgate/gate.go
+++ b/io/kwgate/gate.go
@@ -14,6 +14,7 @@
 	"knapweedproxy/io/kwevent"
 	"knapweedproxy/io/kwlink"
 	"knapweedproxy/io/kwrelay"
+	"knapweedproxy/io/kwtime"
 )
 
 // Gate is a running entry.
@@ -148,7 +149,7 @@
 
 func (g *Gate) sweep() {
 	for g.ctx.Err() == nil {
-		sleep(g.ctx, sweepPeriod)
+		kwtime.Sleep(g.ctx, sweepPeriod)
 		v := g.view.Load()
 		known := make(map[string]bool, len(v.endpoints))
 		for _, row := range v.endpoints {
--- a/io/kwgate/view.go
+++ b/io/kwgate/view.go
@@ -11,6 +11,7 @@
 	"knapweedproxy/core/kwid"
 	"knapweedproxy/core/kwmember"
 	"knapweedproxy/io/kwevent"
+	"knapweedproxy/io/kwtime"
 	"knapweedproxy/io/kwview"
 )
 
@@ -51,7 +52,7 @@
 			g.deps.Events.Emit(kwevent.ViewLost, "", kwevent.F("error", err.Error()))
 		}
 		g.noteReady()
-		sleep(ctx, retryWatch)
+		kwtime.Sleep(ctx, retryWatch)
 	}
 }
 
@@ -228,12 +229,3 @@
 func (g *Gate) serves(v *view) bool {
 	return v.index != nil && g.deps.Now().Sub(v.confirmed) < g.cfg.ViewLease
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/io/kwhub/hub.go
+++ b/io/kwhub/hub.go
@@ -14,6 +14,7 @@
 	"knapweedproxy/io/kwcontrol"
 	"knapweedproxy/io/kwevent"
 	"knapweedproxy/io/kwlink"
+	"knapweedproxy/io/kwtime"
 	"knapweedproxy/io/kwview"
 	"knapweedproxy/io/kwwal"
 )
@@ -119,7 +120,7 @@
 				h.fail(err)
 				return
 			}
-			sleep(h.ctx, retryOpen)
+			kwtime.Sleep(h.ctx, retryOpen)
 			continue
 		}
 		h.member.Store(m)
@@ -172,7 +173,7 @@
 func (h *Hub) keepMembership(m *membership) {
 	steward := h.cfg.steward()
 	for h.ctx.Err() == nil {
-		sleep(h.ctx, stewardPeriod)
+		kwtime.Sleep(h.ctx, stewardPeriod)
 		var status kwlog.Status
 		var change *kwlog.Change
 		m.loop.Log(func(now time.Time, n *kwlog.Node) {
@@ -202,15 +203,6 @@
 	_ = h.leader.Call(ctx, kwview.KindJoin, kwview.Join{Member: id}, nil, 0)
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // lead runs f on the control goroutine of this process if it leads.
 func (h *Hub) lead(ctx context.Context, f func(now time.Time, b *kwboard.Board)) error {
 	m := h.member.Load()
--- a/io/kwlink/frame.go
+++ b/io/kwlink/frame.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
-	"golang.org/x/sys/unix"
 
 	"knapweedproxy/core/kwcode"
 	"knapweedproxy/core/kwcodec"
@@ -31,9 +30,7 @@
 	lengthBytes = 4
 	// writeTimeout bounds one write; a peer that does not read for so long is given up.
 	writeTimeout = 2 * time.Second
-	// userTimeout is how long sent bytes may stay without an acknowledgement before the connection is dropped.
-	userTimeout = 1500 * time.Millisecond
-	readBuffer  = 4 << 10
+	readBuffer   = 4 << 10
 )
 
 func writeFrame(c net.Conn, f frame) error {
@@ -72,19 +69,3 @@
 	}
 	return f, nil
 }
-
-// tune makes the kernel drop a connection whose peer has gone silent.
-func tune(c net.Conn) {
-	t, ok := c.(*net.TCPConn)
-	if !ok {
-		return
-	}
-	_ = t.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2})
-	raw, err := t.SyscallConn()
-	if err != nil {
-		return
-	}
-	_ = raw.Control(func(fd uintptr) {
-		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout/time.Millisecond))
-	})
-}
--- a/io/kwlink/leader.go
+++ b/io/kwlink/leader.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"knapweedproxy/core/kwcode"
+	"knapweedproxy/io/kwtime"
 )
 
 const (
@@ -94,7 +95,7 @@
 			l.follow(address, last)
 		}
 		if wrapped {
-			pause(ctx, retryPause)
+			kwtime.Sleep(ctx, retryPause)
 		}
 	}
 	return last
@@ -124,12 +125,3 @@
 	}
 	return false
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/io/kwlink/pool.go
+++ b/io/kwlink/pool.go
@@ -9,6 +9,7 @@
 
 	"knapweedproxy/core/kwcode"
 	"knapweedproxy/core/kwcodec"
+	"knapweedproxy/io/kwtcp"
 )
 
 // dialTimeout bounds the opening of a connection: several round trips between availability zones on busy VMs.
@@ -66,7 +67,7 @@
 	if err != nil {
 		return nil, kwcode.New(kwcode.PeerUnreachable, "%v", err)
 	}
-	tune(raw)
+	kwtcp.DropSilent(raw)
 	fresh := &conn{raw: raw, waiting: make(map[uint64]chan frame), gone: make(chan struct{})}
 	p.mu.Lock()
 	if c, ok := p.conns[address]; ok {
--- a/io/kwlink/server.go
+++ b/io/kwlink/server.go
@@ -10,6 +10,7 @@
 
 	"knapweedproxy/core/kwcode"
 	"knapweedproxy/core/kwcodec"
+	"knapweedproxy/io/kwtcp"
 )
 
 // Handler answers one call; body decodes the request.
@@ -61,7 +62,7 @@
 		if err != nil {
 			return kwcode.New(kwcode.ListenFailed, "%v", err)
 		}
-		tune(c)
+		kwtcp.DropSilent(c)
 		s.mu.Lock()
 		s.conns[c] = struct{}{}
 		s.mu.Unlock()
--- a/io/kwrelay/conn.go
+++ b/io/kwrelay/conn.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sys/unix"
 
 	"knapweedproxy/core/kwcode"
+	"knapweedproxy/io/kwtcp"
 )
 
 const (
@@ -24,9 +25,7 @@
 	// idleMargin is taken off the timeout that an endpoint names, so that it does not close a connection in use.
 	idleMargin = time.Second
 	// keepConns bounds the idle connections to one endpoint.
-	keepConns = 32
-	// userTimeout is how long sent bytes may stay without an acknowledgement before the connection is dropped.
-	userTimeout  = 1500 * time.Millisecond
+	keepConns    = 32
 	readBuffer   = 4 << 10
 	maxStrays    = 3
 	maxStrayBody = 1 << 20
@@ -76,29 +75,15 @@
 		}
 		c.Close()
 	}
-	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}}
+	d := net.Dialer{Timeout: dialTimeout}
 	raw, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, kwcode.New(kwcode.PeerUnreachable, "%v", err)
 	}
-	tune(raw)
+	kwtcp.DropSilent(raw)
 	return &Conn{raw: raw, reader: bufio.NewReaderSize(raw, readBuffer), address: address, maxIdle: usualIdle}, nil
 }
 
-func tune(c net.Conn) {
-	t, ok := c.(*net.TCPConn)
-	if !ok {
-		return
-	}
-	raw, err := t.SyscallConn()
-	if err != nil {
-		return
-	}
-	_ = raw.Control(func(fd uintptr) {
-		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout/time.Millisecond))
-	})
-}
-
 func (p *Pool) take(address string) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- /dev/null
+++ b/io/kwtime/sleep.go
@@ -0,0 +1,16 @@
+package kwtime
+
+import (
+	"context"
+	"time"
+)
+
+// Sleep waits for some time or until the context ends.
+func Sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
