Confirm with the members that there are where a deployment has fewer than it wants

Change: until the first confirmation a leader waits 4 s for more members, then takes those that have joined for all (TestStewardBears). After the first confirmation members are only swapped. Where enough VMs keep the log nothing changes.

--- a/core/kwlog/steward.go
+++ b/core/kwlog/steward.go
@@ -17,6 +17,18 @@
 	Silence time.Duration
 	// Forget is how long a learner may be unheard before it is dropped.
 	Forget time.Duration
+	// Gather is how long a leader waits for members to join until it takes those that have for all that there are.
+	Gather time.Duration
+}
+
+// Bears tells whether a leader may confirm what is logged. Until it has confirmed for the first time, the members that are
+// wanted must have joined, or all that there are: a small deployment may have fewer than twice its tolerated losses and
+// one, and refusing for ever would serve nobody. From then on members are only swapped, never fewer.
+func (s Steward) Bears(now time.Time, n *Node, confirmed bool) bool {
+	if confirmed || len(n.members.Voters) >= s.Wanted {
+		return true
+	}
+	return len(n.members.Learners) == 0 && n.membersCommitted() && now.Sub(n.led) >= s.Gather
 }
 
 // Next returns the change to make now, or false.
--- a/core/kwlog/steward_test.go
+++ b/core/kwlog/steward_test.go
@@ -149,3 +149,33 @@
 		}
 	}
 }
+
+// TestStewardBears begins a deployment with fewer members than it wants: the leader does not confirm before it has waited
+// for more, then it does, and its successor need not wait once something has been confirmed.
+func TestStewardBears(t *testing.T) {
+	w := newStewardWorld(3)
+	w.calm = true
+	w.steward.Wanted = len(w.vms) + 2
+	w.steward.Gather = 4 * time.Second
+	w.tendFor(t, time.Second)
+	v := w.leader()
+	if v == nil {
+		t.Fatal("no leader")
+	}
+	bears := func(confirmed bool) bool { return w.steward.Bears(w.local(v), v.node, confirmed) }
+	if bears(false) {
+		t.Errorf("got a confirmation by %d of %d members at once, want none", len(w.vms), w.steward.Wanted)
+	}
+	if !bears(true) {
+		t.Error("got no confirmation after the first, want one")
+	}
+	w.tendFor(t, 5*time.Second)
+	if v = w.leader(); v == nil || !bears(false) {
+		t.Error("got no confirmation after the wait for members, want one")
+	}
+	w.steward.Wanted = len(w.vms)
+	w.steward.Gather = time.Hour
+	if !bears(false) {
+		t.Error("got no confirmation by all members that are wanted, want one")
+	}
+}
--- a/io/kwhub/config.go
+++ b/io/kwhub/config.go
@@ -48,6 +48,9 @@
 	memberSilence = 2500 * time.Millisecond
 	// memberForget is how long a learner may be unheard before it is dropped.
 	memberForget = 20 * time.Second
+	// memberGather is how long a leader waits for more members before it confirms for the first time with fewer than wanted:
+	// several rounds of joining, and short against the time in which an operator expects its first confirmation.
+	memberGather = 4 * time.Second
 	// stewardPeriod is the time between two looks at the membership.
 	stewardPeriod = 200 * time.Millisecond
 	// compactEntries is small since each entry may hold a whole declaration.
@@ -139,6 +142,7 @@
 		VMOf:    kwcontrol.NodeOf,
 		Silence: memberSilence,
 		Forget:  memberForget,
+		Gather:  memberGather,
 	}
 }
 
--- a/io/kwhub/serve.go
+++ b/io/kwhub/serve.go
@@ -185,7 +185,7 @@
 		return err
 	}
 	m := h.member.Load()
-	if err := h.bearsLosses(m); err != nil {
+	if err := h.bearsLosses(m, held > 0); err != nil {
 		return err
 	}
 	if req.Number <= held {
@@ -203,13 +203,17 @@
 }
 
 // bearsLosses refuses confirmations while too few members hold the log for the losses that are tolerated.
-func (h *Hub) bearsLosses(m *membership) error {
-	voters := 0
-	m.loop.Log(func(_ time.Time, n *kwlog.Node) { voters = len(n.Status().Members.Voters) })
-	if wanted := h.cfg.steward().Wanted; voters < wanted {
-		return kwcode.New(kwcode.DiskFailed, "%d members hold the log, %d are needed to bear the tolerated losses", voters, wanted)
+func (h *Hub) bearsLosses(m *membership, confirmed bool) error {
+	voters, bears := 0, false
+	steward := h.cfg.steward()
+	m.loop.Log(func(now time.Time, n *kwlog.Node) {
+		voters = len(n.Status().Members.Voters)
+		bears = steward.Bears(now, n, confirmed)
+	})
+	if bears {
+		return nil
 	}
-	return nil
+	return kwcode.New(kwcode.DiskFailed, "%d members hold the log, %d are needed to bear the tolerated losses", voters, steward.Wanted)
 }
 
 func (h *Hub) onRead(ctx context.Context, _ kwlink.Body) (any, error) {
