--- a/core/kwadmit/queue.go
+++ b/core/kwadmit/queue.go
@@ -31,8 +31,6 @@
 type Ticket struct {
 	// Priority ranks requests; 0 is served first.
 	Priority int
-	// Tokens is the KV room that the request needs.
-	Tokens   float64
 	arrived  time.Time
 	giveUp   time.Time
 	sequence uint64
@@ -60,9 +58,9 @@
 func (q *Queue) Len() int { return len(q.waiting) }
 
 // Push adds a request, or tells how long the caller should stay away if its turn would come too late.
-func (q *Queue) Push(now time.Time, priority int, tokens float64, objective, left time.Duration) (*Ticket, time.Duration) {
+func (q *Queue) Push(now time.Time, priority int, objective, left time.Duration) (*Ticket, time.Duration) {
 	patience := min(time.Duration(float64(objective)*q.cfg.PatienceObjectives), left)
-	t := &Ticket{Priority: priority, Tokens: tokens, arrived: now, giveUp: now.Add(patience), sequence: q.next}
+	t := &Ticket{Priority: priority, arrived: now, giveUp: now.Add(patience), sequence: q.next}
 	at, _ := slices.BinarySearchFunc(q.waiting, t, before)
 	wait := q.expectedWait(now, at+1)
 	if wait > patience {
--- a/core/kwadmit/queue_test.go
+++ b/core/kwadmit/queue_test.go
@@ -9,7 +9,7 @@
 
 func push(t *testing.T, q *Queue, now time.Time, priority int) *Ticket {
 	t.Helper()
-	ticket, after := q.Push(now, priority, 900, objective, time.Minute)
+	ticket, after := q.Push(now, priority, objective, time.Minute)
 	if ticket == nil {
 		t.Fatalf("rejected, come back after %v", after)
 	}
@@ -41,7 +41,7 @@
 	if got, want := ticket.Deadline(), now.Add(objective*7/10); !got.Equal(want) {
 		t.Errorf("gives up at: got %v, want %v", got, want)
 	}
-	short, _ := q.Push(now, 1, 900, objective, 100*time.Millisecond)
+	short, _ := q.Push(now, 1, objective, 100*time.Millisecond)
 	if got, want := short.Deadline(), now.Add(100*time.Millisecond); !got.Equal(want) {
 		t.Errorf("with little time left gives up at: got %v, want %v", got, want)
 	}
@@ -63,7 +63,7 @@
 	longest := time.Duration(0)
 	for i := range 10 * perSecond * load {
 		now = now.Add(step)
-		ticket, after := q.Push(now, 1, 900, objective, time.Minute)
+		ticket, after := q.Push(now, 1, objective, time.Minute)
 		if ticket == nil {
 			rejected++
 			longest = max(longest, after)
--- a/core/kwdeclare/declaration.go
+++ b/core/kwdeclare/declaration.go
@@ -114,10 +114,8 @@
 
 // Service is a group of interchangeable endpoints; Engine is nil for plain services.
 type Service struct {
-	Name           kwid.ServiceName
-	HealthPath     string
-	MaxConnections int
-	Engine         *Engine
+	Name   kwid.ServiceName
+	Engine *Engine
 }
 
 // Limits bound what a caller may send.
--- a/io/kwgate/wait.go
+++ b/io/kwgate/wait.go
@@ -32,7 +32,7 @@
 	if d, ok := ctx.Deadline(); ok {
 		left = time.Until(d)
 	}
-	t, after := c.queue.Push(begin, w.r.priority(), w.need.Tokens, w.r.turn(), left)
+	t, after := c.queue.Push(begin, w.r.priority(), w.r.turn(), left)
 	if t != nil {
 		chain, err := c.await(ctx, w, t)
 		return chain, time.Since(begin), err
