--- /dev/null
+++ b/commands/bound.go
@@ -0,0 +1,102 @@
+package commands
+
+import (
+	"fmt"
+	"os"
+	"text/tabwriter"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"knapweedproxy/core/kwcode"
+	"knapweedproxy/core/kwdeclare"
+	"knapweedproxy/core/kwid"
+	"knapweedproxy/core/kwplace"
+	"knapweedproxy/platform"
+)
+
+// boundCmd works out what the model servers of a deployment can serve.
+type boundCmd struct {
+	Declaration string `required:"" type:"existingfile" help:"A declaration as an operator sends it."`
+	Fleet       string `required:"" type:"existingfile" help:"The model servers: a TOML file with [[servers]] tables of service, zone, accelerator and count."`
+}
+
+// fleetFile lists model servers by kind.
+type fleetFile struct {
+	Servers []struct {
+		Service     kwid.ServiceName      `toml:"service"`
+		Zone        kwid.AvailabilityZone `toml:"zone"`
+		Accelerator string                `toml:"accelerator"`
+		Count       int                   `toml:"count"`
+	} `toml:"servers"`
+}
+
+// Run prints, for each service with an engine and each availability zone, the rate of usual requests that the placement
+// serves, what is left after the loss of a server, and a bound that no placement exceeds.
+func (c *boundCmd) Run(s *streams) error {
+	d, err := readDeclaration(c.Declaration)
+	if err != nil {
+		return err
+	}
+	fleet, err := readFleet(c.Fleet)
+	if err != nil {
+		return err
+	}
+	w := tabwriter.NewWriter(s.out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(w, "service\tzone\tservers\tcopies\trate\tafter a loss\tbound\t")
+	for i := range d.Services {
+		service := &d.Services[i]
+		if service.Engine == nil {
+			continue
+		}
+		servers, err := fleet.of(service)
+		if err != nil {
+			return err
+		}
+		for _, e := range kwplace.Estimates(service.Engine, servers) {
+			_, _ = fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%.1f\t%.1f\t%.1f\t\n", service.Name, e.Zone, e.Servers, e.Copies, e.Rate, e.AfterLoss, e.Bound)
+		}
+	}
+	if err := w.Flush(); err != nil {
+		return kwcode.New(kwcode.OperationFailed, "%v", err)
+	}
+	return nil
+}
+
+func readDeclaration(name string) (*kwdeclare.Declaration, error) {
+	text, err := os.ReadFile(name)
+	if err != nil {
+		return nil, kwcode.New(kwcode.SettingsFile, "%v", err)
+	}
+	return kwplatform.Declarations{}.Decode(text)
+}
+
+func readFleet(name string) (*fleetFile, error) {
+	text, err := os.ReadFile(name)
+	if err != nil {
+		return nil, kwcode.New(kwcode.SettingsFile, "%v", err)
+	}
+	var f fleetFile
+	if err := toml.Unmarshal(text, &f); err != nil {
+		return nil, kwcode.New(kwcode.SettingsSyntax, "%s: %v", name, err)
+	}
+	return &f, nil
+}
+
+// of returns the servers of a service, each with an id of its own.
+func (f *fleetFile) of(service *kwdeclare.Service) ([]kwplace.Server, error) {
+	var out []kwplace.Server
+	for _, row := range f.Servers {
+		if row.Service != service.Name {
+			continue
+		}
+		kind := service.Engine.Accelerator(row.Accelerator)
+		if kind == nil {
+			return nil, kwcode.New(kwcode.SettingsReference, "service %s has no accelerator %q", service.Name, row.Accelerator)
+		}
+		for range row.Count {
+			id := kwid.EndpointID(fmt.Sprintf("%s-%d", row.Accelerator, len(out)))
+			out = append(out, kwplace.Server{ID: id, Zone: row.Zone, Place: string(id), MemoryMB: kind.MemoryMB, Pace: kind.Pace})
+		}
+	}
+	return out, nil
+}
--- a/commands/root.go
+++ b/commands/root.go
@@ -46,6 +46,7 @@
 	Timeline timelineCmd `cmd:"" help:"Merge the events of all processes into one time line."`
 	Explain  explainCmd  `cmd:"" help:"Show the time line of one request from the logs of deployed processes."`
 	Soak     soakCmd     `cmd:"" help:"Harm the deployed program, as separate processes on loopback, and check its promises."`
+	Bound    boundCmd    `cmd:"" help:"Work out what the model servers of a deployment can serve, also after a loss."`
 	Deploy   deployCmd   `cmd:"" help:"Check what the platform needs to run the system."`
 	Version  versionCmd  `cmd:"" help:"Show the version."`
 }
