Lend a part of the fleet's retry budget where streams break off

Ruled out: attempts (one used of two), room, deadline. Change: the leader lends 0.4 of the burst in any window to entries whose own part is spent; 0.38 is split, the rest is for entries that start anew. A new leader lends nothing for a window. TestLossOfAStageIsRepeated replays the pattern, TestLenderKeepsTheBurst counts every window. A refused repeat is logged (retry-denied).

--- a/core/kwcode/code.go
+++ b/core/kwcode/code.go
@@ -70,6 +70,7 @@
 	AlreadySettled     Code = 5008
 	StaleFence         Code = 5009
 	NotLeader          Code = 5010
+	RetryBudgetSpent   Code = 5011
 	FrameTooLarge      Code = 6001
 	FrameMalformed     Code = 6002
 	UnknownMessage     Code = 6003
@@ -143,6 +144,7 @@
 	{AlreadySettled, "already-settled", http.StatusConflict, NoRequest, "The journal row already has an outcome."},
 	{StaleFence, "stale-fence", http.StatusConflict, NoRequest, "The order carries a fencing number below the present one."},
 	{NotLeader, "not-leader", http.StatusServiceUnavailable, NoRequest, "This control process is not the leader or cannot confirm its lease."},
+	{RetryBudgetSpent, "retry-budget-spent", http.StatusTooManyRequests, NoRequest, "The fleet's retry budget for the service is spent."},
 	{FrameTooLarge, "frame-too-large", 0, NoRequest, "A frame is over the size limit."},
 	{FrameMalformed, "frame-malformed", 0, NoRequest, "A frame could not be decoded."},
 	{UnknownMessage, "unknown-message", 0, NoRequest, "A frame carries a message kind that the role does not serve."},
--- a/core/kwretry/shared.go
+++ b/core/kwretry/shared.go
@@ -16,8 +16,9 @@
 const (
 	// ratioShare of the fleet's ratio is used, since the fleet counts requests in other windows than one entry.
 	ratioShare = 0.85
-	// burstShare of the fleet's burst is split between the entries; the rest is for entries that start anew with credit.
-	burstShare = 0.6
+	// burstShare of the fleet's burst is split between the entries. What is not lent either (lentShare) is for entries that start
+	// anew with credit.
+	burstShare = 0.38
 	// startShare of its burst is what a new process has, since the one before it may have spent its own.
 	startShare = 0.5
 	// leastEntries is how many entries are assumed at least: a leader that is new has not heard of all of them.
--- a/io/kwevent/catalogue.go
+++ b/io/kwevent/catalogue.go
@@ -27,6 +27,7 @@
 	RequestQueued       ID = 215
 	CallerGone          ID = 216
 	RefusalUnreported   ID = 217
+	RetryDenied         ID = 218
 	SessionStarted      ID = 301
 	SessionEnded        ID = 302
 	StageStarted        ID = 303
@@ -106,6 +107,7 @@
 	{RequestQueued, "request-queued", levelDetail, "A request waits for room on model servers."},
 	{CallerGone, "caller-gone", levelInfo, "A caller left before its answer was complete; the work was cancelled."},
 	{RefusalUnreported, "refusal-unreported", levelInfo, "An entry could not tell control that an endpoint refuses connections."},
+	{RetryDenied, "retry-denied", levelInfo, "A request is not tried again, since the retry budget is spent."},
 	{SessionStarted, "session-started", levelDetail, "The first stage of a chain began an attempt."},
 	{SessionEnded, "session-ended", levelDetail, "The first stage of a chain ended an attempt."},
 	{StageStarted, "stage-started", levelDetail, "A later stage of a chain began an attempt."},
--- a/io/kwgate/gate.go
+++ b/io/kwgate/gate.go
@@ -25,6 +25,7 @@
 	chooser  *chooser
 	active   active
 	budgets  *kwretry.Shared
+	loans    loans
 	pool     *kwrelay.Pool
 	link     *kwlink.Pool
 	leader   *kwlink.Leader
--- a/io/kwgate/plain.go
+++ b/io/kwgate/plain.go
@@ -126,7 +126,7 @@
 	if q.sends >= q.route.Attempts+extraTries {
 		return false
 	}
-	if q.sends > 0 && !g.budgets.Of(q.service).Spend() {
+	if q.sends > 0 && !g.mayRepeat(ctx, q) {
 		return false
 	}
 	if q.sends > 0 {
--- a/io/kwhub/config.go
+++ b/io/kwhub/config.go
@@ -8,6 +8,7 @@
 	"knapweedproxy/core/kwid"
 	"knapweedproxy/core/kwlog"
 	"knapweedproxy/core/kwmember"
+	"knapweedproxy/core/kwretry"
 	"knapweedproxy/core/kwstate"
 	"knapweedproxy/io/kwcontrol"
 	"knapweedproxy/io/kwevent"
@@ -27,6 +28,8 @@
 	Losses int
 	// Heartbeat is the usual time between two heartbeats of an endpoint.
 	Heartbeat time.Duration
+	// Lend bounds what is lent of the fleet's retry budget.
+	Lend kwretry.LenderConfig
 }
 
 const (
--- a/io/kwhub/hub.go
+++ b/io/kwhub/hub.go
@@ -11,6 +11,7 @@
 	"knapweedproxy/core/kwdeclare"
 	"knapweedproxy/core/kwid"
 	"knapweedproxy/core/kwlog"
+	"knapweedproxy/core/kwretry"
 	"knapweedproxy/io/kwcontrol"
 	"knapweedproxy/io/kwevent"
 	"knapweedproxy/io/kwlink"
@@ -29,6 +30,7 @@
 	member atomic.Pointer[membership]
 	placer *placer
 	watch  *watchers
+	lender *kwretry.Lender
 	ctx    context.Context
 	cancel context.CancelFunc
 	work   sync.WaitGroup
@@ -47,6 +49,7 @@
 	h := &Hub{cfg: cfg, deps: deps, pool: kwlink.NewPool(), ctx: ctx, cancel: cancel, done: make(chan error, 1)}
 	h.leader = kwlink.NewLeader(h.pool, cfg.Seeds)
 	h.watch = newWatchers()
+	h.lender = kwretry.NewLender(cfg.Lend)
 	h.placer = newPlacer(placerConfig{Decoder: deps.Decoder, Engines: deps.Engines, Events: deps.Events, Run: h.background})
 	server, err := kwlink.Listen(cfg.Address, map[kwlink.Kind]kwlink.Handler{
 		kwview.KindLog:      h.onLog,
@@ -57,6 +60,7 @@
 		kwview.KindRead:     h.onRead,
 		kwview.KindWatch:    h.onWatch,
 		kwview.KindRefusal:  h.onRefusal,
+		kwview.KindLoan:     h.onLoan,
 	})
 	if err != nil {
 		cancel()
--- a/io/kwhub/watch.go
+++ b/io/kwhub/watch.go
@@ -76,6 +76,20 @@
 	return nil, err
 }
 
+// onLoan lends an entry one repeat, or refuses.
+func (h *Hub) onLoan(ctx context.Context, body kwlink.Body) (any, error) {
+	var req kwview.Loan
+	if err := body.Decode(&req); err != nil {
+		return nil, err
+	}
+	lent := false
+	err := h.lead(ctx, func(now time.Time, b *kwboard.Board) { lent = h.lender.Lend(now, b.Epoch, req.Service) })
+	if err == nil && !lent {
+		err = kwcode.New(kwcode.RetryBudgetSpent, "the retry budget of %q is spent", req.Service)
+	}
+	return nil, err
+}
+
 // view collects what changed since the entry's view, under the leader's lease.
 func (h *Hub) view(ctx context.Context, m *membership, req kwview.Watch) (kwview.View, error) {
 	var v kwview.View
--- a/io/kwview/messages.go
+++ b/io/kwview/messages.go
@@ -21,6 +21,7 @@
 	KindRead     kwlink.Kind = 6
 	KindWatch    kwlink.Kind = 7
 	KindRefusal  kwlink.Kind = 8
+	KindLoan     kwlink.Kind = 9
 )
 
 // LogBatch carries messages of the replicated log in one call.
@@ -46,6 +47,12 @@
 	Born     kwmember.BirthMillis `cbor:"3,keyasint,omitempty"`
 }
 
+// Loan asks for one repeat beyond an entry's own part of the retry budget.
+type Loan struct {
+	Entry   kwid.NodeID      `cbor:"1,keyasint"`
+	Service kwid.ServiceName `cbor:"2,keyasint"`
+}
+
 // Declared is a numbered declaration in the adapter's encoding, packed by Pack.
 type Declared struct {
 	Number  kwdeclare.Number `cbor:"1,keyasint"`
