Lay no chains across zones while endpoints are still being gathered

Change: a partial list gives no reason for such a chain, nor for a rejection (TestChooseWhileGathering, TestChooserWaitsWhileGathering; both fail without the change).

--- a/core/kwchain/choose.go
+++ b/core/kwchain/choose.go
@@ -26,6 +26,9 @@
 	Home kwid.AvailabilityZone
 	// Objective is the time to the first event that the caller aims for, PauseObjective the longest pause between events.
 	Objective, PauseObjective time.Duration
+	// Partial means that the list of servers is still being gathered, as after a start of everything: a zone that seems to
+	// lack layers most likely holds them, so a chain across zones is not worth its transfers yet.
+	Partial bool
 	// Limit is the longest wait for the first event; a chain that is slower counts as full.
 	Limit time.Duration
 	// FirstEvent estimates that wait for a first endpoint, from the time that an idle chain takes.
@@ -61,7 +64,7 @@
 			best, found = other, true
 		}
 	}
-	if found || zoneHolds(engine, servers) {
+	if found || w.Partial || zoneHolds(engine, servers) {
 		return best.chain, found
 	}
 	return NewSearch(engine, all).Best(w.Need)
--- a/core/kwchain/choose_test.go
+++ b/core/kwchain/choose_test.go
@@ -70,3 +70,25 @@
 		t.Errorf("got %q, want %q", got, want)
 	}
 }
+
+// TestChooseWhileGathering replays the start of everything: endpoints become known one after the other, and no chain is laid
+// across zones before the list is whole.
+func TestChooseWhileGathering(t *testing.T) {
+	e := engine(80)
+	half := server(e, "a1", "fast", 0, 40)
+	other := server(e, "b1", "fast", 40, 80)
+	rest := server(e, "a2", "fast", 40, 80)
+	half.Zone, other.Zone, rest.Zone = "a", "b", "a"
+	w := Wish{
+		Need: Need{Tokens: 900}, Home: "a", Objective: time.Second, Limit: time.Second, Partial: true,
+		FirstEvent: func(_ kwid.EndpointID, idle time.Duration) time.Duration { return idle },
+	}
+	none := func(kwid.EndpointID) bool { return false }
+	if chain, ok := Choose(e, []Server{half, other}, none, w); ok {
+		t.Errorf("got %q while endpoints are unknown, want none", ids(chain))
+	}
+	chain, ok := Choose(e, []Server{half, other, rest}, none, w)
+	if got, want := ids(chain), "a1=0-40 a2=40-80 "; !ok || got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
--- a/io/kwgate/chooser.go
+++ b/io/kwgate/chooser.go
@@ -8,7 +8,6 @@
 
 	"knapweedproxy/core/kwadmit"
 	"knapweedproxy/core/kwchain"
-	"knapweedproxy/core/kwdeclare"
 	"knapweedproxy/core/kwid"
 	"knapweedproxy/core/kwmember"
 	"knapweedproxy/core/kwretry"
@@ -150,19 +149,21 @@
 type excluded map[kwid.EndpointID]bool
 
 // search returns the best chain with room for a request; the caller holds the lock.
-func (c *chooser) search(engine *kwdeclare.Engine, servers []kwchain.Server, r *request, need kwchain.Need, out excluded, limit time.Duration) (kwchain.Chain, bool) {
+func (c *chooser) search(v *view, w wish, limit time.Duration) (kwchain.Chain, bool) {
 	now := time.Now()
-	loaded := slices.Clone(servers)
+	r := w.r
+	loaded := slices.Clone(v.chained[r.service])
 	for i := range loaded {
 		load := c.loadOf(now, loaded[i].ID)
 		loaded[i].Used, loaded[i].Running = load.Used, load.Running
 	}
-	isOut := func(id kwid.EndpointID) bool { return out[id] || c.eject.Out(now, id) }
-	return kwchain.Choose(engine, loaded, isOut, kwchain.Wish{
-		Need:           need,
+	isOut := func(id kwid.EndpointID) bool { return w.out[id] || c.eject.Out(now, id) }
+	return kwchain.Choose(v.index.Service(r.service).Engine, loaded, isOut, kwchain.Wish{
+		Need:           w.need,
 		Home:           c.cfg.Zone,
 		Objective:      r.route.Objective,
 		PauseObjective: r.route.PauseObjective,
+		Partial:        v.partial,
 		Limit:          limit,
 		FirstEvent: func(first kwid.EndpointID, idle time.Duration) time.Duration {
 			return c.latencyOf(first).Estimate(now, idle)
--- a/io/kwgate/chooser_test.go
+++ b/io/kwgate/chooser_test.go
@@ -63,6 +63,13 @@
 	return wish{r: r, need: kwchain.Need{Tokens: 900, Prompt: 700}, view: func() *view { return b.view }}
 }
 
+// waiting returns how many requests wait for room.
+func (b *bench) waiting() int {
+	b.chooser.mu.Lock()
+	defer b.chooser.mu.Unlock()
+	return b.chooser.queue.Len()
+}
+
 // choose asks for a chain and names its first endpoint and the zones it meets.
 func (b *bench) choose(ctx context.Context) (chain kwchain.Chain, first string, err error) {
 	r := &request{route: b.route, service: testService, arrived: time.Now()}
@@ -251,7 +258,32 @@
 	if _, _, err := b.choose(ctx); err == nil {
 		t.Errorf("got a chain without a slot")
 	}
-	if got := b.chooser.queue.Len(); got != 0 {
+	if got := b.waiting(); got != 0 {
 		t.Errorf("requests that wait after their callers have left: got %d, want 0", got)
 	}
 }
+
+// TestChooserWaitsWhileGathering replays the start of everything: the requests of the whole outage are there before a single
+// endpoint is known; they wait, and take the chain that comes up.
+func TestChooserWaitsWhileGathering(t *testing.T) {
+	b := newBench(100)
+	whole := b.view
+	b.view = emptyView()
+	b.view.index, b.view.partial = whole.index, true
+	b.view.group()
+	got := make(chan error, 1)
+	go func() {
+		_, _, err := b.choose(t.Context())
+		got <- err
+	}()
+	for b.waiting() == 0 && len(got) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	b.chooser.mu.Lock()
+	b.view = whole
+	b.chooser.mu.Unlock()
+	b.chooser.update(whole, nil)
+	if err := <-got; err != nil {
+		t.Errorf("got %v, want a chain", err)
+	}
+}
--- a/io/kwgate/wait.go
+++ b/io/kwgate/wait.go
@@ -53,15 +53,14 @@
 	if service == nil || service.Engine == nil {
 		return chain, false, kwcode.New(kwcode.UnknownService, "service %q", w.r.service)
 	}
-	servers := v.chained[w.r.service]
-	if len(servers) == 0 {
+	if len(v.chained[w.r.service]) == 0 && !v.partial {
 		return chain, false, kwcode.New(kwcode.NoChain, "no endpoint of %q holds layers", w.r.service)
 	}
 	limit := w.r.route.Objective
 	if late || w.r.broken || w.r.late() {
 		limit = firstWait(w.r)
 	}
-	if chain, ok = c.search(service.Engine, servers, w.r, w.need, w.out, limit); ok {
+	if chain, ok = c.search(v, w, limit); ok {
 		c.reserve(chain, w.need.Tokens, 1)
 	}
 	return chain, ok, nil
