--- a/io/kwlink/link_test.go
+++ b/io/kwlink/link_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -148,3 +150,38 @@
 		t.Errorf("without a live process: got %v, want %v", err, kwcode.PeerUnreachable)
 	}
 }
+
+// shortListener has no descriptor left for its first connections.
+type shortListener struct {
+	net.Listener
+	short int
+}
+
+func (l *shortListener) Accept() (net.Conn, error) {
+	if l.short > 0 {
+		l.short--
+		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	return l.Listener.Accept()
+}
+
+// TestServerOutlivesAWantOfDescriptors has accepts fail for want of descriptors: the server goes on.
+func TestServerOutlivesAWantOfDescriptors(t *testing.T) {
+	s, err := Listen("127.0.0.1:0", map[Kind]Handler{kindEcho: echo})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.listener = &shortListener{Listener: s.listener, short: 3}
+	ended := make(chan error, 1)
+	go func() { ended <- s.Serve() }()
+	p := NewPool()
+	defer p.Close()
+	var got string
+	if err := p.Call(t.Context(), s.Address(), kindEcho, "hello", &got); err != nil || got != "hello" {
+		t.Errorf("got %q, %v, want the echo", got, err)
+	}
+	s.Close()
+	if err := <-ended; err != nil {
+		t.Errorf("got %v, want no error", err)
+	}
+}
--- a/io/kwlink/server.go
+++ b/io/kwlink/server.go
@@ -3,14 +3,18 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"sync"
+	"syscall"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
 	"knapweedproxy/core/kwcode"
 	"knapweedproxy/core/kwcodec"
 	"knapweedproxy/io/kwtcp"
+	"knapweedproxy/io/kwtime"
 )
 
 // Handler answers one call; body decodes the request.
@@ -60,6 +64,10 @@
 			return nil
 		}
 		if err != nil {
+			if passing(err) {
+				kwtime.Sleep(s.ctx, acceptPause)
+				continue
+			}
 			return kwcode.New(kwcode.ListenFailed, "%v", err)
 		}
 		kwtcp.DropSilent(c)
@@ -70,6 +78,14 @@
 	}
 }
 
+// acceptPause is the wait after an accept that failed for want of descriptors.
+const acceptPause = 20 * time.Millisecond
+
+// passing tells whether an accept failed for a reason that passes: no descriptors are free, or the caller has gone.
+func passing(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ECONNABORTED)
+}
+
 // Close ends the server and its connections.
 func (s *Server) Close() {
 	s.cancel()
