--- a/io/kwgate/front.go
+++ b/io/kwgate/front.go
@@ -33,9 +33,12 @@
 	// What the log line of the request tells.
 	sends int
 	// broken means that the caller has part of a stream that has broken off.
-	broken   bool
-	waited   time.Duration
-	first    time.Duration
+	broken bool
+	waited time.Duration
+	first  time.Duration
+	// heard is when the caller got the last event of a stream, pause the longest time between two.
+	heard    time.Time
+	pause    time.Duration
 	endpoint kwid.EndpointID
 	chain    string
 	resumed  int
@@ -243,7 +246,8 @@
 		fields = append(fields, kwevent.F("chain", q.chain))
 	}
 	if q.first > 0 {
-		fields = append(fields, kwevent.F("first-ms", q.first.Milliseconds()), kwevent.F("resumed", q.resumed))
+		fields = append(fields, kwevent.F("first-ms", q.first.Milliseconds()), kwevent.F("resumed", q.resumed),
+			kwevent.F("pause-ms", q.pause.Milliseconds()))
 	}
 	if err != nil {
 		fields = append(fields, kwevent.F("code", int(err.Code)), kwevent.F("error", err.Error()), kwevent.F("retry-after-ms", err.RetryAfter.Milliseconds()))
--- a/io/kwgate/measures.go
+++ b/io/kwgate/measures.go
@@ -12,6 +12,7 @@
 	resumed   metrics.Counter
 	events    metrics.Counter
 	first     metrics.Timer
+	pause     metrics.Timer
 	plain     metrics.Timer
 	waited    metrics.Timer
 	viewFails metrics.Counter
@@ -27,6 +28,7 @@
 		resumed:   metrics.GetOrRegisterCounter("streams.resumed", r),
 		events:    metrics.GetOrRegisterCounter("streams.event-writes", r),
 		first:     metrics.GetOrRegisterTimer("streams.first-event", r),
+		pause:     metrics.GetOrRegisterTimer("streams.longest-pause", r),
 		plain:     metrics.GetOrRegisterTimer("calls.answer", r),
 		waited:    metrics.GetOrRegisterTimer("admission.wait", r),
 		viewFails: metrics.GetOrRegisterCounter("view.refused", r),
--- a/io/kwgate/stream.go
+++ b/io/kwgate/stream.go
@@ -260,6 +260,7 @@
 		if err := control.Flush(); err != nil {
 			g.gone(q)
 		}
+		q.noteEvent(time.Now())
 		s.last = events.LastID
 		g.measures.events.Inc(1)
 		s.watched.progress()
@@ -267,6 +268,14 @@
 	}
 }
 
+// noteEvent measures the pauses between the events that a caller gets, over all attempts.
+func (q *request) noteEvent(now time.Time) {
+	if !q.heard.IsZero() {
+		q.pause = max(q.pause, now.Sub(q.heard))
+	}
+	q.heard = now
+}
+
 // broken ends an attempt that broke off or fell silent, and finds out which endpoint is to blame.
 func (g *Gate) broken(ctx context.Context, s *streaming, chain kwchain.Chain, err error) ending {
 	s.t.runs++
@@ -296,6 +305,7 @@
 func (g *Gate) finishWhole(s *streaming, chain kwchain.Chain) {
 	g.chooser.succeed(chain)
 	g.measures.served.Inc(1)
+	g.measures.pause.Update(s.q.pause)
 	g.logEnd(kwevent.RequestAnswered, s.q, http.StatusOK, nil)
 }
 
