Shun a silent control process for as long as it costs, and give up connecting sooner

Ruled out: the election, lost messages. Change: a connection is given up after 0.25 s, and an address is shunned for twice the time that its failure took, 1.5 s at most: a frozen leader as before, one that refuses connections not at all (TestShunningFollowsTheCost).

--- a/io/kwlink/leader.go
+++ b/io/kwlink/leader.go
@@ -14,9 +14,12 @@
 	tryTimeout = 800 * time.Millisecond
 	// retryPause is the pause after all known control processes were asked.
 	retryPause = 60 * time.Millisecond
-	// shunTime is how long an address that did not answer is not taken up again on the word of another process: members
+	// shunTime bounds how long an address that did not answer is not taken up again on the word of another process: members
 	// name a leader that has died until they have elected the next.
 	shunTime = 1500 * time.Millisecond
+	// shunFactor times what a failure took is how long its address is shunned, so that a third of the time is lost to it at
+	// most. One that refuses connections costs nothing, and a process that has just started is found at once.
+	shunFactor = 2
 )
 
 // Leader sends calls to the leader of control, which it finds by asking the processes that it knows.
@@ -26,13 +29,14 @@
 	known []string
 	hint  string
 	next  int
-	// silent holds when addresses last failed to answer.
-	silent map[string]time.Time
+	// shunned holds until when addresses that did not answer are shunned.
+	shunned map[string]time.Time
+	now     func() time.Time
 }
 
 // NewLeader returns a client that begins with some addresses.
 func NewLeader(pool *Pool, known []string) *Leader {
-	return &Leader{pool: pool, known: known, silent: make(map[string]time.Time)}
+	return &Leader{pool: pool, known: known, shunned: make(map[string]time.Time), now: time.Now}
 }
 
 // Learn replaces the addresses of control; an empty list changes nothing.
@@ -66,7 +70,7 @@
 		address = l.known[l.next%len(l.known)]
 		l.next++
 		wrapped = wrapped || l.next%len(l.known) == 0
-		if time.Since(l.silent[address]) > shunTime {
+		if l.now().After(l.shunned[address]) {
 			break
 		}
 	}
@@ -80,6 +84,7 @@
 	for ctx.Err() == nil {
 		address, wrapped := l.pick()
 		if address != "" {
+			begin := l.now()
 			try, cancel := context.WithTimeout(ctx, tryTimeout+extra)
 			err := l.pool.Call(try, address, kind, req, resp)
 			cancel()
@@ -92,7 +97,7 @@
 				l.Hint(address)
 				return last
 			}
-			l.follow(address, last)
+			l.follow(address, last, l.now().Sub(begin))
 		}
 		if wrapped {
 			kwtime.Sleep(ctx, retryPause)
@@ -101,18 +106,18 @@
 	return last
 }
 
-// follow turns away from an address that did not answer as leader, to the one that it names if any.
-func (l *Leader) follow(address string, err *kwcode.Error) {
+// follow turns away from an address that did not answer as leader, which took some time, to the one that it names if any.
+func (l *Leader) follow(address string, err *kwcode.Error, took time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.hint == address {
 		l.hint = ""
 	}
 	if err.Code == kwcode.PeerUnreachable {
-		l.silent[address] = time.Now()
+		l.shunned[address] = l.now().Add(min(shunFactor*took, shunTime))
 	}
 	named := err.Endpoint
-	if err.Code == kwcode.NotLeader && named != "" && named != address && time.Since(l.silent[named]) > shunTime {
+	if err.Code == kwcode.NotLeader && named != "" && named != address && l.now().After(l.shunned[named]) {
 		l.hint = named
 	}
 }
--- a/io/kwlink/link_test.go
+++ b/io/kwlink/link_test.go
@@ -185,3 +185,32 @@
 		t.Errorf("got %v, want no error", err)
 	}
 }
+
+// TestShunningFollowsTheCost has an address fail in several ways, and then be named as the leader by another process: it is
+// taken up again after twice the time that its failure took.
+func TestShunningFollowsTheCost(t *testing.T) {
+	lost := kwcode.New(kwcode.PeerUnreachable, "lost")
+	named := kwcode.New(kwcode.NotLeader, "another leads").At("leader")
+	cases := []struct {
+		name        string
+		took, after time.Duration
+		want        string
+	}{
+		{"refused, started a moment later", 0, time.Millisecond, "leader"},
+		{"no answer to a connection, back soon", dialTimeout, time.Second, "leader"},
+		{"no answer to a connection, at once", dialTimeout, dialTimeout, "other"},
+		{"no answer to a call, soon", tryTimeout, time.Second, "other"},
+		{"no answer to a call, long ago", tryTimeout, 2 * time.Second, "leader"},
+	}
+	for _, c := range cases {
+		now := time.Unix(1000, 0)
+		l := NewLeader(nil, []string{"other"})
+		l.now = func() time.Time { return now }
+		l.follow("leader", lost, c.took)
+		now = now.Add(c.after)
+		l.follow("other", named, 0)
+		if got, _ := l.pick(); got != c.want {
+			t.Errorf("%s: got %q tried next, want %q", c.name, got, c.want)
+		}
+	}
+}
--- a/io/kwlink/pool.go
+++ b/io/kwlink/pool.go
@@ -12,8 +12,9 @@
 	"knapweedproxy/io/kwtcp"
 )
 
-// dialTimeout bounds the opening of a connection: several round trips between availability zones on busy VMs.
-const dialTimeout = 700 * time.Millisecond
+// dialTimeout bounds the opening of a connection, many times the delay between availability zones: a VM that is down must
+// cost a process that has just started little.
+const dialTimeout = 250 * time.Millisecond
 
 // Pool holds one connection to each process that this one calls; it is safe for concurrent use.
 type Pool struct {
