--- /dev/null
+++ b/core/kwchain/bench_test.go
@@ -0,0 +1,49 @@
+package kwchain
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"knapweedproxy/core/kwid"
+)
+
+// fleetOf returns three zones of servers: each zone has one fast copy of two servers to every three slow copies of eight.
+func fleetOf(n int) []Server {
+	e := engine(80)
+	var out []Server
+	for i := 0; len(out) < n; i++ {
+		zone := kwid.AvailabilityZone(fmt.Sprint("z", i%3))
+		parts, kind := 8, "slow"
+		if i/3%4 == 0 {
+			parts, kind = 2, "fast"
+		}
+		for k := 0; k < parts && len(out) < n; k++ {
+			s := server(e, fmt.Sprintf("%s-%d-%d", zone, i, k), kind, k*80/parts, (k+1)*80/parts)
+			s.Zone = zone
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// BenchmarkChoose measures the choice of one chain at home, over deployments of some sizes.
+func BenchmarkChoose(b *testing.B) {
+	e := engine(80)
+	e.UsualAnswer = 200
+	for _, n := range []int{52, 200, 600} {
+		servers := fleetOf(n)
+		w := Wish{
+			Need: Need{Tokens: 900, Prompt: 700}, Home: "z0", Objective: 500 * time.Millisecond, Limit: time.Second,
+			FirstEvent: func(_ kwid.EndpointID, idle time.Duration) time.Duration { return idle },
+		}
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, ok := Choose(e, servers, func(kwid.EndpointID) bool { return false }, w); !ok {
+					b.Fatal("no chain")
+				}
+			}
+		})
+	}
+}
