The former leader leads again at once after an outage of all members

Change: a leader notes on its disk that it leads its term. Started again, it asks at once, and members that know of no newer term need not wait: it holds no lease any more, and nobody else can. It asks at each heartbeat until an election's time has passed.

--- a/core/kwlog/election.go
+++ b/core/kwlog/election.go
@@ -25,9 +25,13 @@
 		return
 	}
 	lastTerm, _ := n.termAt(n.last())
+	led := Term(0)
+	if n.resigned > 0 && term == n.resigned+1 {
+		led = n.resigned
+	}
 	for _, id := range n.members.Voters {
 		if id != n.cfg.ID {
-			n.send(Message{Kind: kind, To: id, Term: term, Index: n.last(), LogTerm: lastTerm, Transfer: transfer})
+			n.send(Message{Kind: kind, To: id, Term: term, Index: n.last(), LogTerm: lastTerm, Transfer: transfer, Led: led})
 		}
 	}
 }
@@ -103,6 +107,7 @@
 		return
 	}
 	n.become(Leader, n.hard.Term, n.cfg.ID)
+	n.hard.Led = n.hard.Term
 	n.peers = make(map[kwid.NodeID]*progress)
 	n.led = now
 	n.beat = now.Add(n.cfg.Heartbeat)
--- a/core/kwlog/node.go
+++ b/core/kwlog/node.go
@@ -38,6 +38,8 @@
 	timeout  time.Time
 	heard    time.Time
 	started  time.Time
+	// resigned is the term that this member led when it ended, 0 if another may lead it.
+	resigned Term
 	beat     time.Time
 	led      time.Time
 	install  *Snapshot
@@ -65,6 +67,10 @@
 	n.emitted = n.stable
 	n.members = n.membersAt(n.last())
 	n.resetTimeout(now)
+	if n.hard.Led > 0 && n.hard.Led == n.hard.Term {
+		n.resigned = n.hard.Led
+		n.timeout = now
+	}
 	if len(n.members.Voters) == 1 && n.members.IsVoter(cfg.ID) {
 		n.timeout = now
 	}
@@ -147,6 +153,16 @@
 	if n.members.IsVoter(n.cfg.ID) {
 		n.campaign(now, PreCandidate, false)
 	}
+	if n.mayResume(now) {
+		n.timeout = now.Add(n.cfg.Heartbeat)
+	}
+}
+
+// mayResume tells whether this member asks for its leadership back: it led the newest term that it knows of when it ended.
+// After the end of all members nobody else holds a lease, and the others need not wait until one might have run out.
+// It asks again and again, since they may start a moment later, until it is an election like any other.
+func (n *Node) mayResume(now time.Time) bool {
+	return n.resigned > 0 && n.resigned == n.hard.Term && n.leader == "" && now.Sub(n.started) < n.cfg.ElectionMin
 }
 
 func (n *Node) tickLeader(now time.Time) {
@@ -196,6 +212,10 @@
 	if m.Transfer {
 		return false
 	}
+	if m.Led > 0 && m.Led >= n.hard.Term {
+		// The candidate led the newest term that this member knows of and does not any more: no lease stands.
+		return false
+	}
 	if n.role == Leader {
 		return n.quorumHeard(now)
 	}
--- a/core/kwlog/node_test.go
+++ b/core/kwlog/node_test.go
@@ -159,3 +159,59 @@
 		v.node.Compact(v.node.Status().Applied, nil)
 	}
 }
+
+// restartAll ends all members at once and starts them again, each a moment after the one before, the former leader at a place
+// of its own in that order.
+func (w *world) restartAll(t *testing.T, leader *vm, last bool) {
+	t.Helper()
+	for _, v := range w.vms {
+		w.crash(v)
+	}
+	w.pass(t, 50*time.Millisecond)
+	if !last {
+		w.start(leader)
+		w.pass(t, 10*time.Millisecond)
+	}
+	for _, v := range w.vms {
+		if v != leader {
+			w.start(v)
+			w.pass(t, 10*time.Millisecond)
+		}
+	}
+	if last {
+		w.start(leader)
+	}
+}
+
+// TestLeaderResumes ends all members at once, as in an outage of everything: the former leader leads again long before an
+// election, whether it starts first or last.
+func TestLeaderResumes(t *testing.T) {
+	for seed := uint64(1); seed <= 20; seed++ {
+		w, leader := calmWorld(t, seed)
+		w.delay = 2 * time.Millisecond
+		w.restartAll(t, leader, seed%2 == 0)
+		w.pass(t, electionMin/2)
+		if got := w.leader(); got != leader {
+			t.Errorf("seed %d: half an election's time after the start got leader %v, want the former one", seed, got)
+		}
+	}
+}
+
+// TestResumingYieldsToANewerTerm has another member lead before the former leader is back: it does not disturb that one.
+func TestResumingYieldsToANewerTerm(t *testing.T) {
+	for seed := uint64(1); seed <= 20; seed++ {
+		w, leader := calmWorld(t, seed)
+		w.crash(leader)
+		w.pass(t, 12*electionMin)
+		next := w.leader()
+		if next == nil {
+			t.Fatalf("seed %d: no leader", seed)
+		}
+		term := next.node.Status().Term
+		w.start(leader)
+		w.pass(t, 2*electionMin)
+		if got := w.leader(); got != next || got.node.Status().Term != term {
+			t.Errorf("seed %d: got leader %v, want the one of term %d to stay", seed, got, term)
+		}
+	}
+}
--- a/core/kwlog/types.go
+++ b/core/kwlog/types.go
@@ -61,6 +61,8 @@
 type HardState struct {
 	Term Term        `cbor:"1,keyasint"`
 	Vote kwid.NodeID `cbor:"2,keyasint"`
+	// Led is Term if this member was elected its leader, else 0.
+	Led Term `cbor:"3,keyasint,omitempty"`
 }
 
 // Snapshot is the state machine's state after an entry.
@@ -102,6 +104,8 @@
 	Sent     int64       `cbor:"11,keyasint,omitempty"`
 	Snapshot *Snapshot   `cbor:"12,keyasint,omitempty"`
 	Transfer bool        `cbor:"13,keyasint,omitempty"`
+	// Led is the term that a candidate led before it started anew.
+	Led Term `cbor:"14,keyasint,omitempty"`
 }
 
 // Role is what a member does at present.
