--- a/core/kwlog/node.go
+++ b/core/kwlog/node.go
@@ -20,24 +20,24 @@
 
 // Node is one member; it is owned by one goroutine and does no I/O.
 type Node struct {
-	cfg      Config
-	rng      *rand.Rand
-	role     Role
-	hard     HardState
-	saved    HardState
-	leader   kwid.NodeID
-	snap     Snapshot
-	entries  []Entry
-	stable   Index
-	emitted  Index
-	commit   Index
-	applied  Index
-	members  Members
-	peers    map[kwid.NodeID]*progress
-	votes    map[kwid.NodeID]bool
-	timeout  time.Time
-	heard    time.Time
-	started  time.Time
+	cfg     Config
+	rng     *rand.Rand
+	role    Role
+	hard    HardState
+	saved   HardState
+	leader  kwid.NodeID
+	snap    Snapshot
+	entries []Entry
+	stable  Index
+	emitted Index
+	commit  Index
+	applied Index
+	members Members
+	peers   map[kwid.NodeID]*progress
+	votes   map[kwid.NodeID]bool
+	timeout time.Time
+	heard   time.Time
+	started time.Time
 	// resigned is the term that this member led when it ended, 0 if another may lead it.
 	resigned Term
 	beat     time.Time
