--- a/core/kwmember/roster.go
+++ b/core/kwmember/roster.go
@@ -60,6 +60,13 @@
 	return &Roster{cfg: cfg, rows: make(map[kwid.EndpointID]*Row), byPlace: make(map[string]kwid.EndpointID)}
 }
 
+// SeedLive takes endpoints that an earlier leader knew as live; each has a lease to be heard in.
+func (r *Roster) SeedLive(now time.Time, known []Announcement) {
+	for _, a := range known {
+		r.put(now, a)
+	}
+}
+
 // Seed takes rows of endpoints that drain or have left, as an earlier leader recorded them; heartbeats that are not
 // newer have no effect then.
 func (r *Roster) Seed(now time.Time, rows []Row) {
--- a/core/kwstate/command.go
+++ b/core/kwstate/command.go
@@ -22,6 +22,7 @@
 	Move    *Move          `cbor:"10,keyasint,omitempty"`
 	Declare *Declare       `cbor:"11,keyasint,omitempty"`
 	Leave   *Leave         `cbor:"12,keyasint,omitempty"`
+	Seen    *Seen          `cbor:"13,keyasint,omitempty"`
 }
 
 // Boot raises the fencing number; a control leader logs it before it gives orders.
@@ -44,6 +45,12 @@
 	Content []byte           `cbor:"2,keyasint"`
 }
 
+// Seen records announced endpoints that are live, and others that no longer are.
+type Seen struct {
+	Live []kwmember.Announcement `cbor:"1,keyasint,omitempty"`
+	Gone []kwid.EndpointID       `cbor:"2,keyasint,omitempty"`
+}
+
 // Leave records that an announced endpoint drains or has left, so that no later leader takes it for live.
 type Leave struct {
 	Row kwmember.Row `cbor:"1,keyasint"`
--- a/core/kwstate/machine.go
+++ b/core/kwstate/machine.go
@@ -47,6 +47,7 @@
 	owners   *owners
 	declared Declare
 	leaving  *leaving
+	seen     *seen
 }
 
 // New returns an empty machine.
@@ -57,6 +58,7 @@
 		journal: newJournal(cfg),
 		owners:  newOwners(),
 		leaving: newLeaving(cfg.KeepMillis),
+		seen:    newSeen(),
 	}
 }
 
@@ -92,6 +94,10 @@
 		return m.declare(c.Declare)
 	case c.Leave != nil:
 		m.leaving.put(c.Time, c.Leave.Row)
+		m.seen.leave(c.Leave.Row)
+		return Reply{}
+	case c.Seen != nil:
+		m.seen.apply(c.Seen)
 		return Reply{}
 	}
 	return Reply{Err: kwcode.New(kwcode.UnknownMessage, "the command is empty")}
@@ -186,6 +192,15 @@
 // Leaving returns the announced endpoints that drain or have left, in the order of their ids.
 func (m *Machine) Leaving() []kwmember.Row { return m.leaving.list() }
 
+// Seen returns the announced endpoints that were live when a leader last recorded them, in the order of their ids.
+func (m *Machine) Seen() []kwmember.Announcement { return m.seen.list() }
+
+// SeenOf returns what is recorded of a live endpoint, or false.
+func (m *Machine) SeenOf(id kwid.EndpointID) (kwmember.Announcement, bool) {
+	a, ok := m.seen.byID[id]
+	return a, ok
+}
+
 // HasLeft tells whether an endpoint's state is recorded as that of its present life.
 func (m *Machine) HasLeft(row kwmember.Row) bool {
 	held, ok := m.leaving.byID[row.Announcement.ID]
@@ -203,6 +218,7 @@
 	Owners   []Owner           `cbor:"8,keyasint,omitempty"`
 	Declared Declare           `cbor:"9,keyasint"`
 	Leaving  []left            `cbor:"10,keyasint,omitempty"`
+	Seen     Seen              `cbor:"11,keyasint,omitempty"`
 }
 
 // Snapshot encodes the whole state.
@@ -216,6 +232,7 @@
 		Owners:   m.owners.since(0),
 		Declared: m.declared,
 		Leaving:  m.leaving.rows(),
+		Seen:     Seen{Live: m.seen.list()},
 	}
 	for id := range m.drains {
 		img.Drains = append(img.Drains, id)
@@ -248,6 +265,7 @@
 	fresh.owners.load(img.Owners)
 	fresh.declared = img.Declared
 	fresh.leaving.load(img.Leaving)
+	fresh.seen.apply(&img.Seen)
 	*m = *fresh
 	return nil
 }
--- /dev/null
+++ b/core/kwstate/seen.go
@@ -0,0 +1,42 @@
+package kwstate
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"knapweedproxy/core/kwid"
+	"knapweedproxy/core/kwmember"
+)
+
+// seen remembers the live endpoints as a leader knew them a moment ago, so that the next one knows them at once: after an
+// outage of everything the callers are back before the endpoints' next heartbeats.
+type seen struct {
+	byID map[kwid.EndpointID]kwmember.Announcement
+}
+
+func newSeen() *seen {
+	return &seen{byID: make(map[kwid.EndpointID]kwmember.Announcement)}
+}
+
+func (s *seen) apply(c *Seen) {
+	for _, id := range c.Gone {
+		delete(s.byID, id)
+	}
+	for _, a := range c.Live {
+		s.byID[a.ID] = a
+	}
+}
+
+// leave drops an endpoint whose present life drains or has left.
+func (s *seen) leave(row kwmember.Row) {
+	if a, ok := s.byID[row.Announcement.ID]; ok && a.Born <= row.Announcement.Born {
+		delete(s.byID, row.Announcement.ID)
+	}
+}
+
+func (s *seen) list() []kwmember.Announcement {
+	out := slices.Collect(maps.Values(s.byID))
+	slices.SortFunc(out, func(a, b kwmember.Announcement) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
--- /dev/null
+++ b/core/kwstate/seen_test.go
@@ -0,0 +1,35 @@
+package kwstate
+
+import (
+	"testing"
+
+	"knapweedproxy/core/kwid"
+	"knapweedproxy/core/kwmember"
+)
+
+// TestSeenIsKept records live endpoints, one of which starts anew, one drains and one is lost, through a snapshot.
+func TestSeenIsKept(t *testing.T) {
+	live := func(id kwid.EndpointID, born kwmember.BirthMillis) kwmember.Announcement {
+		return kwmember.Announcement{ID: id, Born: born, Address: string(id)}
+	}
+	m := New(Config{KeepMillis: 1000})
+	m.Apply(Command{Seen: &Seen{Live: []kwmember.Announcement{live("e1", 1), live("e2", 1), live("e3", 1)}}})
+	m.Apply(Command{Seen: &Seen{Live: []kwmember.Announcement{live("e1", 2)}, Gone: []kwid.EndpointID{"e2"}}})
+	m.Apply(Command{Leave: leaveRow("e3", 1, kwmember.Leaving)})
+	m.Apply(Command{Leave: leaveRow("e1", 1, kwmember.Gone)})
+	data, err := m.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored := New(Config{KeepMillis: 1000})
+	if err := restored.Restore(data); err != nil {
+		t.Fatal(err)
+	}
+	got := restored.Seen()
+	if len(got) != 1 || got[0] != live("e1", 2) {
+		t.Errorf("got %v, want e1 in its second life alone", got)
+	}
+	if _, ok := restored.SeenOf("e3"); ok {
+		t.Error("got an endpoint that drains, want none")
+	}
+}
--- a/io/kwcontrol/loop.go
+++ b/io/kwcontrol/loop.go
@@ -358,6 +358,7 @@
 	l.cfg.Events.Emit(kwevent.LeaderElected, "", kwevent.F("term", uint64(l.raft.Status().Term)))
 	l.board.Members = l.newMembers()
 	l.board.Roster = kwmember.NewRoster(l.cfg.Roster)
+	l.board.Roster.SeedLive(now, l.board.State.Seen())
 	l.board.Roster.Seed(now, l.board.State.Leaving())
 	l.board.Epoch = uint64(l.raft.Status().Term)
 	l.board.Gather = now.Add(l.cfg.Timing.Gather)
--- a/io/kwevent/catalogue.go
+++ b/io/kwevent/catalogue.go
@@ -66,6 +66,7 @@
 	MemberJoins         ID = 423
 	HeartbeatLate       ID = 424
 	MessageRefused      ID = 425
+	EndpointsUnrecorded ID = 426
 	PeerRefused         ID = 501
 	KeyExpires          ID = 502
 )
@@ -146,6 +147,7 @@
 	{MemberJoins, "member-joins", levelInfo, "A control process asked to be taken in and receives the log."},
 	{HeartbeatLate, "heartbeat-late", levelInfo, "A heartbeat of an earlier life, or one that a newer one has overtaken, was left without effect."},
 	{MessageRefused, "message-refused", levelInfo, "A message from outside could not be read or is not valid."},
+	{EndpointsUnrecorded, "endpoints-unrecorded", levelInfo, "The live endpoints could not be recorded for the next leader."},
 	{PeerRefused, "peer-refused", levelInfo, "A connection or frame from a peer was refused."},
 	{KeyExpires, "key-expires", levelInfo, "The process's certificate expires soon."},
 }
--- a/io/kwhub/hub.go
+++ b/io/kwhub/hub.go
@@ -12,6 +12,7 @@
 	"knapweedproxy/core/kwid"
 	"knapweedproxy/core/kwlog"
 	"knapweedproxy/core/kwretry"
+	"knapweedproxy/core/kwstate"
 	"knapweedproxy/io/kwcontrol"
 	"knapweedproxy/io/kwevent"
 	"knapweedproxy/io/kwlink"
@@ -163,7 +164,7 @@
 		Events:         h.deps.Events,
 		Sender:         sender,
 		Roster:         h.cfg.roster(),
-		Controllers:    []kwboard.Controller{h.placer},
+		Controllers:    []kwboard.Controller{h.placer, &recorder{propose: h.record}},
 		CompactEntries: compactEntries,
 	})
 	if err != nil {
@@ -173,6 +174,19 @@
 	return &membership{id: id, loop: loop}, sender, nil
 }
 
+// record hands a command to the log beside the control goroutine; one that is lost is made good by a later one.
+func (h *Hub) record(c kwstate.Command) {
+	h.background(func() {
+		ctx, cancel := context.WithTimeout(h.ctx, callTimeout)
+		defer cancel()
+		if m := h.member.Load(); m != nil {
+			if reply := m.loop.Propose(ctx, c); reply.Err != nil {
+				h.deps.Events.Emit(kwevent.EndpointsUnrecorded, "", kwevent.F("error", reply.Err.Error()))
+			}
+		}
+	})
+}
+
 // keepMembership asks to be taken in while this member is outside, and lets the steward act while it leads.
 func (h *Hub) keepMembership(m *membership) {
 	steward := h.cfg.steward()
--- /dev/null
+++ b/io/kwhub/recorder.go
@@ -0,0 +1,65 @@
+package kwhub
+
+import (
+	"time"
+
+	"knapweedproxy/core/kwboard"
+	"knapweedproxy/core/kwid"
+	"knapweedproxy/core/kwmember"
+	"knapweedproxy/core/kwstate"
+)
+
+// recordPeriod bounds how often endpoints are recorded: a release changes several within a second.
+const recordPeriod = 300 * time.Millisecond
+
+// recorder is the controller that records live endpoints in the replicated log while this process leads. Heartbeats are
+// confirmed without it: it only spares the next leader the wait for them.
+type recorder struct {
+	// propose hands a command to the log, without waiting for it.
+	propose func(kwstate.Command)
+	epoch   uint64
+	version uint64
+	next    time.Time
+}
+
+// Run records what has changed since the last look.
+func (r *recorder) Run(now time.Time, b *kwboard.Board) {
+	if !b.Leading || now.Before(b.Gather) || now.Before(r.next) {
+		return
+	}
+	r.next = now.Add(recordPeriod)
+	if r.epoch != b.Epoch {
+		r.epoch, r.version = b.Epoch, 0
+	}
+	if b.Roster.Version() == r.version {
+		return
+	}
+	// What a lost command held differs from the state at a later change of the roster, and is recorded then.
+	r.version = b.Roster.Version()
+	if c := changes(b); len(c.Live)+len(c.Gone) > 0 {
+		r.propose(kwstate.Command{Seen: &c})
+	}
+}
+
+// changes compares the roster with what is recorded.
+func changes(b *kwboard.Board) kwstate.Seen {
+	var out kwstate.Seen
+	live := make(map[kwid.EndpointID]bool)
+	for _, row := range b.Roster.Since(0) {
+		a := row.Announcement
+		if row.State != kwmember.Live {
+			continue
+		}
+		live[a.ID] = true
+		old, ok := b.State.SeenOf(a.ID)
+		if old.Sequence = a.Sequence; !ok || old != a {
+			out.Live = append(out.Live, a)
+		}
+	}
+	for _, a := range b.State.Seen() {
+		if !live[a.ID] {
+			out.Gone = append(out.Gone, a.ID)
+		}
+	}
+	return out
+}
