--- a/core/kwretry/shared.go
+++ b/core/kwretry/shared.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"knapweedproxy/core/kwid"
 )
@@ -9,8 +10,9 @@
 // SharedConfig is what a fleet allows each service beyond the first try of every request: a ratio of the requests, and a
 // burst in any window of time that all entries share.
 type SharedConfig struct {
-	Ratio float64
-	Burst float64
+	Ratio  float64
+	Burst  float64
+	Window time.Duration
 }
 
 const (
@@ -19,8 +21,6 @@
 	// burstShare of the fleet's burst is split between the entries. What is not lent either (lentShare) is for entries that start
 	// anew with credit.
 	burstShare = 0.38
-	// startShare of its burst is what a new process has, since the one before it may have spent its own.
-	startShare = 0.5
 	// leastEntries is how many entries are assumed at least: a leader that is new has not heard of all of them.
 	leastEntries = 6
 )
@@ -30,12 +30,12 @@
 	cfg     SharedConfig
 	mu      sync.Mutex
 	entries int
-	budgets map[kwid.ServiceName]*Budget
+	budgets map[kwid.ServiceName]*Window
 }
 
 // NewShared returns the part of one entry of a small fleet.
 func NewShared(cfg SharedConfig) *Shared {
-	return &Shared{cfg: cfg, entries: leastEntries, budgets: make(map[kwid.ServiceName]*Budget)}
+	return &Shared{cfg: cfg, entries: leastEntries, budgets: make(map[kwid.ServiceName]*Window)}
 }
 
 // SetEntries takes how many entries share the budgets.
@@ -47,8 +47,8 @@
 		return
 	}
 	s.entries = n
-	for _, b := range s.budgets {
-		b.SetBurst(s.burst())
+	for _, w := range s.budgets {
+		w.SetBurst(s.burst())
 	}
 }
 
@@ -57,14 +57,13 @@
 }
 
 // Of returns the budget of a service.
-func (s *Shared) Of(service kwid.ServiceName) *Budget {
+func (s *Shared) Of(service kwid.ServiceName) *Window {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	b, ok := s.budgets[service]
+	w, ok := s.budgets[service]
 	if !ok {
-		b = NewBudget(Config{Ratio: s.cfg.Ratio * ratioShare, Burst: s.burst()})
-		b.tokens *= startShare
-		s.budgets[service] = b
+		w = NewWindow(WindowConfig{Ratio: s.cfg.Ratio * ratioShare, Burst: s.burst(), Window: s.cfg.Window})
+		s.budgets[service] = w
 	}
-	return b
+	return w
 }
