--- a/core/kwretry/ejector.go
+++ b/core/kwretry/ejector.go
@@ -22,8 +22,14 @@
 type ejection struct {
 	until time.Time
 	span  time.Duration
+	// strikes counts the failures since the last success that prove nothing by themselves.
+	strikes int
 }
 
+// strikesOut is how many such failures in a row eject an endpoint: one that loses a few answers in a hundred is worth keeping,
+// one that breaks off everything is left after two.
+const strikesOut = 2
+
 // Ejector keeps failing endpoints out for a growing time; it is safe for concurrent use.
 type Ejector struct {
 	mu    sync.Mutex
@@ -60,6 +66,20 @@
 	e.rows[id] = row
 }
 
+// Strike notes a failure that an endpoint in good health may show now and then, as a connection that it reset; several in a row
+// eject it. It reports whether the endpoint is out.
+func (e *Ejector) Strike(now time.Time, id kwid.EndpointID) bool {
+	e.mu.Lock()
+	row := e.rows[id]
+	row.strikes++
+	e.rows[id] = row
+	e.mu.Unlock()
+	if row.strikes >= strikesOut {
+		e.Fail(now, id)
+	}
+	return e.Out(now, id)
+}
+
 // Succeed clears the history of an endpoint.
 func (e *Ejector) Succeed(id kwid.EndpointID) {
 	e.mu.Lock()
--- a/core/kwretry/retry_test.go
+++ b/core/kwretry/retry_test.go
@@ -73,3 +73,31 @@
 		t.Error("got the endpoint out, want it back after a success")
 	}
 }
+
+// TestStrikes replays an endpoint that loses one answer in twenty, and one that breaks off everything: the first stays, the
+// second is out after two tries, and after each time out until it has succeeded.
+func TestStrikes(t *testing.T) {
+	now := time.Unix(1000, 0)
+	e := NewEjector(DefaultEjectConfig())
+	e.SetKnown(10)
+	for i := range 200 {
+		if i%20 == 0 && e.Strike(now, "lossy") {
+			t.Fatal("got an endpoint ejected that loses one answer in twenty, want it kept")
+		}
+		e.Succeed("lossy")
+	}
+	if e.Strike(now, "broken") {
+		t.Error("got an endpoint ejected by one broken stream, want it kept")
+	}
+	if !e.Strike(now, "broken") {
+		t.Error("got an endpoint kept that broke off two streams in a row, want it ejected")
+	}
+	now = now.Add(1100 * time.Millisecond)
+	if e.Out(now, "broken") || !e.Strike(now, "broken") || !e.Out(now.Add(1500*time.Millisecond), "broken") {
+		t.Error("after its time out the endpoint breaks off again: want it ejected at once, for longer")
+	}
+	e.Succeed("broken")
+	if e.Strike(now, "broken") {
+		t.Error("got an endpoint ejected by one broken stream after a success, want it kept")
+	}
+}
--- a/io/kwgate/blame_test.go
+++ b/io/kwgate/blame_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -104,3 +105,28 @@
 		}
 	}
 }
+
+// TestServerThatBreaksOffIsLeft replays a first server that takes every connection, resets it before the first event, and
+// whose report shows nothing: streams go on elsewhere, and soon none is sent there any more.
+func TestServerThatBreaksOffIsLeft(t *testing.T) {
+	var tries atomic.Int32
+	bad := serveRaw(t, func(io.Writer, string) bool {
+		tries.Add(1)
+		return false
+	})
+	good := serveRaw(t, func(w io.Writer, id string) bool {
+		_, err := fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n7\r\nid: 1\n\n\r\n0\r\n\r\n", id)
+		return err == nil
+	})
+	g := testGate(t, bad, "127.0.0.1:1")
+	setModels(g, kwmember.Announcement{ID: "bad", Address: bad, Layers: kwid.LayerRange{To: 8}},
+		kwmember.Announcement{ID: "good", Address: good, Layers: kwid.LayerRange{To: 8}})
+	for i := range 20 {
+		if status, body := ask(t, http.DefaultClient, g, "/notes/x", fmt.Sprint("q", i)); status != http.StatusOK || body != "id: 1\n\n" {
+			t.Errorf("got %d %q, want the whole stream", status, body)
+		}
+	}
+	if got := tries.Load(); got > 3 {
+		t.Errorf("got %d streams sent to the server that breaks off all of them, want 3 at most", got)
+	}
+}
--- a/io/kwgate/stream.go
+++ b/io/kwgate/stream.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"knapweedproxy/core/kwchain"
@@ -254,6 +255,7 @@
 		first.end(true)
 		if !s.begun {
 			s.begun = true
+			g.chooser.eject.Succeed(chain.First().Endpoint)
 			q.first = time.Since(q.arrived)
 			g.measures.first.Update(q.first)
 			copyHeaders(q.w, resp.Header)
@@ -287,6 +289,9 @@
 	s.t.last = kwcode.New(kwcode.StreamCut, "chain %s: %v", chainText(chain), err)
 	blamed := g.active.blamed(s.watched)
 	s.turnAway(chain, blamed)
+	if blamed == "" && ctx.Err() == nil && brokeOff(err) {
+		g.strike(s.q, chain.First(), err)
+	}
 	if ctx.Err() == nil {
 		g.deps.Events.Emit(kwevent.AttemptFailed, s.q.call.ID, kwevent.F("chain", chainText(chain)), kwevent.F("error", err.Error()),
 			kwevent.F("begun", s.begun), kwevent.F("last-event", s.last), kwevent.F("blamed", blamed))
@@ -295,6 +300,20 @@
 	return endBroken
 }
 
+// brokeOff tells whether the first endpoint of a chain ended the connection, as opposed to saying nothing for too long.
+func brokeOff(err error) bool {
+	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
+}
+
+// strike notes that the first endpoint of a chain broke off a stream. Its report says nothing of that, and its connections
+// open as ever, so nobody else would find an endpoint that breaks off all of them.
+func (g *Gate) strike(q *request, first kwchain.Part, err error) {
+	if g.chooser.eject.Strike(time.Now(), first.Endpoint) {
+		g.deps.Events.Emit(kwevent.EndpointEjected, q.call.ID, kwevent.F("endpoint", first.Endpoint), kwevent.F("address", first.Address),
+			kwevent.F("cause", "breaks off streams"), kwevent.F("error", err.Error()))
+	}
+}
+
 // turnAway keeps the next attempt off the endpoint at fault, or off the whole chain where that is not known.
 func (s *streaming) turnAway(chain kwchain.Chain, blamed kwid.EndpointID) {
 	if blamed != "" && chain.Uses(blamed) {
