--- a/io/kwhub/placer.go
+++ b/io/kwhub/placer.go
@@ -1,7 +1,6 @@
 package kwhub
 
 import (
-	"context"
 	"reflect"
 	"slices"
 	"sync"
@@ -72,28 +71,6 @@
 	orders  []kwplace.Order
 }
 
-// engineState is what the leader knows of the orders to one engine.
-type engineState struct {
-	born    kwmember.BirthMillis
-	orders  uint64
-	joined  time.Time
-	target  kwid.LayerRange
-	ordered bool
-	asking  bool
-	since   time.Time
-	retry   time.Time
-}
-
-type orderAnswer struct {
-	epoch  uint64
-	id     kwid.EndpointID
-	born   kwmember.BirthMillis
-	target kwid.LayerRange
-	result OrderResult
-	state  *EngineState
-	err    error
-}
-
 func newPlacer(cfg placerConfig) *placer {
 	return &placer{
 		cfg:      cfg,
@@ -173,45 +150,6 @@
 	p.known = len(rows)
 }
 
-// fleet is the live servers of one engine.
-type fleet struct {
-	servers []kwplace.Server
-	at      map[kwid.EndpointID]kwmember.Announcement
-	// empty means that no server holds layers or was ordered to.
-	empty bool
-}
-
-func (p *placer) fleetOf(now time.Time, service *kwdeclare.Service, rows []kwmember.Row) fleet {
-	f := fleet{at: make(map[kwid.EndpointID]kwmember.Announcement), empty: true}
-	ended := endedPlaces(service.Name, rows)
-	for _, row := range rows {
-		a := row.Announcement
-		if a.Service != service.Name || row.State != kwmember.Live {
-			continue
-		}
-		kind := service.Engine.Accelerator(a.Accelerator)
-		if kind == nil {
-			continue
-		}
-		s := p.stateOf(now, a)
-		if ended[a.Address] {
-			// A server that has started again in place replaces no other.
-			s.joined = time.Time{}
-		}
-		server := kwplace.Server{
-			ID: a.ID, Zone: a.Zone, Place: a.Address, MemoryMB: kind.MemoryMB, Pace: kind.Pace, Layers: a.Layers,
-			Fresh: now.Sub(s.joined) < freshTime,
-		}
-		if s.ordered {
-			server.Layers, server.Ordered = s.target, true
-		}
-		f.empty = f.empty && server.Layers.Len() == 0
-		f.at[a.ID] = a
-		f.servers = append(f.servers, server)
-	}
-	return f
-}
-
 func (p *placer) place(now time.Time, service *kwdeclare.Service, rows []kwmember.Row, done plan) {
 	f := p.fleetOf(now, service, rows)
 	p.repeat(now, f.at)
@@ -262,122 +200,3 @@
 		}
 	}
 }
-
-// same tells whether a server is in two fleets with the same layers and orders.
-func same(a, b []kwplace.Server, id kwid.EndpointID) bool {
-	find := func(list []kwplace.Server) int {
-		return slices.IndexFunc(list, func(s kwplace.Server) bool { return s.ID == id })
-	}
-	i, j := find(a), find(b)
-	return i >= 0 && j >= 0 && a[i].Layers == b[j].Layers && a[i].Ordered == b[j].Ordered
-}
-
-// endedPlaces lists the addresses at which servers of a service have ended.
-func endedPlaces(service kwid.ServiceName, rows []kwmember.Row) map[string]bool {
-	out := make(map[string]bool)
-	for _, row := range rows {
-		if row.Announcement.Service == service && (row.State == kwmember.Lost || row.State == kwmember.Gone) {
-			out[row.Announcement.Address] = true
-		}
-	}
-	return out
-}
-
-// stateOf returns the order state of an endpoint's present life; an order is done once the endpoint reports its range.
-func (p *placer) stateOf(now time.Time, a kwmember.Announcement) *engineState {
-	s, ok := p.engines[a.ID]
-	if !ok || s.born != a.Born {
-		s = &engineState{born: a.Born, joined: now}
-		p.engines[a.ID] = s
-	}
-	if s.ordered && (a.Layers == s.target || now.After(s.since)) {
-		s.ordered = false
-	}
-	return s
-}
-
-func (p *placer) order(now time.Time, a kwmember.Announcement, layers kwid.LayerRange, e *kwdeclare.Engine) {
-	s := p.engines[a.ID]
-	share := float64(layers.Len()) / float64(e.Layers)
-	slowed := max(1, len(p.engines)/max(1, e.LoadsAtOnce))
-	s.target = layers
-	s.ordered = true
-	s.since = now.Add(time.Duration(share*float64(e.LoadTime))*time.Duration(slowed) + orderLife)
-	p.send(now, a, s)
-}
-
-// repeat sends orders that got no answer once more; the count of orders keeps a late copy from taking effect twice.
-func (p *placer) repeat(now time.Time, at map[kwid.EndpointID]kwmember.Announcement) {
-	for id, s := range p.engines {
-		a, ok := at[id]
-		if ok && s.ordered && !s.asking && !s.retry.IsZero() && now.After(s.retry) {
-			p.send(now, a, s)
-		}
-	}
-}
-
-// send gives an order, or leaves it for the next look if many wait for an answer already.
-func (p *placer) send(now time.Time, a kwmember.Announcement, s *engineState) {
-	if p.asking >= ordersAtOnce {
-		s.retry = now
-		return
-	}
-	p.asking++
-	s.asking = true
-	s.retry = time.Time{}
-	epoch, orders, target := p.epoch, s.orders, s.target
-	p.cfg.Events.Emit(kwevent.OrderSent, "", kwevent.F("endpoint", a.ID), kwevent.F("address", a.Address),
-		kwevent.F("from", target.From), kwevent.F("to", target.To), kwevent.F("orders", orders))
-	p.cfg.Run(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
-		defer cancel()
-		out := orderAnswer{epoch: epoch, id: a.ID, born: a.Born, target: target}
-		out.result, out.err = p.cfg.Engines.Place(ctx, a.Address, target, orders)
-		if out.err == nil && out.result == OrderConflict {
-			var state EngineState
-			if state, out.err = p.cfg.Engines.State(ctx, a.Address); out.err == nil {
-				out.state = &state
-			}
-		}
-		p.mu.Lock()
-		p.answers = append(p.answers, out)
-		p.mu.Unlock()
-	})
-}
-
-func (p *placer) takeAnswers(now time.Time) {
-	p.mu.Lock()
-	answers := p.answers
-	p.answers = nil
-	p.mu.Unlock()
-	for _, a := range answers {
-		if a.epoch != p.epoch {
-			continue
-		}
-		p.asking--
-		s, ok := p.engines[a.id]
-		if !ok || s.born != a.born {
-			continue
-		}
-		s.asking = false
-		p.take(now, s, a)
-	}
-}
-
-func (p *placer) take(now time.Time, s *engineState, a orderAnswer) {
-	fields := []kwevent.Field{
-		kwevent.F("endpoint", a.id), kwevent.F("from", a.target.From), kwevent.F("to", a.target.To), kwevent.F("result", a.result),
-	}
-	switch {
-	case a.err != nil:
-		s.retry = now.Add(orderRepeat)
-		fields = append(fields, kwevent.F("error", a.err.Error()))
-	case a.result == OrderBegun:
-		s.orders++
-	case a.state != nil:
-		s.orders = a.state.Orders
-		s.ordered = a.state.Busy || a.state.Layers == a.target
-		fields = append(fields, kwevent.F("orders", a.state.Orders), kwevent.F("busy", a.state.Busy))
-	}
-	p.cfg.Events.Emit(kwevent.OrderAnswered, "", fields...)
-}
