--- a/io/kwgate/stream.go
+++ b/io/kwgate/stream.go
@@ -85,18 +85,15 @@
 	}
 }
 
-// meanAnswer is the share of its answer that a stream holds on average while it runs.
-const meanAnswer = 0.5
-
-// needOf estimates the KV room that a request takes up on average: its prompt and half the answer that its caller expects.
-// Streams are at all stages of their answers, so a full server is full on average; in the rare moment at which it is
-// over-full, the engine puts its newest request back.
+// needOf estimates the KV room of a request: its prompt and the whole answer that its caller expects. Less than that, as what a
+// stream holds on average, lets full engines put requests back and read them again, which keeps them full for good
+// (docs/MEASUREMENTS.md).
 func needOf(q *request) kwchain.Need {
 	answer := q.call.AnswerHint
 	if answer <= 0 || q.call.MaxAnswerTokens > 0 && answer > q.call.MaxAnswerTokens {
 		answer = q.call.MaxAnswerTokens
 	}
-	return kwchain.Need{Tokens: float64(q.call.PromptTokens) + meanAnswer*float64(answer), Prompt: float64(q.call.PromptTokens)}
+	return kwchain.Need{Tokens: float64(q.call.PromptTokens + answer), Prompt: float64(q.call.PromptTokens)}
 }
 
 // attempt sends the request down one chain and relays its events.
