--- a/io/kwgate/chooser_test.go
+++ b/io/kwgate/chooser_test.go
@@ -13,6 +13,7 @@
 	"knapweedproxy/core/kwid"
 	"knapweedproxy/core/kwmember"
 	"knapweedproxy/core/kwretry"
+	"knapweedproxy/io/kwrelay"
 )
 
 const testService = kwid.ServiceName("llm")
@@ -287,3 +288,18 @@
 		t.Errorf("got %v, want a chain", err)
 	}
 }
+
+// TestNeedIsWhole asks what a stream reserves: its prompt and the whole of the answer that its caller expects, or that it
+// allows at most. Engines that were filled by half the answer put requests back and stayed full.
+func TestNeedIsWhole(t *testing.T) {
+	cases := []struct {
+		prompt, hint, most int
+		want               float64
+	}{{700, 200, 400, 900}, {700, 0, 400, 1100}, {700, 600, 400, 1100}}
+	for _, c := range cases {
+		q := &request{call: kwrelay.Call{PromptTokens: c.prompt, AnswerHint: c.hint, MaxAnswerTokens: c.most}}
+		if got := needOf(q); got.Tokens != c.want || got.Prompt != float64(c.prompt) {
+			t.Errorf("prompt %d, hint %d, limit %d: got %+v, want %v tokens", c.prompt, c.hint, c.most, got, c.want)
+		}
+	}
+}
