--- a/core/kwchain/chain.go
+++ b/core/kwchain/chain.go
@@ -29,6 +29,11 @@
 // First returns the endpoint that takes the request.
 func (c Chain) First() Part { return c.Parts[0] }
 
+// Pause is the usual time between two events of a stream: an engine hands out the tokens of a pass together.
+func (c Chain) Pause(e *kwdeclare.Engine) time.Duration {
+	return c.TokenTime * time.Duration(max(1, e.StepsPerPass))
+}
+
 // Uses tells whether an endpoint is part of the chain.
 func (c Chain) Uses(id kwid.EndpointID) bool {
 	for _, p := range c.Parts {
--- a/core/kwchain/choose.go
+++ b/core/kwchain/choose.go
@@ -94,8 +94,7 @@
 // paceCost is what the pace of a chain counts for beside the wait for the first event.
 func (w Wish) paceCost(engine *kwdeclare.Engine, chain Chain) time.Duration {
 	cost := time.Duration(paceWeight * float64(engine.UsualAnswer) * float64(chain.TokenTime))
-	pause := chain.TokenTime * time.Duration(max(1, engine.StepsPerPass))
-	if w.PauseObjective > 0 && float64(pause) > pauseShare*float64(w.PauseObjective) {
+	if w.PauseObjective > 0 && float64(chain.Pause(engine)) > pauseShare*float64(w.PauseObjective) {
 		cost += w.Objective
 	}
 	return cost
--- a/core/kwlog/schedules_test.go
+++ b/core/kwlog/schedules_test.go
@@ -36,29 +36,34 @@
 // TestSchedules runs seeded random schedules of messages, crashes, partitions, clock drift, disk loss and
 // membership changes over the pure log and the control state.
 func TestSchedules(t *testing.T) {
+	total, all := runSchedules(t, newWorld)
+	if !all {
+		return
+	}
+	if total.Acked == 0 || total.Elections == 0 || total.Crashes == 0 || total.Torn == 0 || total.DiskLosses == 0 || total.Promotions == 0 || total.Snapshots == 0 {
+		t.Errorf("got %+v, want every kind of event", total)
+	}
+}
+
+// runSchedules runs the schedules of all seeds and counts what they covered, or replays the one that the flags name; all tells
+// which.
+func runSchedules(t *testing.T, build func(seed uint64) *world) (total tally, all bool) {
+	t.Helper()
 	if *oneSeed != 0 {
-		if err := runSchedule(*oneSeed); err != nil {
+		if err := build(*oneSeed).run(); err != nil {
 			t.Fatalf("seed %d: %v", *oneSeed, err)
 		}
-		return
+		return total, false
 	}
-	total := tally{}
 	for seed := uint64(1); seed <= uint64(*seedCount); seed++ {
-		w := newWorld(seed)
+		w := build(seed)
 		if err := w.run(); err != nil {
 			t.Fatalf("seed %d: %v (replay with -seed %d)", seed, err, seed)
 		}
 		total.add(w.tally)
 	}
 	t.Logf("%d schedules: %+v", *seedCount, total)
-	if total.Acked == 0 || total.Elections == 0 || total.Crashes == 0 || total.Torn == 0 || total.DiskLosses == 0 || total.Promotions == 0 || total.Snapshots == 0 {
-		t.Errorf("got %+v, want every kind of event", total)
-	}
-}
-
-func runSchedule(seed uint64) error {
-	w := newWorld(seed)
-	return w.run()
+	return total, true
 }
 
 // tally counts what the schedules covered.
--- a/core/kwlog/steward_test.go
+++ b/core/kwlog/steward_test.go
@@ -79,21 +79,10 @@
 // TestStewardSchedules runs the schedules with the steward: no acknowledged declaration is lost or read in an older
 // state, whatever disks and VMs are replaced.
 func TestStewardSchedules(t *testing.T) {
-	if *oneSeed != 0 {
-		if err := newStewardWorld(*oneSeed).run(); err != nil {
-			t.Fatalf("seed %d: %v", *oneSeed, err)
-		}
+	total, all := runSchedules(t, newStewardWorld)
+	if !all {
 		return
 	}
-	total := tally{}
-	for seed := uint64(1); seed <= uint64(*seedCount); seed++ {
-		w := newStewardWorld(seed)
-		if err := w.run(); err != nil {
-			t.Fatalf("seed %d: %v (replay with -seed %d)", seed, err, seed)
-		}
-		total.add(w.tally)
-	}
-	t.Logf("%d schedules: %+v", *seedCount, total)
 	if total.Acked == 0 || total.Torn == 0 || total.DiskLosses == 0 || total.Promotions == 0 || total.Snapshots == 0 {
 		t.Errorf("got %+v, want every kind of event", total)
 	}
--- a/core/kwmember/roster.go
+++ b/core/kwmember/roster.go
@@ -134,9 +134,13 @@
 }
 
 func same(old *Row, a Announcement) bool {
-	kept := old.Announcement
-	kept.Sequence = a.Sequence
-	return kept == a && old.State == stateOf(a)
+	return old.Announcement.Repeats(a) && old.State == stateOf(a)
+}
+
+// Repeats tells whether two announcements say the same but for their sequence.
+func (a Announcement) Repeats(b Announcement) bool {
+	a.Sequence = b.Sequence
+	return a == b
 }
 
 func stateOf(a Announcement) State {
--- a/core/kwretry/ejector.go
+++ b/core/kwretry/ejector.go
@@ -54,6 +54,11 @@
 func (e *Ejector) Fail(now time.Time, id kwid.EndpointID) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.fail(now, id)
+}
+
+// fail ejects an endpoint; the caller holds the lock.
+func (e *Ejector) fail(now time.Time, id kwid.EndpointID) {
 	row := e.rows[id]
 	if now.Before(row.until) {
 		return
@@ -70,14 +75,14 @@
 // eject it. It reports whether the endpoint is out.
 func (e *Ejector) Strike(now time.Time, id kwid.EndpointID) bool {
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	row := e.rows[id]
 	row.strikes++
 	e.rows[id] = row
-	e.mu.Unlock()
 	if row.strikes >= strikesOut {
-		e.Fail(now, id)
+		e.fail(now, id)
 	}
-	return e.Out(now, id)
+	return now.Before(e.rows[id].until)
 }
 
 // Succeed clears the history of an endpoint.
--- a/core/kwstate/leaving_test.go
+++ b/core/kwstate/leaving_test.go
@@ -17,14 +17,7 @@
 	m.Apply(Command{Time: 200, Leave: leaveRow("e1", 5, kwmember.Gone)})
 	m.Apply(Command{Time: 300, Leave: leaveRow("e1", 4, kwmember.Leaving)})
 	m.Apply(Command{Time: 900, Leave: leaveRow("e2", 7, kwmember.Leaving)})
-	data, err := m.Snapshot()
-	if err != nil {
-		t.Fatal(err)
-	}
-	restored := New(Config{KeepMillis: 1000})
-	if err := restored.Restore(data); err != nil {
-		t.Fatal(err)
-	}
+	restored := reopen(t, m, Config{KeepMillis: 1000})
 	rows := restored.Leaving()
 	if len(rows) != 2 || rows[0].State != kwmember.Gone || rows[0].Announcement.Born != 5 {
 		t.Fatalf("after a snapshot: got %v, want e1 gone in life 5 and e2", rows)
--- a/core/kwstate/machine_test.go
+++ b/core/kwstate/machine_test.go
@@ -147,6 +147,20 @@
 	}
 }
 
+// reopen returns a machine that continues from a snapshot of another.
+func reopen(t *testing.T, m *Machine, cfg Config) *Machine {
+	t.Helper()
+	data, err := m.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	fresh := New(cfg)
+	if err := fresh.Restore(data); err != nil {
+		t.Fatal(err)
+	}
+	return fresh
+}
+
 // TestSnapshotIsExact requires that a restored machine answers as the original does.
 func TestSnapshotIsExact(t *testing.T) {
 	m := New(DefaultConfig())
@@ -160,14 +174,7 @@
 			outcome(m, int64(100-i), key, 1, 200)
 		}
 	}
-	data, err := m.Snapshot()
-	if err != nil {
-		t.Fatal(err)
-	}
-	got := New(DefaultConfig())
-	if err := got.Restore(data); err != nil {
-		t.Fatal(err)
-	}
+	got := reopen(t, m, DefaultConfig())
 	if !reflect.DeepEqual(got.Rows(), m.Rows()) || got.Fence() != m.Fence() || got.Revision() != m.Revision() || !got.Draining("e") {
 		t.Error("got another state, want the same")
 	}
@@ -286,14 +293,7 @@
 	for i := range cfg.JournalRows {
 		claim(m, 1, fmt.Sprint(i), "d", "r", 0)
 	}
-	data, err := m.Snapshot()
-	if err != nil {
-		t.Fatal(err)
-	}
-	got := New(cfg)
-	if err := got.Restore(data); err != nil {
-		t.Fatal(err)
-	}
+	got := reopen(t, m, cfg)
 	if n := len(got.Open()); n != cfg.JournalRows {
 		t.Errorf("got %d rows, want %d", n, cfg.JournalRows)
 	}
--- a/core/kwstate/seen_test.go
+++ b/core/kwstate/seen_test.go
@@ -17,14 +17,7 @@
 	m.Apply(Command{Seen: &Seen{Live: []kwmember.Announcement{live("e1", 2)}, Gone: []kwid.EndpointID{"e2"}}})
 	m.Apply(Command{Leave: leaveRow("e3", 1, kwmember.Leaving)})
 	m.Apply(Command{Leave: leaveRow("e1", 1, kwmember.Gone)})
-	data, err := m.Snapshot()
-	if err != nil {
-		t.Fatal(err)
-	}
-	restored := New(Config{KeepMillis: 1000})
-	if err := restored.Restore(data); err != nil {
-		t.Fatal(err)
-	}
+	restored := reopen(t, m, Config{KeepMillis: 1000})
 	got := restored.Seen()
 	if len(got) != 1 || got[0] != live("e1", 2) {
 		t.Errorf("got %v, want e1 in its second life alone", got)
--- a/io/kwgate/active.go
+++ b/io/kwgate/active.go
@@ -70,8 +70,8 @@
 }
 
 // progress notes an event.
-func (w *watchedStream) progress() {
-	w.heard.Store(time.Now().UnixNano())
+func (w *watchedStream) progress(now time.Time) {
+	w.heard.Store(now.UnixNano())
 	w.timer.Reset(w.patience.probe)
 }
 
@@ -103,7 +103,14 @@
 func (a *active) breakOff(id kwid.RequestID, at kwid.EndpointID) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if w, ok := a.streams[id]; ok && w.blamed == "" {
+	if w, ok := a.streams[id]; ok {
+		w.breakOff(at)
+	}
+}
+
+// breakOff ends an attempt once, for the first endpoint that is found at fault; the caller holds the lock.
+func (w *watchedStream) breakOff(at kwid.EndpointID) {
+	if w.blamed == "" {
 		w.blamed = at
 		w.conn.Close()
 	}
@@ -115,9 +122,8 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for _, w := range a.streams {
-		if w.blamed == "" && w.chain.Uses(at) && (lost || w.silence() >= w.patience.probe) {
-			w.blamed = at
-			w.conn.Close()
+		if w.chain.Uses(at) && (lost || w.silence() >= w.patience.probe) {
+			w.breakOff(at)
 		}
 	}
 }
--- a/io/kwgate/blame.go
+++ b/io/kwgate/blame.go
@@ -34,8 +34,7 @@
 					continue
 				}
 				ejected[s.Address] = id
-				g.deps.Events.Emit(kwevent.EndpointEjected, "", kwevent.F("endpoint", id), kwevent.F("address", s.Address),
-					kwevent.F("cause", "holds up a chain"), kwevent.F("first", first.Endpoint), kwevent.F("asked", err == nil))
+				g.logEjected("", id, s.Address, "holds up a chain", kwevent.F("first", first.Endpoint), kwevent.F("asked", err == nil))
 			}
 			g.active.breakOff(s.Request, id)
 		}
@@ -78,15 +77,25 @@
 // turnFrom takes a probe's word that an endpoint is lost or silent.
 func (g *Gate) turnFrom(p kwchain.Part, reach kwchain.Reach) {
 	lost := reach == kwchain.Refused
-	g.chooser.fail(time.Now(), p.Endpoint)
-	g.deps.Events.Emit(kwevent.EndpointEjected, "", kwevent.F("endpoint", p.Endpoint), kwevent.F("address", p.Address),
-		kwevent.F("cause", "probed in a silent chain"), kwevent.F("refused", lost))
+	g.eject("", p.Endpoint, p.Address, "probed in a silent chain", kwevent.F("refused", lost))
 	g.active.breakOffAll(p.Endpoint, lost)
 	if lost {
 		g.reportRefusal(p.Endpoint)
 	}
 }
 
+// eject turns away from an endpoint for a while.
+func (g *Gate) eject(request kwid.RequestID, id kwid.EndpointID, address, cause string, more ...kwevent.Field) {
+	g.chooser.fail(time.Now(), id)
+	g.logEjected(request, id, address, cause, more...)
+}
+
+// logEjected logs that an endpoint was ejected and why; the request is empty where no single one showed it.
+func (g *Gate) logEjected(request kwid.RequestID, id kwid.EndpointID, address, cause string, more ...kwevent.Field) {
+	fields := []kwevent.Field{kwevent.F("endpoint", id), kwevent.F("address", address), kwevent.F("cause", cause)}
+	g.deps.Events.Emit(kwevent.EndpointEjected, request, append(fields, more...)...)
+}
+
 // reportRefusal tells control that an endpoint refuses connections, so that the others need not find out by themselves
 // and its layers are placed anew.
 func (g *Gate) reportRefusal(id kwid.EndpointID) {
--- a/io/kwgate/broken.go
+++ b/io/kwgate/broken.go
@@ -20,9 +20,7 @@
 	first := chain.First()
 	s.t.out[first.Endpoint] = true
 	s.t.last = kwcode.New(kwcode.StreamCut, "endpoint %s: %v", first.Endpoint, err)
-	g.chooser.fail(time.Now(), first.Endpoint)
-	g.deps.Events.Emit(kwevent.EndpointEjected, s.q.call.ID, kwevent.F("endpoint", first.Endpoint),
-		kwevent.F("address", first.Address), kwevent.F("cause", err.Error()))
+	g.eject(s.q.call.ID, first.Endpoint, first.Address, err.Error())
 	g.probe(chain)
 	if !sent {
 		return endRefused
@@ -84,8 +82,7 @@
 // open as ever, so nobody else would find an endpoint that breaks off all of them.
 func (g *Gate) strike(q *request, first kwchain.Part, err error) {
 	if g.chooser.eject.Strike(time.Now(), first.Endpoint) {
-		g.deps.Events.Emit(kwevent.EndpointEjected, q.call.ID, kwevent.F("endpoint", first.Endpoint), kwevent.F("address", first.Address),
-			kwevent.F("cause", "breaks off streams"), kwevent.F("error", err.Error()))
+		g.logEjected(q.call.ID, first.Endpoint, first.Address, "breaks off streams", kwevent.F("error", err.Error()))
 	}
 }
 
--- a/io/kwgate/chooser_test.go
+++ b/io/kwgate/chooser_test.go
@@ -81,6 +81,19 @@
 	return chain, string(chain.First().Endpoint), nil
 }
 
+// fill takes the one slot of each copy, and returns the chains.
+func (b *bench) fill(t *testing.T) (taken []kwchain.Chain) {
+	t.Helper()
+	for range 4 {
+		chain, _, err := b.choose(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		taken = append(taken, chain)
+	}
+	return taken
+}
+
 func TestChooserTakesTheFastCopyAtHome(t *testing.T) {
 	b := newBench(100)
 	if _, got, err := b.choose(t.Context()); got != "a-fast-0" || err != nil {
@@ -183,14 +196,7 @@
 // TestChooserTakesBrokenStreamsFirst lets a stream that has broken off and an older new request wait for one slot.
 func TestChooserTakesBrokenStreamsFirst(t *testing.T) {
 	b := newBench(1)
-	var taken []kwchain.Chain
-	for range 4 {
-		chain, _, err := b.choose(t.Context())
-		if err != nil {
-			t.Fatal(err)
-		}
-		taken = append(taken, chain)
-	}
+	taken := b.fill(t)
 	order := make(chan string, 2)
 	wait := func(name string, r *request) {
 		_, _, err := b.chooser.chain(t.Context(), b.wish(r))
@@ -216,14 +222,7 @@
 // objective lets one that can still be in time go first, and waits for longer itself.
 func TestChooserTakesRequestsInTimeFirst(t *testing.T) {
 	b := newBench(1)
-	var taken []kwchain.Chain
-	for range 4 {
-		chain, _, err := b.choose(t.Context())
-		if err != nil {
-			t.Fatal(err)
-		}
-		taken = append(taken, chain)
-	}
+	taken := b.fill(t)
 	order := make(chan string, 2)
 	wait := func(name string, arrived time.Time) {
 		r := &request{route: b.route, service: testService, arrived: arrived}
@@ -249,11 +248,7 @@
 
 func TestChooserStopsWaitingWithItsCaller(t *testing.T) {
 	b := newBench(1)
-	for range 4 {
-		if _, _, err := b.choose(t.Context()); err != nil {
-			t.Fatal(err)
-		}
-	}
+	b.fill(t)
 	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
 	if _, _, err := b.choose(ctx); err == nil {
--- a/io/kwgate/plain.go
+++ b/io/kwgate/plain.go
@@ -74,7 +74,7 @@
 			t.runs++
 		}
 		t.last = kwcode.New(kwcode.OutcomeUnknown, "endpoint %s: %v", a.ID, res.Err)
-		g.eject(q, a, res.Err.Error())
+		g.eject(q.call.ID, a.ID, a.Address, res.Err.Error())
 		return false
 	case res.Answer.NotRun:
 		t.refused++
@@ -106,11 +106,6 @@
 	return false
 }
 
-func (g *Gate) eject(q *request, a kwmember.Announcement, cause string) {
-	g.chooser.fail(time.Now(), a.ID)
-	g.deps.Events.Emit(kwevent.EndpointEjected, q.call.ID, kwevent.F("endpoint", a.ID), kwevent.F("address", a.Address), kwevent.F("cause", cause))
-}
-
 func (g *Gate) logTry(q *request, a kwmember.Announcement, err *kwcode.Error) {
 	g.deps.Events.Emit(kwevent.AttemptFailed, q.call.ID, kwevent.F("endpoint", a.ID), kwevent.F("address", a.Address), kwevent.F("error", err.Error()))
 }
--- a/io/kwgate/stream.go
+++ b/io/kwgate/stream.go
@@ -123,7 +123,7 @@
 	if err := c.Send(up); err != nil {
 		return g.lostFirst(s, chain, err, true)
 	}
-	s.watched = g.active.watch(q.call.ID, c, chain, g.patienceFor(q, chain), silenceActions{probe: g.probe, ask: g.blame})
+	s.watched = g.active.watch(q.call.ID, c, chain, patienceFor(q, chain), silenceActions{probe: g.probe, ask: g.blame})
 	defer g.active.leave(q.call.ID, s.watched)
 	c.SetReadDeadline(begin.Add(firstWait(q)))
 	resp, answer, err := c.Receive(up, g.deps.Dialect)
@@ -154,13 +154,9 @@
 }
 
 // patienceFor is how long an attempt on a chain may be silent.
-func (g *Gate) patienceFor(q *request, chain kwchain.Chain) patience {
+func patienceFor(q *request, chain kwchain.Chain) patience {
 	ask := suspectWait(q)
-	steps := 1
-	if s := q.view.index.Service(q.service); s != nil && s.Engine != nil {
-		steps = max(1, s.Engine.StepsPerPass)
-	}
-	probe := max(leastProbe, probePauses*time.Duration(steps)*chain.TokenTime)
+	probe := max(leastProbe, probePauses*chain.Pause(q.view.index.Service(q.service).Engine))
 	return patience{probe: min(probe, ask), ask: ask}
 }
 
@@ -220,11 +216,12 @@
 		if err := control.Flush(); err != nil {
 			g.gone(q)
 		}
-		q.noteEvent(time.Now())
+		now := time.Now()
+		q.noteEvent(now)
 		s.last = events.LastID
 		g.measures.events.Inc(1)
-		s.watched.progress()
-		wait = time.Now().Add(pauseWait(q))
+		s.watched.progress(now)
+		wait = now.Add(pauseWait(q))
 	}
 }
 
--- a/io/kwhub/recorder.go
+++ b/io/kwhub/recorder.go
@@ -51,8 +51,7 @@
 			continue
 		}
 		live[a.ID] = true
-		old, ok := b.State.SeenOf(a.ID)
-		if old.Sequence = a.Sequence; !ok || old != a {
+		if old, ok := b.State.SeenOf(a.ID); !ok || !old.Repeats(a) {
 			out.Live = append(out.Live, a)
 		}
 	}
--- a/io/kwhub/watch.go
+++ b/io/kwhub/watch.go
@@ -69,7 +69,7 @@
 	err := h.lead(ctx, func(now time.Time, b *kwboard.Board) {
 		lost = b.Roster.Refuse(now, req.Endpoint, req.Born, req.Entry, wanted)
 	})
-	if lost {
+	if err == nil && lost {
 		h.deps.Events.Emit(kwevent.EndpointLost, "", kwevent.F("endpoint", req.Endpoint), kwevent.F("cause", "refuses connections"),
 			kwevent.F("entry", req.Entry), kwevent.F("witnesses", wanted))
 	}
@@ -108,7 +108,7 @@
 		v.Rows = b.Roster.Since(since)
 	})
 	if err != nil {
-		return v, err
+		return kwview.View{}, err
 	}
 	m.loop.Log(func(_ time.Time, n *kwlog.Node) {
 		members := n.Status().Members
