An old report does not end a request's next attempt

The log shows both attempts with the same endpoint blamed. Change: a report ends an attempt only if its chain uses the endpoint. TestOldReportSparesTheNextAttempt fails without the change.

--- a/io/kwgate/active.go
+++ b/io/kwgate/active.go
@@ -103,7 +103,8 @@
 func (a *active) breakOff(id kwid.RequestID, at kwid.EndpointID) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if w, ok := a.streams[id]; ok {
+	// A report lags: the request may have gone on over a chain without that endpoint since.
+	if w, ok := a.streams[id]; ok && w.chain.Uses(at) {
 		w.breakOff(at)
 	}
 }
--- a/io/kwgate/blame_test.go
+++ b/io/kwgate/blame_test.go
@@ -130,3 +130,26 @@
 		t.Errorf("got %d streams sent to the server that breaks off all of them, want 3 at most", got)
 	}
 }
+
+// TestOldReportSparesTheNextAttempt replays a report that still names an endpoint which a request's stream has left already: its
+// next attempt, over another chain, goes on.
+func TestOldReportSparesTheNextAttempt(t *testing.T) {
+	address := serveRaw(t, func(io.Writer, string) bool { return true })
+	conn, err := kwrelay.NewPool().Get(t.Context(), address, true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	var a active
+	chain := kwchain.Chain{Parts: []kwchain.Part{{Endpoint: "first"}, {Endpoint: "second"}}}
+	w := a.watch("q1", conn, chain, patience{probe: time.Hour, ask: time.Hour}, silenceActions{})
+	defer a.leave("q1", w)
+	a.breakOff("q1", "lost")
+	if got := a.blamed(w); got != "" {
+		t.Errorf("got the attempt ended for %q, which its chain does not use", got)
+	}
+	a.breakOff("q1", "second")
+	if got := a.blamed(w); got != "second" {
+		t.Errorf("got %q blamed, want second", got)
+	}
+}
