Open a stream on a fresh connection where the pooled one turns out to be closed

A peer refuses a certificate after this side's handshake has ended, so the connection is pooled; a call right after the first one's failure can find it there, no longer usable and not yet marked as closed. Change: a stream that does not open on a pooled connection has carried nothing, so a fresh connection is tried once.

--- a/io/kwwire/node.go
+++ b/io/kwwire/node.go
@@ -225,22 +225,33 @@
 	return Route{}, kwcode.New(kwcode.UnknownMessage, "message kind %d", kind)
 }
 
-// Open opens a stream to a peer; want names the expected node, or is empty for any.
+// Open opens a stream to a peer; want names the expected node, or is empty for any. A pooled connection may have been closed by
+// the peer unnoticed, as one whose certificate it refuses after this side's handshake has ended; a stream that does not
+// open on it has carried nothing, and a fresh connection is tried once.
 func (n *Node) Open(ctx context.Context, address string, want kwid.NodeID) (*Stream, error) {
+	s, closed, err := n.openOnce(ctx, address, want)
+	if closed && ctx.Err() == nil {
+		s, _, err = n.openOnce(ctx, address, want)
+	}
+	return s, err
+}
+
+// openOnce opens a stream on the pooled connection; closed tells that the connection turned out to be closed.
+func (n *Node) openOnce(ctx context.Context, address string, want kwid.NodeID) (s *Stream, closed bool, err error) {
 	p, err := n.connect(ctx, address)
 	if err != nil {
-		return nil, err
+		return nil, false, err
 	}
 	if want != "" && p.identity.Node != want {
-		return nil, kwcode.New(kwcode.PeerUnknown, "%s is %q, want %q", address, p.identity.Node, want)
+		return nil, false, kwcode.New(kwcode.PeerUnknown, "%s is %q, want %q", address, p.identity.Node, want)
 	}
 	raw, err := p.conn.OpenStreamSync(ctx)
 	if err != nil {
 		n.drop(address, p)
-		return nil, kwcode.New(kwcode.PeerUnreachable, "open a stream to %s: %v", address, err)
+		return nil, true, kwcode.New(kwcode.PeerUnreachable, "open a stream to %s: %v", address, err)
 	}
 	n.count(p, 1)
-	return &Stream{raw: raw, clock: n.cfg.Clock, peer: p.identity, done: func() { n.count(p, -1) }}, nil
+	return &Stream{raw: raw, clock: n.cfg.Clock, peer: p.identity, done: func() { n.count(p, -1) }}, false, nil
 }
 
 // Call opens a stream, sends one frame and decodes the answer into out.
