Restore the endpoints of earlier leaders only once their records are applied

Cause: a new leader filled its roster from the state machine at its election.

Change: the roster is restored once an entry of the leader's own term is applied; it has no lease before.

--- a/io/kwcontrol/apply.go
+++ b/io/kwcontrol/apply.go
@@ -13,7 +13,7 @@
 func (l *Loop) apply(entries []kwraft.Entry) {
 	l.metrics.appliedEntries.Mark(int64(len(entries)))
 	for _, e := range entries {
-		l.appliedIndex = e.Index
+		l.appliedIndex, l.appliedTerm = e.Index, e.Term
 		if e.Kind != kwraft.EntryData {
 			continue
 		}
--- a/io/kwcontrol/loop.go
+++ b/io/kwcontrol/loop.go
@@ -113,20 +113,24 @@
 	waiters       map[kwstatemachine.Scope][]waiter
 	wasLeader     bool
 	fenceAdvanced bool
-	snapshotIndex kwraft.Index
-	appliedIndex  kwraft.Index
-	started       time.Time
-	proposals     chan proposal
-	messages      chan kwraft.Message
-	calls         chan func()
-	metrics       loopMetrics
-	stop          chan struct{}
-	stopped       chan struct{}
-	stopOnce      sync.Once
-	lastTick      atomic.Int64
-	abandoned     atomic.Bool
-	leaderKnown   atomic.Bool
-	lastPatches   patchCache
+	// rosterRestored means that the roster holds what earlier leaders have recorded; it applies to the present term only.
+	rosterRestored bool
+	snapshotIndex  kwraft.Index
+	appliedIndex   kwraft.Index
+	// appliedTerm is the term of the last applied entry.
+	appliedTerm kwraft.Term
+	started     time.Time
+	proposals   chan proposal
+	messages    chan kwraft.Message
+	calls       chan func()
+	metrics     loopMetrics
+	stop        chan struct{}
+	stopped     chan struct{}
+	stopOnce    sync.Once
+	lastTick    atomic.Int64
+	abandoned   atomic.Bool
+	leaderKnown atomic.Bool
+	lastPatches patchCache
 	// mu guards changed, which is closed and replaced when the view changes.
 	mu      sync.Mutex
 	changed chan struct{}
@@ -201,7 +205,7 @@
 	l.pending = make(map[kwraft.Index]pendingReply)
 	l.waiters = make(map[kwstatemachine.Scope][]waiter)
 	l.tables = &kwreconcile.Tables{State: machine, Membership: l.newMembershipTable(), Roster: kwmembership.NewRoster(l.cfg.Roster)}
-	l.wasLeader = false
+	l.wasLeader, l.rosterRestored, l.appliedTerm = false, false, 0
 	l.cfg.Events.Emit(kwevent.StateRecovered, "",
 		kwevent.F("entries", len(state.Entries)), kwevent.F("snapshot-index", uint64(state.Snapshot.Index)))
 	return nil
@@ -316,6 +320,7 @@
 		l.apply(rd.Committed)
 	}
 	l.updateLeadership()
+	l.restoreRoster()
 	l.compact()
 	l.notifyWatchers()
 	return nil
@@ -377,8 +382,7 @@
 	l.cfg.Events.Emit(kwevent.LeaderElected, "", kwevent.F("term", uint64(l.raft.Status().Term)))
 	l.tables.Membership = l.newMembershipTable()
 	l.tables.Roster = kwmembership.NewRoster(l.cfg.Roster)
-	l.tables.Roster.RestoreLive(now, l.tables.State.LiveEndpoints())
-	l.tables.Roster.RestoreDeparting(now, l.tables.State.DepartingEndpoints())
+	l.rosterRestored = false
 	l.tables.Epoch = uint64(l.raft.Status().Term)
 	l.tables.GatherUntil = now.Add(l.cfg.Timing.GatherPeriod)
 	l.fenceAdvanced = false
@@ -390,6 +394,20 @@
 	}
 }
 
+// restoreRoster fills the roster of a new leader with the endpoints that earlier leaders recorded, once an entry of its
+// own term is applied. Before that, the state lacks entries that are committed already: after a restart of all members,
+// it holds only what the last snapshot does. A leader has no lease before then, so nobody sees the empty roster.
+func (l *Loop) restoreRoster() {
+	if !l.wasLeader || l.rosterRestored || l.appliedTerm != l.raft.Status().Term {
+		return
+	}
+	l.rosterRestored = true
+	now := l.now()
+	l.tables.Roster.RestoreLive(now, l.tables.State.LiveEndpoints())
+	l.tables.Roster.RestoreDeparting(now, l.tables.State.DepartingEndpoints())
+	l.tables.GatherUntil = now.Add(l.cfg.Timing.GatherPeriod)
+}
+
 func (l *Loop) wallMillis() int64 {
 	return time.Now().UnixMilli()
 }
