Lend a part of the ratio of the retry budget, not only of its burst

Cause: the fleet's retry budget was split evenly between the entries but for 0.4 of the burst.

Change: entries report their requests with each watch; the leader lends 0.25 of the fleet's ratio, and entries keep 0.6 of 0.85.

--- a/core/kwretry/lender_test.go
+++ b/core/kwretry/lender_test.go
@@ -21,7 +21,7 @@
 		refused := 0
 		for range 5000 {
 			now = now.Add(time.Duration(rng.Int64N(int64(40 * time.Millisecond))))
-			if !l.Lend(now, 1, service) {
+			if !l.Lend(now, 1, service, 0) {
 				refused++
 				continue
 			}
@@ -58,7 +58,7 @@
 	}
 	for _, s := range steps {
 		now = now.Add(s.after)
-		if got := l.Lend(now, s.epoch, "llm"); got != s.want {
+		if got := l.Lend(now, s.epoch, "llm", 0); got != s.want {
 			t.Errorf("%s: got %t, want %t", s.name, got, s.want)
 		}
 	}
@@ -70,7 +70,7 @@
 	const entries, requests, streams, burst = 13, 20, 60, 204
 	lender := NewLender(LenderConfig{Burst: burst, Window: 10 * time.Second})
 	now := time.Unix(1000, 0)
-	retry := func(s *SharedBudgets) bool { return s.ForService("llm").TrySpend(now) || lender.Lend(now, 1, "llm") }
+	retry := func(s *SharedBudgets) bool { return s.ForService("llm").TrySpend(now) || lender.Lend(now, 1, "llm", 0) }
 	var fleet []*SharedBudgets
 	for range entries {
 		s := NewSharedBudgets(SharedBudgetsConfig{Ratio: 0.2, Burst: burst, Window: 10 * time.Second})
@@ -84,7 +84,7 @@
 	for i := range streams {
 		if fleet[i%2].ForService("llm").TrySpend(now) {
 			fromOwn++
-		} else if lender.Lend(now, 1, "llm") {
+		} else if lender.Lend(now, 1, "llm", 0) {
 			lent++
 		}
 	}
@@ -101,3 +101,46 @@
 		t.Errorf("got %d retries at once, want %d at most", total, limit)
 	}
 }
+
+// TestLoansReachEntriesOfOneZone breaks 430 streams at the 14 entries of one of five availability zones, as four servers of the
+// zone that fall silent together do. The shares of the other 56 entries are unused then. Nearly all streams must be retried, and
+// the retries of the whole fleet must stay within its budget even if every other entry then spends what it has.
+func TestLoansReachEntriesOfOneZone(t *testing.T) {
+	const entries, zoneEntries, requests, streams, burst, ratio = 70, 14, 69, 430, 324, 0.2
+	lender := NewLender(LenderConfig{Ratio: ratio, Burst: burst, Window: 10 * time.Second})
+	now := time.Unix(1000, 0)
+	var fleet []*SharedBudgets
+	for range entries {
+		s := NewSharedBudgets(SharedBudgetsConfig{Ratio: ratio, Burst: burst, Window: 10 * time.Second})
+		s.SetEntryCount(entries)
+		for range requests {
+			s.ForService("llm").RecordFirstAttempt(now)
+		}
+		fleet = append(fleet, s)
+	}
+	now = now.Add(time.Second)
+	reported := 0
+	for _, s := range fleet {
+		reported += s.Requests(now)["llm"]
+	}
+	retry := func(s *SharedBudgets) bool {
+		return s.ForService("llm").TrySpend(now) || lender.Lend(now, 1, "llm", reported)
+	}
+	total := 0
+	for i := range streams {
+		if retry(fleet[i%zoneEntries]) {
+			total++
+		}
+	}
+	if total < streams*95/100 {
+		t.Errorf("got %d of %d broken streams retried, want 95%% of them", total, streams)
+	}
+	for _, s := range fleet {
+		for retry(s) {
+			total++
+		}
+	}
+	if limit := burst + int(ratio*entries*requests); total > limit {
+		t.Errorf("got %d retries at once, want %d at most", total, limit)
+	}
+}
--- a/core/kwretry/shared_budgets.go
+++ b/core/kwretry/shared_budgets.go
@@ -16,9 +16,9 @@
 }
 
 const (
-	// ratioShare is the share of the fleet's ratio that an entry uses. The margin is needed because the windows of the entry
-	// and the fleet are not aligned.
-	ratioShare = 0.85
+	// ratioShare is the share of the fleet's ratio that the entries earn themselves. The margin beside it and lentRatioShare is
+	// needed because the windows of the entries and the fleet are not aligned.
+	ratioShare = 0.6
 	// splitBurstShare is the share of the fleet's burst that is split between the entries. What remains beside it and
 	// lentBurstShare covers entries that restart: their new budget does not count the retries that they sent before.
 	splitBurstShare = 0.38
@@ -68,3 +68,16 @@
 	}
 	return w
 }
+
+// Requests returns how many requests of each service earn retries at this entry now. The entry reports them to the Lender.
+func (s *SharedBudgets) Requests(now time.Time) map[kwid.ServiceName]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[kwid.ServiceName]int, len(s.budgets))
+	for service, w := range s.budgets {
+		if n := w.FirstAttempts(now); n > 0 {
+			out[service] = n
+		}
+	}
+	return out
+}
--- a/core/kwretry/window_budget.go
+++ b/core/kwretry/window_budget.go
@@ -54,18 +54,32 @@
 	w.slotAt(now).firstAttempts++
 }
 
-// TrySpend counts one retry, or returns false if the budget of the window is spent.
-func (w *WindowBudget) TrySpend(now time.Time) bool {
+// FirstAttempts returns the number of first attempts that earn retries now.
+func (w *WindowBudget) FirstAttempts(now time.Time) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	slot := w.slotAt(now)
-	firstAttempts, retries := 0, 0
+	w.slotAt(now)
+	firstAttempts, _ := w.count()
+	return firstAttempts
+}
+
+// count returns the first attempts that earn retries, and the retries that count against them; the caller holds the lock.
+func (w *WindowBudget) count() (firstAttempts, retries int) {
 	for i, s := range w.slots {
 		retries += s.retries
 		if int64(i) != (w.currentSlot+1)%int64(len(w.slots)) {
 			firstAttempts += s.firstAttempts
 		}
 	}
+	return firstAttempts, retries
+}
+
+// TrySpend counts one retry, or returns false if the budget of the window is spent.
+func (w *WindowBudget) TrySpend(now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	slot := w.slotAt(now)
+	firstAttempts, retries := w.count()
 	burst := w.cfg.Burst
 	if now.Sub(w.started) < w.cfg.Window {
 		burst *= startBurstShare
--- a/io/kwdirectcontrol/watch.go
+++ b/io/kwdirectcontrol/watch.go
@@ -85,7 +85,8 @@
 		return nil, err
 	}
 	lent := false
-	err := s.runAsLeader(ctx, func(now time.Time, t *kwreconcile.Tables) { lent = s.lender.Lend(now, t.Epoch, req.Service) })
+	requests := s.watchers.requests(time.Now(), req.Service)
+	err := s.runAsLeader(ctx, func(now time.Time, t *kwreconcile.Tables) { lent = s.lender.Lend(now, t.Epoch, req.Service, requests) })
 	if err == nil && !lent {
 		err = kwcode.New(kwcode.RetryBudgetSpent, "the retry budget of %q is spent", req.Service)
 	}
@@ -130,6 +131,7 @@
 type watcher struct {
 	lastSeen time.Time
 	loads    []kwdirectproto.Load
+	requests map[kwid.ServiceName]int
 }
 
 func newWatchers() *watchers {
@@ -139,7 +141,7 @@
 func (w *watchers) record(now time.Time, req kwdirectproto.Watch) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.entries[req.Entry] = watcher{lastSeen: now, loads: req.Loads}
+	w.entries[req.Entry] = watcher{lastSeen: now, loads: req.Loads, requests: req.Requests}
 }
 
 // dropSilent removes entries that have sent no watch within entryLease; the caller holds mu.
@@ -154,6 +156,18 @@
 	return len(w.entries)
 }
 
+// requests returns how many requests for a service the entries reported for their last window.
+func (w *watchers) requests(now time.Time, service kwid.ServiceName) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.dropSilent(now)
+	sum := 0
+	for _, r := range w.entries {
+		sum += r.requests[service]
+	}
+	return sum
+}
+
 // otherLoads returns the sum of the loads of all entries except self, sorted by endpoint.
 func (w *watchers) otherLoads(now time.Time, self kwid.NodeID) []kwdirectproto.Load {
 	w.mu.Lock()
--- a/io/kwdirectentry/view.go
+++ b/io/kwdirectentry/view.go
@@ -71,6 +71,7 @@
 		DeclarationNumber: old.declarationNumber,
 		MaxWait:           watchMaxWait,
 		Loads:             g.scheduler.ownLoads(),
+		Requests:          g.retryBudgets.Requests(time.Now()),
 	}
 	ctx, cancel := context.WithTimeout(ctx, 3*(watchMaxWait+watchTimeout))
 	defer cancel()
--- a/io/kwdirectproto/messages.go
+++ b/io/kwdirectproto/messages.go
@@ -75,6 +75,8 @@
 	DeclarationNumber kwdeclaration.Number `cbor:"4,keyasint,omitempty"`
 	MaxWait           time.Duration        `cbor:"5,keyasint,omitempty"`
 	Loads             []Load               `cbor:"6,keyasint,omitempty"`
+	// Requests counts the entry's requests of the last window of the retry budget, by service.
+	Requests map[kwid.ServiceName]int `cbor:"7,keyasint,omitempty"`
 }
 
 // View is what an entry serves requests by. The leader replies under its lease, so no newer declaration or endpoint
