Let engines admit requests in the order of the entry's queue

Cause: the queue of an entry orders broken streams before new requests and late ones behind, but engines admitted the prompts of all entries in order of arrival: a stream that resumes, with 300 ms to spare, waited behind new prompts.

Change: the urgency of a request is one decision (core/kwqueue), and both the queue and the engine's priority follow from it.

Log lines at the end of a request tell the caller's time limit; it is drawn anew for each first attempt there, so the age of a request that comes back cannot be told from it.

--- a/io/kwdirectentry/config.go
+++ b/io/kwdirectentry/config.go
@@ -70,11 +70,6 @@
 	// noViewRetryAfter is the Retry-After time that callers get while there is no valid view: a leader is elected by
 	// then.
 	noViewRetryAfter = time.Second
-	// brokenStreamWaitFactor is how many latency objectives a broken stream may wait for another chain: callers leave
-	// after four without an event, and one has passed.
-	brokenStreamWaitFactor = 3
-	// lateRequestWaitFactor is how many further latency objectives a request that has missed its own may wait.
-	lateRequestWaitFactor = 2
 	// firstEventTimeoutFactor is how many latency objectives may pass before the first event until another chain is
 	// tried.
 	firstEventTimeoutFactor = 2
--- a/io/kwdirectentry/request.go
+++ b/io/kwdirectentry/request.go
@@ -14,6 +14,7 @@
 	"knapweedproxy/core/kwcode"
 	"knapweedproxy/core/kwdeclaration"
 	"knapweedproxy/core/kwid"
+	"knapweedproxy/core/kwqueue"
 	"knapweedproxy/io/kwevent"
 	"knapweedproxy/io/kwupstream"
 )
@@ -46,40 +47,23 @@
 	resumptions int
 }
 
-// waitObjective is the objective that bounds the wait in the queue: the latency objective, or what the caller still
-// tolerates once that has passed.
+// urgency is what the caller has to gain from being served soon.
+func (q *request) urgency() kwqueue.Urgency {
+	return kwqueue.UrgencyOf(time.Now(), q.arrived, q.route.LatencyObjective, q.broken)
+}
+
+// waitObjective is the objective that bounds the wait in the queue.
 func (q *request) waitObjective() time.Duration {
-	if q.broken {
-		return brokenStreamWaitFactor * q.route.LatencyObjective
-	}
-	if q.isLate() {
-		return lateRequestWaitFactor * q.route.LatencyObjective
-	}
-	return q.route.LatencyObjective
+	return q.urgency().WaitObjective(q.route.LatencyObjective)
 }
 
 func (q *request) remaining() time.Duration { return time.Until(q.deadline) }
 
-// brokenStreamPriority ranks broken streams before all other requests: their callers already hold part of an answer.
-const brokenStreamPriority = -1
-
 // priority is the rank of the request in the queue; lower values are served first.
-func (q *request) priority() int {
-	if q.broken {
-		return brokenStreamPriority
-	}
-	if q.isLate() {
-		return q.basePriority() + latePenalty
-	}
-	return q.basePriority()
-}
-
-// latePenalty ranks a request that can no longer meet its latency objective, as after an outage, behind those that
-// still can.
-const latePenalty = 1
+func (q *request) priority() int { return q.urgency().Priority(q.basePriority()) }
 
 // isLate reports whether the first event would miss the latency objective even if the request were served now.
-func (q *request) isLate() bool { return time.Since(q.arrived) > q.route.LatencyObjective }
+func (q *request) isLate() bool { return q.urgency() == kwqueue.Late }
 
 func (q *request) basePriority() int {
 	if q.workspace != nil && q.workspace.Priority != nil {
@@ -91,6 +75,7 @@
 // upstreamRequest returns the request as it is sent to an endpoint.
 func (q *request) upstreamRequest(d kwupstream.Dialect, out kwupstream.ForwardMeta) *kwupstream.Request {
 	out.Timeout = q.remaining()
+	out.Priority = q.urgency().EnginePriority(q.basePriority())
 	if q.workspace != nil {
 		out.Workspace = q.workspace.Name
 	}
@@ -237,6 +222,7 @@
 		kwevent.F("status", status), kwevent.F("view", q.view.declarationNumber),
 		kwevent.F("view-age-ms", g.deps.Now().Sub(q.view.confirmedAt).Milliseconds()),
 		kwevent.F("total-ms", time.Since(q.arrived).Milliseconds()),
+		kwevent.F("timeout-ms", q.meta.Timeout.Milliseconds()),
 		kwevent.F("sends", q.sends), kwevent.F("waited-ms", q.waited.Milliseconds()),
 	}
 	if q.route != nil {
--- a/io/kwupstream/dialect.go
+++ b/io/kwupstream/dialect.go
@@ -33,6 +33,8 @@
 	Chain     *kwchainsearch.Chain
 	// LastEventID is the ID of the last event that the caller received, if the stream is resumed.
 	LastEventID string
+	// Priority is the rank at which engines admit the request, from 0 for the most urgent to kwqueue.LowestEnginePriority.
+	Priority int
 }
 
 // ResponseMeta holds what the headers of an endpoint's response say about the request and the endpoint.
