Report loads by the index of an endpoint, and count the bytes of calls by kind

The leader added up the reports of all entries for each reply.

Change: roster rows have an index, valid for one leader, and loads take about 5 bytes each (kwdirectproto.PackedLoads); both sides say whether they know the encoding, so that the version before works beside this one.

--- a/core/kwmembership/roster.go
+++ b/core/kwmembership/roster.go
@@ -29,11 +29,16 @@
 	Layers        kwid.LayerRange `cbor:"10,keyasint"`
 }
 
+// RosterIndex stands for an endpoint in messages that refer to many of them; it is never used again in the same roster.
+type RosterIndex uint32
+
 // RosterRow is one announced endpoint with its state and the roster version of its last change.
 type RosterRow struct {
-	Announcement  Announcement `cbor:"1,keyasint"`
-	State         State        `cbor:"2,keyasint"`
-	Version       uint64       `cbor:"3,keyasint"`
+	Announcement Announcement `cbor:"1,keyasint"`
+	State        State        `cbor:"2,keyasint"`
+	Version      uint64       `cbor:"3,keyasint"`
+	// Index is valid in one roster only: a new leader numbers its rows anew.
+	Index         RosterIndex `cbor:"4,keyasint,omitempty"`
 	lastHeartbeat time.Time
 	// refusedBy holds when each entry reported refused connections since the last heartbeat.
 	refusedBy map[kwid.NodeID]time.Time
@@ -55,11 +60,16 @@
 	version   uint64
 	rows      map[kwid.EndpointID]*RosterRow
 	byAddress map[string]kwid.EndpointID
+	byIndex   map[RosterIndex]kwid.EndpointID
+	lastIndex RosterIndex
 }
 
 // NewRoster returns an empty roster.
 func NewRoster(cfg RosterConfig) *Roster {
-	return &Roster{cfg: cfg, rows: make(map[kwid.EndpointID]*RosterRow), byAddress: make(map[string]kwid.EndpointID)}
+	return &Roster{
+		cfg: cfg, rows: make(map[kwid.EndpointID]*RosterRow), byAddress: make(map[string]kwid.EndpointID),
+		byIndex: make(map[RosterIndex]kwid.EndpointID),
+	}
 }
 
 // RestoreLive adds endpoints that an earlier leader recorded as live. Each has a full lease to send its next
@@ -75,7 +85,7 @@
 func (r *Roster) RestoreDeparting(now time.Time, rows []RosterRow) {
 	for _, row := range rows {
 		row.lastHeartbeat = now
-		r.rows[row.Announcement.ID] = &row
+		r.addRow(&row)
 		if row.State == Leaving {
 			r.byAddress[row.Announcement.Address] = row.Announcement.ID
 		}
@@ -168,7 +178,7 @@
 			row.ignoreRefusalsUntil = now.Add(refusalImmunity)
 		}
 	}
-	r.rows[a.ID] = row
+	r.addRow(row)
 	r.byAddress[a.Address] = a.ID
 	r.setState(row, stateOf(a))
 }
@@ -201,6 +211,25 @@
 	return true
 }
 
+// addRow adds a row or replaces that of the same endpoint, which keeps its index.
+func (r *Roster) addRow(row *RosterRow) {
+	id := row.Announcement.ID
+	if old, ok := r.rows[id]; ok {
+		row.Index = old.Index
+	} else {
+		r.lastIndex++
+		row.Index = r.lastIndex
+		r.byIndex[row.Index] = id
+	}
+	r.rows[id] = row
+}
+
+// ByIndex returns the endpoint with an index, or false.
+func (r *Roster) ByIndex(index RosterIndex) (kwid.EndpointID, bool) {
+	id, ok := r.byIndex[index]
+	return id, ok
+}
+
 func (r *Roster) setState(row *RosterRow, s State) {
 	r.version++
 	row.State = s
@@ -216,7 +245,7 @@
 	row, ok := r.rows[id]
 	if !ok {
 		row = &RosterRow{Announcement: Announcement{ID: id, StartedMillis: startedMillis}, lastHeartbeat: now}
-		r.rows[id] = row
+		r.addRow(row)
 		r.setState(row, Gone)
 		return true
 	}
@@ -244,6 +273,7 @@
 				delete(r.byAddress, row.Announcement.Address)
 			}
 			delete(r.rows, id)
+			delete(r.byIndex, row.Index)
 		}
 	}
 	return lost
--- a/io/kwdirectcontrol/config.go
+++ b/io/kwdirectcontrol/config.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"knapweedproxy/core/kwdeclaration"
 	"knapweedproxy/core/kwid"
 	"knapweedproxy/core/kwmembership"
@@ -109,6 +111,7 @@
 // Deps holds the dependencies that the process provides.
 type Deps struct {
 	Events  *kwevent.Emitter
+	Metrics metrics.Registry
 	Decoder Decoder
 	Engines EngineClient
 	// Now is the clock of leases.
--- a/io/kwdirectcontrol/server.go
+++ b/io/kwdirectcontrol/server.go
@@ -48,7 +48,8 @@
 // New opens the listener; the server serves once Start is called.
 func New(cfg Config, deps Deps) (*Server, error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &Server{cfg: cfg, deps: deps, pool: kwtcprpc.NewPool(), ctx: ctx, cancel: cancel, done: make(chan error, 1)}
+	traffic := kwtcprpc.NewTraffic(deps.Metrics, kwdirectproto.KindNames())
+	s := &Server{cfg: cfg, deps: deps, pool: kwtcprpc.NewPool(traffic), ctx: ctx, cancel: cancel, done: make(chan error, 1)}
 	s.leaderClient = kwtcprpc.NewLeaderClient(s.pool, cfg.Seeds)
 	s.watchers = newWatchers()
 	s.lender = kwretry.NewLender(cfg.RetryBudget)
@@ -63,7 +64,7 @@
 		kwdirectproto.KindWatch:             s.handleWatch,
 		kwdirectproto.KindConnectionRefused: s.handleConnectionRefused,
 		kwdirectproto.KindRetryLoan:         s.handleRetryLoan,
-	})
+	}, traffic)
 	if err != nil {
 		cancel()
 		return nil, err
--- a/io/kwdirectcontrol/watch.go
+++ b/io/kwdirectcontrol/watch.go
@@ -3,13 +3,11 @@
 import (
 	"cmp"
 	"context"
-	"maps"
 	"slices"
-	"sync"
 	"time"
 
 	"knapweedproxy/core/kwcode"
-	"knapweedproxy/core/kwid"
+	"knapweedproxy/core/kwmembership"
 	"knapweedproxy/core/kwraft"
 	"knapweedproxy/core/kwreconcile"
 	"knapweedproxy/io/kwcontrol"
@@ -31,18 +29,18 @@
 	if m == nil {
 		return nil, kwcode.New(kwcode.NotLeader, "%s has no replicated log", s.cfg.Address)
 	}
-	s.watchers.record(time.Now(), req)
 	timer := time.NewTimer(min(req.MaxWait, maxWatchTime))
 	defer timer.Stop()
+	if err := s.recordWatch(ctx, req); err != nil {
+		return nil, err
+	}
 	for expired := false; ; {
 		changed := m.loop.Changed()
-		view, err := s.view(ctx, m, req)
+		view, replies, err := s.view(ctx, m, req, expired)
 		if err != nil {
 			return nil, err
 		}
-		if expired || view.Full || view.Declaration != nil || len(view.Endpoints) > 0 {
-			view.Loads = s.watchers.otherLoads(time.Now(), req.Entry)
-			view.EntryCount = s.watchers.count(time.Now())
+		if replies {
 			return view, nil
 		}
 		select {
@@ -93,10 +91,54 @@
 	return nil, err
 }
 
-// view returns what has changed since the entry's view. It is read under the leader's lease, so it is not stale.
-func (s *Server) view(ctx context.Context, m *logMember, req kwdirectproto.Watch) (kwdirectproto.View, error) {
-	var v kwdirectproto.View
-	err := s.runAsLeader(ctx, func(now time.Time, t *kwreconcile.Tables) {
+// recordWatch records the load that an entry reports.
+func (s *Server) recordWatch(ctx context.Context, req kwdirectproto.Watch) error {
+	loads := req.Loads
+	if len(req.PackedLoads) > 0 {
+		unpacked, err := req.PackedLoads.Unpack()
+		if err != nil {
+			return err
+		}
+		err = s.runAsLeader(ctx, func(_ time.Time, t *kwreconcile.Tables) { loads = resolveLoads(unpacked, req.Epoch, t) })
+		if err != nil {
+			return err
+		}
+	}
+	s.watchers.record(time.Now(), req.Entry, loads, req.Requests)
+	return nil
+}
+
+// resolveLoads finds the endpoints of loads whose indices are those of an epoch. Loads of an earlier epoch are dropped: the
+// entry learns the new indices with the reply.
+func resolveLoads(loads []kwdirectproto.IndexedLoad, epoch uint64, t *kwreconcile.Tables) []kwdirectproto.Load {
+	if epoch != t.Epoch {
+		return nil
+	}
+	out := make([]kwdirectproto.Load, 0, len(loads))
+	for _, l := range loads {
+		if id, ok := t.Roster.ByIndex(l.Index); ok {
+			out = append(out, kwdirectproto.Load{Endpoint: id, Used: l.Used, Running: l.Running})
+		}
+	}
+	return out
+}
+
+// indexLoads returns the loads of endpoints that the roster knows, in ascending order of their indices.
+func indexLoads(loads []kwdirectproto.Load, roster *kwmembership.Roster) []kwdirectproto.IndexedLoad {
+	out := make([]kwdirectproto.IndexedLoad, 0, len(loads))
+	for _, l := range loads {
+		if row, ok := roster.Row(l.Endpoint); ok {
+			out = append(out, kwdirectproto.IndexedLoad{Index: row.Index, Used: l.Used, Running: l.Running})
+		}
+	}
+	slices.SortFunc(out, func(a, b kwdirectproto.IndexedLoad) int { return cmp.Compare(a.Index, b.Index) })
+	return out
+}
+
+// view returns what has changed since the entry's view, and whether that is to be sent: something has changed, or the watch
+// has expired. It is read under the leader's lease, so it is not stale.
+func (s *Server) view(ctx context.Context, m *logMember, req kwdirectproto.Watch, expired bool) (v kwdirectproto.View, replies bool, err error) {
+	err = s.runAsLeader(ctx, func(now time.Time, t *kwreconcile.Tables) {
 		v.Gathering = now.Before(t.GatherUntil)
 		v.Version = t.Roster.Version()
 		if d := t.State.Declared(); d.Number > req.DeclarationNumber {
@@ -109,9 +151,12 @@
 			since = 0
 		}
 		v.Endpoints = t.Roster.Since(since)
+		if replies = expired || v.Full || v.Declaration != nil || len(v.Endpoints) > 0; replies {
+			s.addLoads(&v, req, t.Roster)
+		}
 	})
-	if err != nil {
-		return kwdirectproto.View{}, err
+	if err != nil || !replies {
+		return v, false, err
 	}
 	m.loop.Log(func(_ time.Time, n *kwraft.Node) {
 		members := n.Status().Members
@@ -119,71 +164,19 @@
 			v.ControlAddresses = append(v.ControlAddresses, string(kwcontrol.NodeOf(id)))
 		}
 	})
-	return v, nil
-}
-
-// watchers holds what each entry reported with its last watch.
-type watchers struct {
-	mu      sync.Mutex
-	entries map[kwid.NodeID]watcher
-}
-
-type watcher struct {
-	lastSeen time.Time
-	loads    []kwdirectproto.Load
-	requests map[kwid.ServiceName]int
-}
-
-func newWatchers() *watchers {
-	return &watchers{entries: make(map[kwid.NodeID]watcher)}
-}
-
-func (w *watchers) record(now time.Time, req kwdirectproto.Watch) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.entries[req.Entry] = watcher{lastSeen: now, loads: req.Loads, requests: req.Requests}
+	return v, true, nil
 }
 
-// dropSilent removes entries that have sent no watch within entryLease; the caller holds mu.
-func (w *watchers) dropSilent(now time.Time) {
-	maps.DeleteFunc(w.entries, func(_ kwid.NodeID, r watcher) bool { return now.Sub(r.lastSeen) > entryLease })
-}
-
-func (w *watchers) count(now time.Time) int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.dropSilent(now)
-	return len(w.entries)
-}
-
-// requests returns how many requests for a service the entries reported for their last window.
-func (w *watchers) requests(now time.Time, service kwid.ServiceName) int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.dropSilent(now)
-	sum := 0
-	for _, r := range w.entries {
-		sum += r.requests[service]
-	}
-	return sum
-}
-
-// otherLoads returns the sum of the loads of all entries except self, sorted by endpoint.
-func (w *watchers) otherLoads(now time.Time, self kwid.NodeID) []kwdirectproto.Load {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.dropSilent(now)
-	sum := make(map[kwid.EndpointID]kwdirectproto.Load)
-	for entry, r := range w.entries {
-		if entry == self {
-			continue
-		}
-		for _, l := range r.loads {
-			s := sum[l.Endpoint]
-			sum[l.Endpoint] = kwdirectproto.Load{Endpoint: l.Endpoint, Used: s.Used + l.Used, Running: s.Running + l.Running}
-		}
+// addLoads adds the load of all other entries and the number of entries to a view.
+func (s *Server) addLoads(v *kwdirectproto.View, req kwdirectproto.Watch, roster *kwmembership.Roster) {
+	now := time.Now()
+	loads := s.watchers.otherLoads(now, req.Entry)
+	v.EntryCount = s.watchers.count(now)
+	v.AcceptsPackedLoads = true
+	if req.AcceptsPackedLoads {
+		v.PackedLoads = kwdirectproto.PackLoads(indexLoads(loads, roster))
+		return
 	}
-	out := slices.Collect(maps.Values(sum))
-	slices.SortFunc(out, func(a, b kwdirectproto.Load) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
-	return out
+	slices.SortFunc(loads, func(a, b kwdirectproto.Load) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
+	v.Loads = loads
 }
--- a/io/kwdirectentry/gateway.go
+++ b/io/kwdirectentry/gateway.go
@@ -11,6 +11,7 @@
 
 	"knapweedproxy/core/kwcode"
 	"knapweedproxy/core/kwretry"
+	"knapweedproxy/io/kwdirectproto"
 	"knapweedproxy/io/kwevent"
 	"knapweedproxy/io/kwtcprpc"
 	"knapweedproxy/io/kwtime"
@@ -53,7 +54,7 @@
 	g.scheduler = newScheduler(cfg)
 	g.retryBudgets = kwretry.NewSharedBudgets(cfg.RetryBudget)
 	g.upstreamPool = kwupstream.NewPool()
-	g.controlPool = kwtcprpc.NewPool()
+	g.controlPool = kwtcprpc.NewPool(kwtcprpc.NewTraffic(deps.Metrics, kwdirectproto.KindNames()))
 	g.leader = kwtcprpc.NewLeaderClient(g.controlPool, cfg.ControlAddresses)
 	g.metrics = newGatewayMetrics(deps.Metrics)
 	if err := g.openListeners(); err != nil {
--- a/io/kwdirectentry/view.go
+++ b/io/kwdirectentry/view.go
@@ -1,8 +1,10 @@
 package kwdirectentry
 
 import (
+	"cmp"
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,6 +30,10 @@
 	// servers lists the model servers of each service that has an engine, without their load.
 	servers    map[kwid.ServiceName][]kwchainsearch.Server
 	entryCount int
+	// indexes holds the index of each endpoint in the roster of the epoch.
+	indexes map[kwid.EndpointID]kwmembership.RosterIndex
+	// leaderUnpacksLoads means that the leader accepts packed loads.
+	leaderUnpacksLoads bool
 	// gathering means that the leader is new and has not yet heard from every endpoint.
 	gathering bool
 	// confirmedAt is when the last watch was sent that the leader has answered.
@@ -70,8 +76,14 @@
 		Version:           old.version,
 		DeclarationNumber: old.declarationNumber,
 		MaxWait:           watchMaxWait,
-		Loads:             g.scheduler.ownLoads(),
 		Requests:          g.retryBudgets.Requests(time.Now()),
+		// A leader of an older version ignores this.
+		AcceptsPackedLoads: true,
+	}
+	if own := g.scheduler.ownLoads(); old.leaderUnpacksLoads {
+		req.PackedLoads = kwdirectproto.PackLoads(old.indexLoads(own))
+	} else {
+		req.Loads = own
 	}
 	ctx, cancel := context.WithTimeout(ctx, 3*(watchMaxWait+watchTimeout))
 	defer cancel()
@@ -84,9 +96,13 @@
 	if err != nil {
 		return err
 	}
+	loads, err := next.othersLoads(reply)
+	if err != nil {
+		return err
+	}
 	next.confirmedAt = sentAt
 	g.view.Store(next)
-	g.scheduler.applyView(next, reply.Loads)
+	g.scheduler.applyView(next, loads)
 	g.retryBudgets.SetEntryCount(next.entryCount)
 	g.viewChanged.broadcast()
 	if next.declarationNumber != old.declarationNumber || next.version != old.version || next.epoch != old.epoch {
@@ -102,7 +118,7 @@
 func (g *Gateway) mergeView(old *view, reply kwdirectproto.View) (*view, error) {
 	next := *old
 	next.epoch, next.version, next.entryCount = reply.Epoch, reply.Version, max(1, reply.EntryCount)
-	next.gathering = reply.Gathering
+	next.gathering, next.leaderUnpacksLoads = reply.Gathering, reply.AcceptsPackedLoads
 	if old.gathering && !reply.Gathering && !reply.Full {
 		// The leader has now heard from every live endpoint. Epoch 0 makes the next watch fetch the full list, which
 		// drops the endpoints that it lacks.
@@ -111,6 +127,7 @@
 	changed := reply.Full || len(reply.Endpoints) > 0
 	if changed {
 		next.endpoints = mergeEndpoints(old.endpoints, reply)
+		next.indexes = mergeIndexes(old.indexes, reply)
 	}
 	if reply.Declaration != nil && reply.Declaration.Number > old.declarationNumber {
 		content, err := kwdirectproto.Decompress(reply.Declaration.Content)
@@ -145,6 +162,52 @@
 	return out
 }
 
+// mergeIndexes returns the indices of the endpoints in the roster that the reply comes from.
+func mergeIndexes(old map[kwid.EndpointID]kwmembership.RosterIndex, reply kwdirectproto.View) map[kwid.EndpointID]kwmembership.RosterIndex {
+	out := make(map[kwid.EndpointID]kwmembership.RosterIndex, len(old))
+	if !reply.Full {
+		maps.Copy(out, old)
+	}
+	for _, row := range reply.Endpoints {
+		out[row.Announcement.ID] = row.Index
+		if row.State == kwmembership.Gone || row.State == kwmembership.Lost {
+			delete(out, row.Announcement.ID)
+		}
+	}
+	return out
+}
+
+// indexLoads returns the loads of endpoints whose index is known, in ascending order of their indices.
+func (v *view) indexLoads(loads []kwdirectproto.Load) []kwdirectproto.IndexedLoad {
+	out := make([]kwdirectproto.IndexedLoad, 0, len(loads))
+	for _, l := range loads {
+		if index, ok := v.indexes[l.Endpoint]; ok {
+			out = append(out, kwdirectproto.IndexedLoad{Index: index, Used: l.Used, Running: l.Running})
+		}
+	}
+	slices.SortFunc(out, func(a, b kwdirectproto.IndexedLoad) int { return cmp.Compare(a.Index, b.Index) })
+	return out
+}
+
+// othersLoads returns the loads of all other entries in a reply that has been merged into the view.
+func (v *view) othersLoads(reply kwdirectproto.View) ([]kwdirectproto.Load, error) {
+	packed, err := reply.PackedLoads.Unpack()
+	if err != nil || len(packed) == 0 {
+		return reply.Loads, err
+	}
+	byIndex := make(map[kwmembership.RosterIndex]kwid.EndpointID, len(v.indexes))
+	for id, index := range v.indexes {
+		byIndex[index] = id
+	}
+	loads := make([]kwdirectproto.Load, 0, len(packed))
+	for _, l := range packed {
+		if id, ok := byIndex[l.Index]; ok {
+			loads = append(loads, kwdirectproto.Load{Endpoint: id, Used: l.Used, Running: l.Running})
+		}
+	}
+	return loads, nil
+}
+
 // indexEndpoints groups the live endpoints by service.
 func (v *view) indexEndpoints() {
 	v.live = make(map[kwid.ServiceName][]kwmembership.Announcement)
--- a/io/kwdirectproto/messages.go
+++ b/io/kwdirectproto/messages.go
@@ -24,6 +24,15 @@
 	KindRetryLoan         kwtcprpc.Kind = 9
 )
 
+// KindNames returns the names of the kinds in metrics.
+func KindNames() map[kwtcprpc.Kind]string {
+	return map[kwtcprpc.Kind]string{
+		KindRaft: "raft", KindAddMember: "add-member", KindAnnounce: "announce", KindDeregister: "deregister",
+		KindWriteDeclaration: "write-declaration", KindReadDeclaration: "read-declaration", KindWatch: "watch",
+		KindConnectionRefused: "connection-refused", KindRetryLoan: "retry-loan",
+	}
+}
+
 // RaftBatch carries messages of the replicated log in one call.
 type RaftBatch struct {
 	Messages []kwraft.Message `cbor:"1,keyasint"`
@@ -77,6 +86,10 @@
 	Loads             []Load               `cbor:"6,keyasint,omitempty"`
 	// Requests counts the entry's requests of the last window of the retry budget, by service.
 	Requests map[kwid.ServiceName]int `cbor:"7,keyasint,omitempty"`
+	// PackedLoads replaces Loads once a reply has set AcceptsPackedLoads. Its indices are those of the Epoch.
+	PackedLoads PackedLoads `cbor:"8,keyasint,omitempty"`
+	// AcceptsPackedLoads means that the reply may hold PackedLoads.
+	AcceptsPackedLoads bool `cbor:"9,keyasint,omitempty"`
 }
 
 // View is what an entry serves requests by. The leader replies under its lease, so no newer declaration or endpoint
@@ -97,4 +110,8 @@
 	EntryCount int `cbor:"8,keyasint,omitempty"`
 	// Loads is the load of the requests of all other entries.
 	Loads []Load `cbor:"9,keyasint,omitempty"`
+	// PackedLoads replaces Loads if the watch accepts it.
+	PackedLoads PackedLoads `cbor:"10,keyasint,omitempty"`
+	// AcceptsPackedLoads means that the next watch may hold PackedLoads.
+	AcceptsPackedLoads bool `cbor:"11,keyasint,omitempty"`
 }
--- a/io/kwtcprpc/frame.go
+++ b/io/kwtcprpc/frame.go
@@ -33,39 +33,40 @@
 	readBufferBytes = 4 << 10
 )
 
-func writeFrame(c net.Conn, f frame) error {
+// writeFrame returns the number of bytes written.
+func writeFrame(c net.Conn, f frame) (int, error) {
 	data, err := kwcbor.Marshal(f)
 	if err != nil {
-		return kwcode.New(kwcode.FrameMalformed, "%v", err)
+		return 0, kwcode.New(kwcode.FrameMalformed, "%v", err)
 	}
 	if len(data) > maxFrameBytes {
-		return kwcode.New(kwcode.FrameTooLarge, "frame of %d bytes exceeds the limit of %d", len(data), maxFrameBytes)
+		return 0, kwcode.New(kwcode.FrameTooLarge, "frame of %d bytes exceeds the limit of %d", len(data), maxFrameBytes)
 	}
 	out := make([]byte, lengthPrefixBytes, lengthPrefixBytes+len(data))
 	binary.BigEndian.PutUint32(out, uint32(len(data)))
 	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return err
+		return 0, err
 	}
-	_, err = c.Write(append(out, data...))
-	return err
+	return c.Write(append(out, data...))
 }
 
-func readFrame(r *bufio.Reader) (frame, error) {
+// readFrame returns a frame and the number of bytes that it took.
+func readFrame(r *bufio.Reader) (frame, int, error) {
 	var f frame
 	var prefix [lengthPrefixBytes]byte
 	if _, err := io.ReadFull(r, prefix[:]); err != nil {
-		return f, err
+		return f, 0, err
 	}
 	n := binary.BigEndian.Uint32(prefix[:])
 	if n > maxFrameBytes {
-		return f, kwcode.New(kwcode.FrameTooLarge, "frame of %d bytes exceeds the limit of %d", n, maxFrameBytes)
+		return f, 0, kwcode.New(kwcode.FrameTooLarge, "frame of %d bytes exceeds the limit of %d", n, maxFrameBytes)
 	}
 	data := make([]byte, n)
 	if _, err := io.ReadFull(r, data); err != nil {
-		return f, err
+		return f, 0, err
 	}
 	if err := kwcbor.Unmarshal(data, &f); err != nil {
-		return f, kwcode.New(kwcode.FrameMalformed, "%v", err)
+		return f, 0, kwcode.New(kwcode.FrameMalformed, "%v", err)
 	}
-	return f, nil
+	return f, lengthPrefixBytes + len(data), nil
 }
--- a/io/kwtcprpc/pool.go
+++ b/io/kwtcprpc/pool.go
@@ -18,13 +18,14 @@
 
 // Pool keeps one connection to each peer, which concurrent calls share; it is safe for concurrent use.
 type Pool struct {
-	mu    sync.Mutex
-	conns map[string]*conn
+	traffic *Traffic
+	mu      sync.Mutex
+	conns   map[string]*conn
 }
 
-// NewPool returns an empty pool.
-func NewPool() *Pool {
-	return &Pool{conns: make(map[string]*conn)}
+// NewPool returns an empty pool. traffic counts the bytes of its calls and may be nil.
+func NewPool(traffic *Traffic) *Pool {
+	return &Pool{traffic: traffic, conns: make(map[string]*conn)}
 }
 
 // Call sends a request to an address and decodes the reply into resp, which may be nil. If the context ends before the
@@ -69,7 +70,7 @@
 		return nil, kwcode.New(kwcode.PeerUnreachable, "%v", err)
 	}
 	kwkeepalive.Enable(raw)
-	opened := &conn{raw: raw, pending: make(map[uint64]chan frame), closed: make(chan struct{})}
+	opened := &conn{raw: raw, traffic: p.traffic, pending: make(map[uint64]chan frame), closed: make(chan struct{})}
 	p.mu.Lock()
 	if c, ok := p.conns[address]; ok {
 		p.mu.Unlock()
@@ -107,6 +108,7 @@
 // conn multiplexes concurrent calls over one connection.
 type conn struct {
 	raw        net.Conn
+	traffic    *Traffic
 	writeMu    sync.Mutex
 	mu         sync.Mutex
 	lastCallID uint64
@@ -126,10 +128,11 @@
 func (c *conn) readReplies() {
 	r := bufio.NewReaderSize(c.raw, readBufferBytes)
 	for {
-		f, err := readFrame(r)
+		f, n, err := readFrame(r)
 		if err != nil {
 			return
 		}
+		c.traffic.countReceived(f.Kind, n)
 		c.mu.Lock()
 		reply, ok := c.pending[f.CallID]
 		delete(c.pending, f.CallID)
@@ -153,8 +156,9 @@
 		c.mu.Unlock()
 	}()
 	c.writeMu.Lock()
-	err := writeFrame(c.raw, f)
+	n, err := writeFrame(c.raw, f)
 	c.writeMu.Unlock()
+	c.traffic.countSent(kind, n)
 	if err != nil {
 		return frame{}, err
 	}
--- a/io/kwtcprpc/rpc_test.go
+++ b/io/kwtcprpc/rpc_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"knapweedproxy/core/kwcode"
 )
 
@@ -21,7 +23,7 @@
 
 func startServer(t *testing.T, handlers map[Kind]Handler) *Server {
 	t.Helper()
-	s, err := Listen("127.0.0.1:0", handlers)
+	s, err := Listen("127.0.0.1:0", handlers, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -38,7 +40,7 @@
 
 func TestCall(t *testing.T) {
 	s := startServer(t, map[Kind]Handler{kindEcho: echo})
-	p := NewPool()
+	p := NewPool(nil)
 	defer p.Close()
 	var wg sync.WaitGroup
 	for i := range 50 {
@@ -77,7 +79,7 @@
 			accepted <- c
 		}
 	}()
-	p := NewPool()
+	p := NewPool(nil)
 	defer p.Close()
 	for range 2 {
 		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
@@ -109,7 +111,7 @@
 			return nil, kwcode.New(kwcode.NotLeader, "another process leads").WithEndpoint(silent.Addr().String())
 		}})
 	}
-	p := NewPool()
+	p := NewPool(nil)
 	defer p.Close()
 	l := NewLeaderClient(p, []string{member("a").Address(), member("b").Address(), silent.Addr().String()})
 	l.SetHint(silent.Addr().String())
@@ -134,7 +136,7 @@
 	}})
 	dead := startServer(t, nil)
 	dead.Close()
-	p := NewPool()
+	p := NewPool(nil)
 	defer p.Close()
 	l := NewLeaderClient(p, []string{dead.Address(), follower.Address()})
 	for range 2 {
@@ -167,14 +169,14 @@
 
 // TestServeRetriesWithoutFileDescriptors guards against a server that ends when accept fails with EMFILE.
 func TestServeRetriesWithoutFileDescriptors(t *testing.T) {
-	s, err := Listen("127.0.0.1:0", map[Kind]Handler{kindEcho: echo})
+	s, err := Listen("127.0.0.1:0", map[Kind]Handler{kindEcho: echo}, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
 	s.listener = &exhaustedListener{Listener: s.listener, failures: 3}
 	ended := make(chan error, 1)
 	go func() { ended <- s.Serve() }()
-	p := NewPool()
+	p := NewPool(nil)
 	defer p.Close()
 	var got string
 	if err := p.Call(t.Context(), s.Address(), kindEcho, "hello", &got); err != nil || got != "hello" {
@@ -214,3 +216,38 @@
 		}
 	}
 }
+
+// TestTrafficCountsBothSides compares the bytes that the two sides of a connection count, by kind.
+func TestTrafficCountsBothSides(t *testing.T) {
+	names := map[Kind]string{kindEcho: "echo"}
+	server, client := metrics.NewRegistry(), metrics.NewRegistry()
+	s, err := Listen("127.0.0.1:0", map[Kind]Handler{kindEcho: echo}, NewTraffic(server, names))
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = s.Serve() }()
+	defer s.Close()
+	p := NewPool(NewTraffic(client, names))
+	defer p.Close()
+	const text = "some text"
+	for range 10 {
+		var got string
+		if err := p.Call(t.Context(), s.Address(), kindEcho, text, &got); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := p.Call(t.Context(), s.Address(), kindUnregistered, text, nil); err == nil {
+		t.Fatal("a call without a handler succeeded")
+	}
+	count := func(r metrics.Registry, name string) int64 { return metrics.GetOrRegisterCounter(name, r).Count() }
+	for _, name := range []string{"echo", "other"} {
+		sent, received := count(client, "control.bytes."+name+".sent"), count(server, "control.bytes."+name+".received")
+		if sent != received || sent < int64(len(text)) {
+			t.Errorf("%s requests: got %d bytes sent and %d received, want the same", name, sent, received)
+		}
+		// The server counts a reply after its write, which the client may have read before.
+		if got := count(client, "control.bytes."+name+".received"); got < 10 {
+			t.Errorf("%s replies: got %d bytes received", name, got)
+		}
+	}
+}
--- a/io/kwtcprpc/server.go
+++ b/io/kwtcprpc/server.go
@@ -39,18 +39,19 @@
 	handlers map[Kind]Handler
 	ctx      context.Context
 	cancel   context.CancelFunc
+	traffic  *Traffic
 	mu       sync.Mutex
 	conns    map[net.Conn]struct{}
 }
 
-// Listen opens the listener; calls are handled once Serve runs.
-func Listen(address string, handlers map[Kind]Handler) (*Server, error) {
+// Listen opens the listener; calls are handled once Serve runs. traffic counts their bytes and may be nil.
+func Listen(address string, handlers map[Kind]Handler, traffic *Traffic) (*Server, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, kwcode.New(kwcode.ListenFailed, "%v", err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Server{listener: l, handlers: handlers, ctx: ctx, cancel: cancel, conns: make(map[net.Conn]struct{})}, nil
+	return &Server{listener: l, handlers: handlers, traffic: traffic, ctx: ctx, cancel: cancel, conns: make(map[net.Conn]struct{})}, nil
 }
 
 // Address returns the address that the server listens on.
@@ -110,15 +111,18 @@
 	var writeMu sync.Mutex
 	r := bufio.NewReaderSize(c, readBufferBytes)
 	for {
-		f, err := readFrame(r)
+		f, n, err := readFrame(r)
 		if err != nil {
 			return
 		}
+		s.traffic.countReceived(f.Kind, n)
 		go func() {
 			reply := s.dispatch(ctx, f)
 			writeMu.Lock()
 			defer writeMu.Unlock()
-			if err := writeFrame(c, reply); err != nil {
+			n, err := writeFrame(c, reply)
+			s.traffic.countSent(f.Kind, n)
+			if err != nil {
 				_ = c.Close()
 			}
 		}()
