Spread the layers anew when neighbours cannot fill a gap

Change: as its last means, repair divides all layers between the servers of the zone in their order, with the fewest layers to load (a shortest path over the boundaries) and half of the largest possible KV cache left free.

--- a/core/kwplacement/plan_test.go
+++ b/core/kwplacement/plan_test.go
@@ -273,3 +273,67 @@
 		t.Errorf("got %v with all parallel loads in progress, want no orders", got)
 	}
 }
+
+// smallMemoryZone returns a zone that holds one copy of the model, on one fast server, six servers with little memory and six
+// slow ones.
+func smallMemoryZone() []Server {
+	servers := pool("a", slices.Concat(repeat(2.4, 1), repeat(5.3, 6), repeat(16, 6))...)
+	for i := range servers {
+		if servers[i].StepTimeFactor == 5.3 {
+			servers[i].MemoryMB = 14_400
+		}
+	}
+	return servers
+}
+
+// TestPlanRepairsAnyTwoLosses takes any two servers away from a zone that holds a single copy of the model. Servers beside a gap
+// may lack the memory to fill it while others have enough, so the rest must be spread over the layers anew.
+func TestPlanRepairsAnyTwoLosses(t *testing.T) {
+	const maxRounds = 3
+	e := engine()
+	e.KVMBPerTokenLayer = 0.0074
+	servers := smallMemoryZone()
+	servers = apply(t, servers, Plan(e, servers))
+	if minCoverage(servers, "a") != 1 {
+		t.Fatalf("copies in the zone: got %d, want 1", minCoverage(servers, "a"))
+	}
+	for i := range servers {
+		for j := range i {
+			left := slices.Delete(slices.Clone(servers), i, i+1)
+			left = slices.Delete(left, j, j+1)
+			if newModel(e).totalLayers(left, 0) < e.Layers {
+				continue
+			}
+			for range maxRounds {
+				left = apply(t, left, Plan(e, left))
+			}
+			if minCoverage(left, "a") == 0 {
+				t.Errorf("after the loss of %s and %s: a layer is missing after %d plans", servers[i].ID, servers[j].ID, maxRounds)
+			}
+		}
+	}
+}
+
+// TestPlanSpreadsWithoutNeedlessLoads checks that servers keep most of their layers when they are spread anew, since they load
+// only the others.
+func TestPlanSpreadsWithoutNeedlessLoads(t *testing.T) {
+	e := engine()
+	e.KVMBPerTokenLayer = 0.0074
+	servers := smallMemoryZone()
+	servers = apply(t, servers, Plan(e, servers))
+	slices.SortFunc(servers, func(a, b Server) int { return int(a.Layers.From - b.Layers.From) })
+	left := slices.Delete(slices.Clone(servers), 6, 8)
+	got := apply(t, left, Plan(e, left))
+	if minCoverage(got, "a") == 0 {
+		t.Fatalf("a layer is missing")
+	}
+	loaded, missing := 0, servers[6].Layers.Len()+servers[7].Layers.Len()
+	for i, s := range got {
+		old := left[i].Layers
+		kept := max(0, int(min(s.Layers.To, old.To)-max(s.Layers.From, old.From)))
+		loaded += s.Layers.Len() - kept
+	}
+	if loaded > 3*missing {
+		t.Errorf("layers to load for %d missing ones: got %d, want %d at most", missing, loaded, 3*missing)
+	}
+}
--- a/core/kwplacement/repair.go
+++ b/core/kwplacement/repair.go
@@ -9,8 +9,10 @@
 // repair orders the empty servers to hold the missing layers or, if none is missing, the layers with which the pool has the
 // highest throughput, and reports whether every layer is held then. If a layer is missing and no server is empty, servers with
 // adjacent layers and enough memory extend their range to it. If that is not enough, the slowest servers whose layers are all
-// held by others move there, and at last adjacent servers give up a part of the minimum KV cache.
+// held by others move there, and then adjacent servers give up a part of the minimum KV cache. If a layer is still missing, all
+// servers are spread over the layers anew.
 func (m model) repair(pool []Server) (out []Order, complete bool) {
+	before := pool
 	pool = slices.Clone(pool)
 	coverage := m.coverage(pool)
 	ordered := make(map[kwid.EndpointID]bool)
@@ -27,7 +29,13 @@
 			out = append(out, o)
 		}
 	}
-	return out, slices.Min(coverage) > 0
+	if slices.Min(coverage) > 0 {
+		return out, true
+	}
+	if spread := m.spread(before); len(spread) > 0 {
+		return spread, true
+	}
+	return out, false
 }
 
 // fillEmpty returns orders for the empty servers of a pool and records them in the pool and the coverage.
