Send entries the difference between declarations

Cause: each change of the declaration went to every entry as a whole.

Change: core/kwdelta encodes a declaration as copies and literals of the one before, with a checksum. The leader keeps the last four declarations that it sent and makes each delta once for all entries; an entry that cannot apply one asks for the whole.

TestDeclarationDeltas, TestMergeDeclarationDelta, TestDeltaOfAnotherText, a fuzz target.

--- a/io/kwdirectcontrol/server.go
+++ b/io/kwdirectcontrol/server.go
@@ -31,6 +31,7 @@
 	member       atomic.Pointer[logMember]
 	placer       *placer
 	watchers     *watchers
+	deltas       declarationDeltas
 	lender       *kwretry.Lender
 	ctx          context.Context
 	cancel       context.CancelFunc
--- a/io/kwdirectcontrol/watch.go
+++ b/io/kwdirectcontrol/watch.go
@@ -158,6 +158,14 @@
 	if err != nil || !replies {
 		return v, false, err
 	}
+	if v.Declaration != nil && req.AcceptsDelta {
+		if v.DeclarationDelta, err = s.deltas.between(req.DeclarationNumber, v.Declaration); err != nil {
+			return v, false, err
+		}
+		if v.DeclarationDelta != nil {
+			v.Declaration = nil
+		}
+	}
 	m.loop.Log(func(_ time.Time, n *kwraft.Node) {
 		members := n.Status().Members
 		for _, id := range slices.Concat(members.Voters, members.Learners) {
--- a/io/kwdirectentry/gateway.go
+++ b/io/kwdirectentry/gateway.go
@@ -36,14 +36,16 @@
 	readyServer   *http.Server
 	metrics       gatewayMetrics
 	viewChanged   notifier
-	started       time.Time
-	stopping      atomic.Bool
-	wasReady      atomic.Bool
-	inFlight      atomic.Int64
-	ctx           context.Context
-	cancel        context.CancelFunc
-	wg            sync.WaitGroup
-	done          chan error
+	// needsWholeDeclaration is set after a delta could not be applied; only watchControl uses it.
+	needsWholeDeclaration bool
+	started               time.Time
+	stopping              atomic.Bool
+	wasReady              atomic.Bool
+	inFlight              atomic.Int64
+	ctx                   context.Context
+	cancel                context.CancelFunc
+	wg                    sync.WaitGroup
+	done                  chan error
 }
 
 // New opens the listeners; the gateway serves once Start is called.
--- a/io/kwdirectentry/view.go
+++ b/io/kwdirectentry/view.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"knapweedproxy/core/kwchainsearch"
+	"knapweedproxy/core/kwcode"
 	"knapweedproxy/core/kwdeclaration"
 	"knapweedproxy/core/kwid"
 	"knapweedproxy/core/kwmembership"
@@ -22,6 +23,8 @@
 	epoch             uint64
 	version           uint64
 	declarationNumber kwdeclaration.Number
+	// declarationContent is the declaration as the operator sent it, to apply deltas to.
+	declarationContent []byte
 	// index is the declaration, nil until the first one has arrived.
 	index     *kwdeclaration.Index
 	endpoints map[kwid.EndpointID]kwmembership.RosterRow
@@ -77,8 +80,9 @@
 		DeclarationNumber: old.declarationNumber,
 		MaxWait:           watchMaxWait,
 		Requests:          g.retryBudgets.Requests(time.Now()),
-		// A leader of an older version ignores this.
+		// A leader of an older version ignores these.
 		AcceptsPackedLoads: true,
+		AcceptsDelta:       !g.needsWholeDeclaration,
 	}
 	if own := g.scheduler.ownLoads(); old.leaderUnpacksLoads {
 		req.PackedLoads = kwdirectproto.PackLoads(old.indexLoads(own))
@@ -129,16 +133,18 @@
 		next.endpoints = mergeEndpoints(old.endpoints, reply)
 		next.indexes = mergeIndexes(old.indexes, reply)
 	}
-	if reply.Declaration != nil && reply.Declaration.Number > old.declarationNumber {
-		content, err := kwdirectproto.Decompress(reply.Declaration.Content)
-		if err != nil {
-			return nil, err
-		}
+	content, err := newDeclaration(old, reply)
+	// A delta that cannot be applied must not keep the entry from the declaration.
+	g.needsWholeDeclaration = err != nil
+	if err != nil {
+		return nil, err
+	}
+	if content != nil {
 		decl, err := g.deps.Decoder.Decode(content)
 		if err != nil {
 			return nil, err
 		}
-		next.declarationNumber = decl.Number
+		next.declarationNumber, next.declarationContent = decl.Number, content
 		next.index = kwdeclaration.NewIndex(decl)
 		changed = true
 	}
@@ -148,6 +154,20 @@
 	return &next, nil
 }
 
+// newDeclaration returns the declaration in a reply, or nil if it holds none that is newer than that of the view.
+func newDeclaration(old *view, reply kwdirectproto.View) ([]byte, error) {
+	if d := reply.DeclarationDelta; d != nil && d.Number > old.declarationNumber {
+		if d.From != old.declarationNumber {
+			return nil, kwcode.New(kwcode.FrameMalformed, "delta from declaration %d, not %d", d.From, old.declarationNumber)
+		}
+		return kwdirectproto.ApplyDelta(old.declarationContent, d.Delta)
+	}
+	if d := reply.Declaration; d != nil && d.Number > old.declarationNumber {
+		return kwdirectproto.Decompress(d.Content)
+	}
+	return nil, nil
+}
+
 func mergeEndpoints(old map[kwid.EndpointID]kwmembership.RosterRow, reply kwdirectproto.View) map[kwid.EndpointID]kwmembership.RosterRow {
 	out := make(map[kwid.EndpointID]kwmembership.RosterRow, len(old))
 	if !reply.Full || reply.Gathering {
--- a/io/kwdirectproto/compress.go
+++ b/io/kwdirectproto/compress.go
@@ -6,6 +6,7 @@
 	"io"
 
 	"knapweedproxy/core/kwcode"
+	"knapweedproxy/core/kwdelta"
 )
 
 // maxDeclarationBytes bounds a decompressed declaration.
@@ -40,3 +41,12 @@
 	}
 	return content, nil
 }
+
+// ApplyDelta returns the declaration that a compressed kwdelta.Delta to an earlier one encodes.
+func ApplyDelta(before, compressed []byte) ([]byte, error) {
+	delta, err := Decompress(compressed)
+	if err != nil {
+		return nil, err
+	}
+	return kwdelta.Delta(delta).Apply(before, maxDeclarationBytes)
+}
--- a/io/kwdirectproto/messages.go
+++ b/io/kwdirectproto/messages.go
@@ -62,6 +62,13 @@
 	Service kwid.ServiceName `cbor:"2,keyasint"`
 }
 
+// DeclarationDelta is a declaration as its compressed kwdelta.Delta to an earlier one.
+type DeclarationDelta struct {
+	From   kwdeclaration.Number `cbor:"1,keyasint"`
+	Number kwdeclaration.Number `cbor:"2,keyasint"`
+	Delta  []byte               `cbor:"3,keyasint"`
+}
+
 // CompressedDeclaration is a numbered declaration in the platform's encoding, compressed by Compress.
 type CompressedDeclaration struct {
 	Number  kwdeclaration.Number `cbor:"1,keyasint"`
@@ -90,6 +97,8 @@
 	PackedLoads PackedLoads `cbor:"8,keyasint,omitempty"`
 	// AcceptsPackedLoads means that the reply may hold PackedLoads.
 	AcceptsPackedLoads bool `cbor:"9,keyasint,omitempty"`
+	// AcceptsDelta means that the reply may hold the declaration as a delta to that of DeclarationNumber.
+	AcceptsDelta bool `cbor:"10,keyasint,omitempty"`
 }
 
 // View is what an entry serves requests by. The leader replies under its lease, so no newer declaration or endpoint
@@ -114,4 +123,6 @@
 	PackedLoads PackedLoads `cbor:"10,keyasint,omitempty"`
 	// AcceptsPackedLoads means that the next watch may hold PackedLoads.
 	AcceptsPackedLoads bool `cbor:"11,keyasint,omitempty"`
+	// DeclarationDelta replaces Declaration if the watch accepts it and the leader knows the declaration of the entry.
+	DeclarationDelta *DeclarationDelta `cbor:"12,keyasint,omitempty"`
 }
