Pause an endpoint that refuses for lack of room instead of ejecting it

Cause: an endpoint named by a 503 with a promise of not having run was ejected for 1 s, and twice as long each time.

Change: such an endpoint gets no request of this entry for 250 ms, and is probed, which ejects it if it is gone.

TestEjectorRefusals.

--- a/core/kwretry/ejector.go
+++ b/core/kwretry/ejector.go
@@ -1,6 +1,7 @@
 package kwretry
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -21,7 +22,9 @@
 }
 
 type endpointState struct {
-	ejectedUntil     time.Time
+	ejectedUntil time.Time
+	// pausedUntil is set by refusals.
+	pausedUntil      time.Time
 	ejectionDuration time.Duration
 	// transientFailures counts the transient failures since the last success.
 	transientFailures int
@@ -72,6 +75,24 @@
 	e.endpoints[id] = state
 }
 
+// refusalPause is how long an endpoint that has refused a request for lack of room gets no other one. Requests end and loads are
+// reported within that time.
+const refusalPause = 250 * time.Millisecond
+
+// RecordRefusal pauses an endpoint that has refused a request, which an endpoint without room does while it serves others. It
+// answers an overload, in which an ejection would take the endpoint away from its zone for longer and longer, and with it the only
+// copy of its layers.
+func (e *Ejector) RecordRefusal(now time.Time, id kwid.EndpointID) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	maps.DeleteFunc(e.endpoints, func(_ kwid.EndpointID, s endpointState) bool {
+		return s.ejectionDuration == 0 && s.transientFailures == 0 && !now.Before(s.pausedUntil)
+	})
+	state := e.endpoints[id]
+	state.pausedUntil = now.Add(refusalPause)
+	e.endpoints[id] = state
+}
+
 // RecordTransientFailure counts a failure that a healthy endpoint may show now and then, such as a reset connection; several
 // in a row eject the endpoint. It reports whether the endpoint is ejected.
 func (e *Ejector) RecordTransientFailure(now time.Time, id kwid.EndpointID) bool {
@@ -86,18 +107,28 @@
 	return now.Before(e.endpoints[id].ejectedUntil)
 }
 
-// RecordSuccess clears the failure history of an endpoint and ends its ejection.
+// RecordSuccess clears the failure history of an endpoint and ends its ejection, but not the pause after a refusal: an endpoint
+// without room still completes what it has.
 func (e *Ejector) RecordSuccess(id kwid.EndpointID) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	delete(e.endpoints, id)
+	state, ok := e.endpoints[id]
+	if !ok {
+		return
+	}
+	if state.pausedUntil.IsZero() {
+		delete(e.endpoints, id)
+		return
+	}
+	e.endpoints[id] = endpointState{pausedUntil: state.pausedUntil}
 }
 
-// Ejected reports whether an endpoint is ejected now.
+// Ejected reports whether an endpoint is ejected or paused now.
 func (e *Ejector) Ejected(now time.Time, id kwid.EndpointID) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return now.Before(e.endpoints[id].ejectedUntil)
+	state := e.endpoints[id]
+	return now.Before(state.ejectedUntil) || now.Before(state.pausedUntil)
 }
 
 func (e *Ejector) ejectedCount(now time.Time) int {
--- a/core/kwretry/retry_test.go
+++ b/core/kwretry/retry_test.go
@@ -101,3 +101,26 @@
 		t.Error("endpoint is ejected after one broken stream since its last success, want it kept")
 	}
 }
+
+// TestEjectorRefusals has an endpoint refuse requests again and again while it completes others, as one without room does. It must
+// be used again soon after each refusal; an endpoint that fails besides stays ejected.
+func TestEjectorRefusals(t *testing.T) {
+	e := NewEjector(DefaultEjectorConfig())
+	e.SetEndpointCount(10)
+	now := time.Unix(100, 0)
+	for i := range 20 {
+		e.RecordRefusal(now, "full")
+		e.RecordSuccess("full")
+		if !e.Ejected(now, "full") {
+			t.Fatalf("refusal %d: got the endpoint in use at once", i)
+		}
+		if now = now.Add(300 * time.Millisecond); e.Ejected(now, "full") {
+			t.Fatalf("refusal %d: got the endpoint out of use after 300ms", i)
+		}
+	}
+	e.RecordRefusal(now, "failing")
+	e.Fail(now, "failing")
+	if now = now.Add(600 * time.Millisecond); !e.Ejected(now, "failing") {
+		t.Errorf("an endpoint that fails after a refusal: got it in use after 600ms")
+	}
+}
--- a/io/kwdirectentry/fault_detection.go
+++ b/io/kwdirectentry/fault_detection.go
@@ -57,6 +57,21 @@
 	g.goBackground(func() { g.probeAndEject(due) })
 }
 
+// probeStage connects to one endpoint of a chain, and to its first one to tell a faulty endpoint from a cut network. It ejects
+// the faulty one.
+func (g *Gateway) probeStage(chain kwchainsearch.Chain, id kwid.EndpointID) {
+	if !g.scheduler.probes.allow(id, time.Now()) {
+		return
+	}
+	var stages []kwchainsearch.Stage
+	for i, stage := range chain.Stages {
+		if i == 0 || stage.Endpoint == id {
+			stages = append(stages, stage)
+		}
+	}
+	g.goBackground(func() { g.probeAndEject(stages) })
+}
+
 // probeAndEject connects to stages of a chain and ejects the faulty ones.
 func (g *Gateway) probeAndEject(stages []kwchainsearch.Stage) {
 	results := g.probeStages(stages)
--- a/io/kwdirectentry/scheduler.go
+++ b/io/kwdirectentry/scheduler.go
@@ -250,15 +250,21 @@
 
 // ejectAddress ejects the endpoint at an address and returns its ID, or false if no endpoint is known there.
 func (s *scheduler) ejectAddress(now time.Time, address string) (kwid.EndpointID, bool) {
-	s.mu.Lock()
-	id, ok := s.byAddress[address]
-	s.mu.Unlock()
+	id, ok := s.endpointAt(address)
 	if ok {
 		s.ejector.Fail(now, id)
 	}
 	return id, ok
 }
 
+// endpointAt returns the ID of the endpoint at an address, or false if no endpoint is known there.
+func (s *scheduler) endpointAt(address string) (kwid.EndpointID, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id, ok := s.byAddress[address]
+	return id, ok
+}
+
 // recordSuccess clears the failure history of the endpoints of a chain.
 func (s *scheduler) recordSuccess(chain kwchainsearch.Chain) {
 	for _, stage := range chain.Stages {
--- a/io/kwdirectentry/stream_failure.go
+++ b/io/kwdirectentry/stream_failure.go
@@ -48,9 +48,12 @@
 	if address == "" {
 		address = chain.First().Address
 	}
-	id, known := g.scheduler.ejectAddress(time.Now(), address)
+	id, known := g.scheduler.endpointAt(address)
 	if known {
 		s.attempts.exclude[id] = true
+		g.scheduler.ejector.RecordRefusal(time.Now(), id)
+		// The endpoint may also be gone, which the first endpoint of the chain reports in the same way.
+		g.probeStage(chain, id)
 	}
 	s.attempts.lastErr = kwcode.New(kwcode.NoChain, "endpoint %s at %s responded with status %d, not run", id, address, resp.StatusCode)
 	g.deps.Events.Emit(kwevent.AttemptFailed, s.q.meta.ID, kwevent.F("endpoint", id), kwevent.F("address", address),
