Decide on waiting, rejecting and placing apart from I/O; entries share the free room

Cause: all entries of a zone see the same free room in the same report, up to 600 ms old, and each fills it: near the capacity of a zone, engines refuse what exceeds it. The decisions were mixed with locks and timers in io/kwdirectentry, so this could not be played.

Change: core/kwdispatch holds the decisions of one entry (granted, waits, rejected) with time as an argument, io/kwdirectentry the lock, the timers and the wake-ups. Until the next report, an entry takes an even share of what was free at the last one; if there is room for fewer requests than entries, a random part of the entries may use it, the same at all stages of a chain.

--- a/core/kwchainsearch/chain.go
+++ b/core/kwchainsearch/chain.go
@@ -58,6 +58,8 @@
 	PrefillTimeFactor float64
 	Capacity          LayerTokens
 	Used              LayerTokens
+	// Withheld is KV cache that is free, but left to the requests of other entries.
+	Withheld LayerTokens
 	// Slots is the number of requests that the server accepts as the first of a chain, Running the number that it has.
 	Slots   int
 	Running int
--- a/core/kwchainsearch/choose.go
+++ b/core/kwchainsearch/choose.go
@@ -1,6 +1,8 @@
 package kwchainsearch
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"knapweedproxy/core/kwdeclaration"
@@ -58,11 +60,11 @@
 	if found && best.score < time.Duration(homeAcceptShare*float64(c.FirstEventObjective)) {
 		return best.chain, true
 	}
-	for zone, list := range zones {
+	for _, zone := range slices.Sorted(maps.Keys(zones)) {
 		if zone == c.Home {
 			continue
 		}
-		other, ok := c.bestCandidate(engine, list)
+		other, ok := c.bestCandidate(engine, zones[zone])
 		if other.score += crossZonePenalty; ok && (!found || other.score < best.score) {
 			best, found = other, true
 		}
--- a/core/kwchainsearch/search.go
+++ b/core/kwchainsearch/search.go
@@ -125,7 +125,7 @@
 func (s *Search) hasCapacity(size RequestSize, visits []visit) bool {
 	for _, v := range visits {
 		server := &s.servers[v.server]
-		if server.Used+LayerTokens(size.TotalTokens*float64(v.layers.Len())) > server.Capacity {
+		if !server.hasRoom(size.TotalTokens * float64(v.layers.Len())) {
 			return false
 		}
 	}
@@ -173,7 +173,7 @@
 	perLayer := s.layerTime(server)
 	for j := i + 1; j < len(s.boundaries) && s.boundaries[j] <= server.Layers.To; j++ {
 		layers := float64(s.boundaries[j] - start)
-		if server.Used+LayerTokens(size.TotalTokens*layers) > server.Capacity {
+		if !server.hasRoom(size.TotalTokens * layers) {
 			return
 		}
 		newCost := cost[i] + perLayer*layers + float64(hopTime)
@@ -183,6 +183,11 @@
 	}
 }
 
+// hasRoom reports whether a request may use an amount of the server's KV cache, in layer tokens.
+func (s *Server) hasRoom(layerTokens float64) bool {
+	return s.Used+s.Withheld+LayerTokens(layerTokens) <= s.Capacity
+}
+
 // full reports whether the server accepts no more requests as the first of a chain.
 func (s *Server) full() bool {
 	return s.Slots > 0 && float64(s.Running) >= slotShare*float64(s.Slots)
--- /dev/null
+++ b/core/kwdispatch/dispatcher.go
@@ -0,0 +1,202 @@
+package kwdispatch
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"knapweedproxy/core/kwchainsearch"
+	"knapweedproxy/core/kwdeclaration"
+	"knapweedproxy/core/kwid"
+	"knapweedproxy/core/kwqueue"
+)
+
+// Config configures a Dispatcher.
+type Config struct {
+	// Entry is the entry's own ID.
+	Entry kwid.NodeID
+	// Zone is the availability zone of the entry.
+	Zone kwid.AvailabilityZone
+	// Queue configures the queue of requests that wait for a chain.
+	Queue kwqueue.Config
+	// Unavailable reports whether an endpoint is out of use, such as after failures.
+	Unavailable func(now time.Time, id kwid.EndpointID) bool
+}
+
+// Fleet is what an entry knows of the model servers of a service.
+type Fleet struct {
+	Engine *kwdeclaration.Engine
+	// Servers are the live servers, without their load.
+	Servers []kwchainsearch.Server
+	// Incomplete means that the list of servers is still being gathered.
+	Incomplete bool
+}
+
+// Request is a request for capacity on a chain.
+type Request struct {
+	Size kwchainsearch.RequestSize
+	// FirstEventObjective is the desired time to the first event, EventGapObjective the longest desired gap between two events.
+	FirstEventObjective, EventGapObjective time.Duration
+	// FirstEventTimeout is how long the first event may take before another chain is tried.
+	FirstEventTimeout time.Duration
+	// WaitingSince is when the request arrived at the entry.
+	WaitingSince time.Time
+	// Deadline is when the caller gives up; zero means that it does not.
+	Deadline time.Time
+	// Broken means that the caller has received part of a stream that has broken off.
+	Broken bool
+	// DeclaredPriority is the priority that the declaration gives the request; 0 is the highest.
+	DeclaredPriority int
+	// Excluded holds the endpoints that have failed or refused the request.
+	Excluded map[kwid.EndpointID]bool
+}
+
+func (r Request) urgency(now time.Time) kwqueue.Urgency {
+	return kwqueue.UrgencyOf(now, r.WaitingSince, r.FirstEventObjective, r.Broken)
+}
+
+// Decision is what becomes of a request.
+type Decision struct {
+	// Granted means that capacity is reserved on Chain until Release.
+	Granted bool
+	Chain   kwchainsearch.Chain
+	// Waiter is set if the request waits: until it is the head of the queue and something has changed, or its deadline.
+	Waiter *kwqueue.Waiter
+	// RetryAfter is when a rejected caller should come back. It is set if the request is neither granted nor waits.
+	RetryAfter time.Duration
+}
+
+// Dispatcher holds what the decisions of one entry depend on. It is not safe for concurrent use; the caller's lock protects it.
+type Dispatcher struct {
+	cfg   Config
+	loads *Loads
+	queue *kwqueue.Queue
+	// latency estimates the time to the first event, by the first endpoint of a chain.
+	latency map[kwid.EndpointID]*kwqueue.LatencyEstimator
+}
+
+// New returns a Dispatcher without load.
+func New(cfg Config) *Dispatcher {
+	return &Dispatcher{
+		cfg: cfg, loads: NewLoads(cfg.Entry), queue: kwqueue.NewQueue(cfg.Queue),
+		latency: make(map[kwid.EndpointID]*kwqueue.LatencyEstimator),
+	}
+}
+
+// Loads returns the loads that the dispatcher goes by.
+func (d *Dispatcher) Loads() *Loads { return d.loads }
+
+// Retain forgets the endpoints that are no longer known.
+func (d *Dispatcher) Retain(known func(kwid.EndpointID) bool) {
+	maps.DeleteFunc(d.latency, func(id kwid.EndpointID, _ *kwqueue.LatencyEstimator) bool { return !known(id) })
+}
+
+// Dispatch decides on a request. It is granted the best chain that has room and can be expected to send its first event in time,
+// so that requests wait here, where the most urgent goes first, and not inside the engines. Under a load that all chains together
+// cannot serve, a request waits only if it can expect its turn before its wait limit; any other is rejected at once, unless some
+// chain has room although its answer will be late. A broken stream passes the queue, since its caller's pause has begun.
+func (d *Dispatcher) Dispatch(now time.Time, fleet Fleet, r Request) Decision {
+	if d.queue.Len() == 0 || r.Broken {
+		if chain, ok := d.reserve(now, fleet, r, false); ok {
+			return Decision{Granted: true, Chain: chain}
+		}
+	}
+	left := time.Duration(unlimited)
+	if !r.Deadline.IsZero() {
+		left = r.Deadline.Sub(now)
+	}
+	urgency := r.urgency(now)
+	waiter, retryAfter := d.queue.Push(now, urgency.Priority(r.DeclaredPriority), urgency.WaitObjective(r.FirstEventObjective), left)
+	if waiter != nil {
+		return Decision{Waiter: waiter}
+	}
+	if chain, ok := d.reserve(now, fleet, r, true); ok {
+		return Decision{Granted: true, Chain: chain}
+	}
+	return Decision{RetryAfter: retryAfter}
+}
+
+// unlimited stands for the time left of a request without a deadline.
+const unlimited = time.Hour
+
+// Retry decides again on a request that waits, after it was woken or its wait has ended.
+func (d *Dispatcher) Retry(now time.Time, fleet Fleet, r Request, waiter *kwqueue.Waiter) Decision {
+	ended := !now.Before(waiter.Deadline())
+	if ended || d.queue.Head() == waiter {
+		if chain, ok := d.reserve(now, fleet, r, ended); ok {
+			d.queue.Remove(waiter)
+			return Decision{Granted: true, Chain: chain}
+		}
+	}
+	if ended {
+		d.queue.Remove(waiter)
+		return Decision{RetryAfter: d.queue.RetryAfter(now)}
+	}
+	return Decision{Waiter: waiter}
+}
+
+// Withdraw removes a request that no longer waits from the queue.
+func (d *Dispatcher) Withdraw(waiter *kwqueue.Waiter) { d.queue.Remove(waiter) }
+
+// Next returns the request that is to be woken when something has changed, or nil if none waits.
+func (d *Dispatcher) Next() *kwqueue.Waiter { return d.queue.Head() }
+
+// Waiting returns how many requests wait.
+func (d *Dispatcher) Waiting() int { return d.queue.Len() }
+
+// Release frees the capacity that a request has reserved on a chain.
+func (d *Dispatcher) Release(now time.Time, chain kwchainsearch.Chain, tokens float64) {
+	d.loads.Release(chain, tokens)
+	d.queue.RecordDeparture(now)
+}
+
+// BeginFirstEventWait records that a request waits for its first event from a first endpoint.
+func (d *Dispatcher) BeginFirstEventWait(now time.Time, id kwid.EndpointID) {
+	d.latencyOf(id).Begin(now)
+}
+
+// EndFirstEventWait records that a request no longer waits for its first event, and whether it received one.
+func (d *Dispatcher) EndFirstEventWait(now time.Time, id kwid.EndpointID, began time.Time, received bool) {
+	d.latencyOf(id).End(now, began, received)
+}
+
+func (d *Dispatcher) latencyOf(id kwid.EndpointID) *kwqueue.LatencyEstimator {
+	l, ok := d.latency[id]
+	if !ok {
+		l = kwqueue.NewLatencyEstimator(kwqueue.DefaultLatencyConfig())
+		d.latency[id] = l
+	}
+	return l
+}
+
+// reserve reserves room on the best chain. A chain whose first event would come too late counts as full. If allowLate is set, or
+// if the request is late or broken already, a late answer is better than none, and only the first-event timeout bounds it.
+func (d *Dispatcher) reserve(now time.Time, fleet Fleet, r Request, allowLate bool) (kwchainsearch.Chain, bool) {
+	limit := r.FirstEventObjective
+	if allowLate || r.urgency(now) != kwqueue.OnTime {
+		limit = r.FirstEventTimeout
+	}
+	servers := slices.Clone(fleet.Servers)
+	for i := range servers {
+		load := d.loads.Of(now, servers[i].ID)
+		servers[i].Used, servers[i].Running = load.Used, load.Running
+		size := kwchainsearch.LayerTokens(r.Size.TotalTokens * float64(servers[i].Layers.Len()))
+		servers[i].Withheld = d.loads.Withheld(now, &servers[i], size)
+	}
+	excluded := func(id kwid.EndpointID) bool { return r.Excluded[id] || d.cfg.Unavailable(now, id) }
+	chain, ok := kwchainsearch.Choose(fleet.Engine, servers, excluded, kwchainsearch.Criteria{
+		Size:                r.Size,
+		Home:                d.cfg.Zone,
+		FirstEventObjective: r.FirstEventObjective,
+		EventGapObjective:   r.EventGapObjective,
+		Incomplete:          fleet.Incomplete,
+		MaxFirstEvent:       limit,
+		EstimateFirstEvent: func(first kwid.EndpointID, idle time.Duration) time.Duration {
+			return d.latencyOf(first).Estimate(now, idle)
+		},
+	})
+	if ok {
+		d.loads.Reserve(chain, r.Size.TotalTokens)
+	}
+	return chain, ok
+}
--- a/io/kwdirectentry/queue.go
+++ b/io/kwdirectentry/queue.go
@@ -6,6 +6,7 @@
 
 	"knapweedproxy/core/kwchainsearch"
 	"knapweedproxy/core/kwcode"
+	"knapweedproxy/core/kwdispatch"
 	"knapweedproxy/core/kwqueue"
 )
 
@@ -17,54 +18,55 @@
 	currentView func() *view
 }
 
+// dispatchRequest returns what the dispatcher needs to know of the request.
+func (c chainRequest) dispatchRequest(ctx context.Context) kwdispatch.Request {
+	deadline, _ := ctx.Deadline()
+	return kwdispatch.Request{
+		Size:                c.size,
+		FirstEventObjective: c.r.route.LatencyObjective,
+		EventGapObjective:   c.r.route.EventGapObjective,
+		FirstEventTimeout:   firstEventTimeout(c.r),
+		WaitingSince:        c.r.arrived,
+		Deadline:            deadline,
+		Broken:              c.r.broken,
+		DeclaredPriority:    c.r.basePriority(),
+		Excluded:            c.exclude,
+	}
+}
+
+// fleet returns the servers of the request's service in the present view, or an error if the service cannot be served.
+func (c chainRequest) fleet() (kwdispatch.Fleet, error) {
+	v, name := c.currentView(), c.r.service
+	service := v.index.Service(name)
+	if service == nil || service.Engine == nil {
+		return kwdispatch.Fleet{}, kwcode.New(kwcode.UnknownService, "service %q is not declared or has no engine", name)
+	}
+	if len(v.servers[name]) == 0 && !v.gathering {
+		return kwdispatch.Fleet{}, kwcode.New(kwcode.NoChain, "no endpoint of service %q holds model layers", name)
+	}
+	return kwdispatch.Fleet{Engine: service.Engine, Servers: v.servers[name], Incomplete: v.gathering}, nil
+}
+
 // acquireChain reserves capacity on a chain, waiting in the queue if necessary, and returns how long that took. The
 // error is a rejection or the error of the context.
 func (s *scheduler) acquireChain(ctx context.Context, req chainRequest) (kwchainsearch.Chain, time.Duration, error) {
 	begin := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.queue.Len() == 0 || req.r.broken {
-		chain, ok, err := s.tryReserve(req, false)
-		if ok || err != nil {
-			return chain, 0, err
-		}
-	}
-	left := time.Hour
-	if d, ok := ctx.Deadline(); ok {
-		left = time.Until(d)
+	fleet, err := req.fleet()
+	if err != nil {
+		return kwchainsearch.Chain{}, 0, err
 	}
-	waiter, retryAfter := s.queue.Push(begin, req.r.priority(), req.r.waitObjective(), left)
-	if waiter != nil {
-		chain, err := s.waitInQueue(ctx, req, waiter)
+	decision := s.dispatcher.Dispatch(begin, fleet, req.dispatchRequest(ctx))
+	switch {
+	case decision.Granted:
+		return decision.Chain, 0, nil
+	case decision.Waiter != nil:
+		chain, err := s.waitInQueue(ctx, req, decision.Waiter)
 		return chain, time.Since(begin), err
 	}
-	chain, ok, err := s.tryReserve(req, true)
-	if !ok && err == nil {
-		err = kwcode.New(kwcode.EntryOverloaded, "%d requests are queued already and service %q has no capacity", s.queue.Len(), req.r.service).After(retryAfter)
-	}
-	return chain, 0, err
-}
-
-// tryReserve reserves capacity on a chain if one has any; the caller holds the lock. A chain whose first event would be
-// late counts as full, so that requests do not queue up inside the engines. If allowLate is set, or if the request is
-// late or broken already, a late answer is better than none and only the first-event timeout bounds it.
-func (s *scheduler) tryReserve(req chainRequest, allowLate bool) (chain kwchainsearch.Chain, ok bool, err error) {
-	v := req.currentView()
-	service := v.index.Service(req.r.service)
-	if service == nil || service.Engine == nil {
-		return chain, false, kwcode.New(kwcode.UnknownService, "service %q is not declared or has no engine", req.r.service)
-	}
-	if len(v.servers[req.r.service]) == 0 && !v.gathering {
-		return chain, false, kwcode.New(kwcode.NoChain, "no endpoint of service %q holds model layers", req.r.service)
-	}
-	limit := req.r.route.LatencyObjective
-	if allowLate || req.r.broken || req.r.isLate() {
-		limit = firstEventTimeout(req.r)
-	}
-	if chain, ok = s.findChain(v, req, limit); ok {
-		s.adjustLoad(chain, req.size.TotalTokens, 1)
-	}
-	return chain, ok, nil
+	rejection := kwcode.New(kwcode.EntryOverloaded, "%d requests are queued already and service %q has no capacity", s.dispatcher.Waiting(), req.r.service)
+	return kwchainsearch.Chain{}, 0, rejection.After(decision.RetryAfter)
 }
 
 // waitInQueue waits until a queued request gets a chain or its waiting time is over; the caller holds the lock, which
@@ -73,39 +75,39 @@
 	wake := make(chan struct{}, 1)
 	s.wakeups[waiter] = wake
 	defer func() {
-		s.queue.Remove(waiter)
+		s.dispatcher.Withdraw(waiter)
 		delete(s.wakeups, waiter)
 		s.wakeNext()
 	}()
 	timer := time.NewTimer(time.Until(waiter.Deadline()))
 	defer timer.Stop()
 	for {
-		timedOut := s.waitForWakeup(ctx, wake, timer)
+		s.waitForWakeup(ctx, wake, timer)
 		if ctx.Err() != nil {
 			return kwchainsearch.Chain{}, ctx.Err()
 		}
-		if timedOut || s.queue.Head() == waiter {
-			chain, ok, err := s.tryReserve(req, timedOut)
-			if ok || err != nil {
-				return chain, err
-			}
+		fleet, err := req.fleet()
+		if err != nil {
+			return kwchainsearch.Chain{}, err
+		}
+		decision := s.dispatcher.Retry(time.Now(), fleet, req.dispatchRequest(ctx), waiter)
+		if decision.Granted {
+			return decision.Chain, nil
 		}
-		if timedOut {
-			retryAfter := s.queue.RetryAfter(time.Now())
-			return kwchainsearch.Chain{}, kwcode.New(kwcode.NoChain, "no chain of service %q has capacity", req.r.service).After(retryAfter)
+		if decision.Waiter == nil {
+			return kwchainsearch.Chain{}, kwcode.New(kwcode.NoChain, "no chain of service %q has capacity", req.r.service).After(decision.RetryAfter)
 		}
+		timer.Reset(time.Until(waiter.Deadline()))
 	}
 }
 
 // waitForWakeup releases the lock until the request is woken, its timer fires or its context ends.
-func (s *scheduler) waitForWakeup(ctx context.Context, wake <-chan struct{}, timer *time.Timer) (timedOut bool) {
+func (s *scheduler) waitForWakeup(ctx context.Context, wake <-chan struct{}, timer *time.Timer) {
 	s.mu.Unlock()
 	defer s.mu.Lock()
 	select {
 	case <-wake:
 	case <-timer.C:
-		timedOut = true
 	case <-ctx.Done():
 	}
-	return timedOut
 }
--- a/io/kwdirectentry/request.go
+++ b/io/kwdirectentry/request.go
@@ -52,19 +52,8 @@
 	return kwqueue.UrgencyOf(time.Now(), q.arrived, q.route.LatencyObjective, q.broken)
 }
 
-// waitObjective is the objective that bounds the wait in the queue.
-func (q *request) waitObjective() time.Duration {
-	return q.urgency().WaitObjective(q.route.LatencyObjective)
-}
-
 func (q *request) remaining() time.Duration { return time.Until(q.deadline) }
 
-// priority is the rank of the request in the queue; lower values are served first.
-func (q *request) priority() int { return q.urgency().Priority(q.basePriority()) }
-
-// isLate reports whether the first event would miss the latency objective even if the request were served now.
-func (q *request) isLate() bool { return q.urgency() == kwqueue.Late }
-
 func (q *request) basePriority() int {
 	if q.workspace != nil && q.workspace.Priority != nil {
 		return *q.workspace.Priority
--- a/io/kwdirectentry/scheduler_test.go
+++ b/io/kwdirectentry/scheduler_test.go
@@ -69,7 +69,7 @@
 func (f *schedulerFixture) queueLen() int {
 	f.scheduler.mu.Lock()
 	defer f.scheduler.mu.Unlock()
-	return f.scheduler.queue.Len()
+	return f.scheduler.dispatcher.Waiting()
 }
 
 // acquire reserves a chain for a new request and returns it with the ID of its first endpoint.
@@ -157,42 +157,6 @@
 	}
 }
 
-// After an outage of all entries, each must take only its share of the slots, although no other entry has reported its
-// load yet.
-func TestSchedulerLimitsItsShareAfterStart(t *testing.T) {
-	const slots, entries = 20, 8
-	f := newSchedulerFixture(slots)
-	f.view.entryCount = entries
-	f.scheduler.applyView(f.view, nil)
-	firsts := make(map[string]int)
-	ctx, cancel := context.WithTimeout(t.Context(), startupWindow/5)
-	defer cancel()
-	var reserved []kwchainsearch.Chain
-	for {
-		chain, first, err := f.acquire(ctx)
-		if err != nil {
-			break
-		}
-		firsts[first]++
-		reserved = append(reserved, chain)
-	}
-	if got, share := firsts["a-fast-0"], slots/(entries/2); got == 0 || got > share {
-		t.Errorf("slots taken in its own zone: got %d, want at least 1 and at most %d", got, share)
-	}
-	for _, chain := range reserved {
-		f.scheduler.release(chain, 900)
-	}
-	f.scheduler.firstViewAt = time.Now().Add(-2 * startupWindow)
-	for range slots / 2 {
-		if _, _, err := f.acquire(t.Context()); err != nil {
-			t.Fatal(err)
-		}
-	}
-	if _, got, err := f.acquire(t.Context()); got != "a-fast-0" || err != nil {
-		t.Errorf("after the startup window: got %q, %v, want a-fast-0", got, err)
-	}
-}
-
 // A broken stream and an older new request wait for one slot: the broken stream must get it.
 func TestSchedulerServesBrokenStreamsFirst(t *testing.T) {
 	f := newSchedulerFixture(1)
