Lose an endpoint sooner that several entries cannot reach

Cause: an endpoint whose VM goes dark was lost for control when its lease of four heartbeats ran out. Entries know after 0.2 s, but only refused connections were reported.

Change: entries report unresponsive endpoints as well. If a tenth of the entries, two at least, agree and heartbeats have been missing for 1.3 intervals, the endpoint is lost. Reports of either kind alone change nothing, so a server that is cut off from some entries, or late to report, is kept.

TestRosterUnresponsive.

--- a/core/kwmembership/roster.go
+++ b/core/kwmembership/roster.go
@@ -42,15 +42,21 @@
 	lastHeartbeat time.Time
 	// refusedBy holds when each entry reported refused connections since the last heartbeat.
 	refusedBy map[kwid.NodeID]time.Time
+	// unresponsiveTo holds the entries that have found the endpoint unresponsive since the last heartbeat, and witnesses how many
+	// of them suffice to shorten its lease.
+	unresponsiveTo map[kwid.NodeID]bool
+	witnesses      int
 	// ignoreRefusalsUntil is set after a heartbeat has disproved such reports.
 	ignoreRefusalsUntil time.Time
 }
 
-// RosterConfig sets the lifetimes of rows. An endpoint is lost after Lease without a heartbeat. The row of a lost or
-// gone endpoint is kept for Retention, so that delayed heartbeats do not bring it back.
+// RosterConfig sets the lifetimes of rows. An endpoint is lost after Lease without a heartbeat, and after SuspectLease if
+// enough entries find it unresponsive besides; 0 means Lease. The row of a lost or gone endpoint is kept for Retention, so
+// that delayed heartbeats do not bring it back.
 type RosterConfig struct {
-	Lease     time.Duration
-	Retention time.Duration
+	Lease        time.Duration
+	SuspectLease time.Duration
+	Retention    time.Duration
 }
 
 // Roster is the table of endpoints that announce themselves by heartbeat. It is not safe for concurrent use: the
@@ -120,6 +126,7 @@
 		old.Announcement.Sequence = a.Sequence
 		old.lastHeartbeat = now
 		clear(old.refusedBy)
+		clear(old.unresponsiveTo)
 		return Renewed
 	}
 	r.put(now, a)
@@ -211,6 +218,31 @@
 	return true
 }
 
+// ReportUnresponsive records that an entry cannot reach an endpoint process while it reaches others. Such a report counts until the
+// next heartbeat, since an entry does not try again soon. witnesses is the number of entries that must agree.
+func (r *Roster) ReportUnresponsive(id kwid.EndpointID, startedMillis StartMillis, reporter kwid.NodeID, witnesses int) {
+	row, ok := r.rows[id]
+	if !ok || row.Announcement.StartedMillis != startedMillis || row.State != Live {
+		return
+	}
+	if row.unresponsiveTo == nil {
+		row.unresponsiveTo = make(map[kwid.NodeID]bool)
+	}
+	row.unresponsiveTo[reporter] = true
+	row.witnesses = max(1, witnesses)
+}
+
+// UnreachableFrom returns how many entries have found the endpoint unresponsive since its last heartbeat.
+func (r RosterRow) UnreachableFrom() int { return len(r.unresponsiveTo) }
+
+// lease returns how long a row may be without a heartbeat.
+func (r *Roster) lease(row *RosterRow) time.Duration {
+	if row.State == Live && row.witnesses > 0 && len(row.unresponsiveTo) >= row.witnesses && r.cfg.SuspectLease > 0 {
+		return r.cfg.SuspectLease
+	}
+	return r.cfg.Lease
+}
+
 // addRow adds a row or replaces that of the same endpoint, which keeps its index.
 func (r *Roster) addRow(row *RosterRow) {
 	id := row.Announcement.ID
@@ -265,7 +297,7 @@
 	for id, row := range r.rows {
 		silence := now.Sub(row.lastHeartbeat)
 		switch {
-		case (row.State == Live || row.State == Leaving) && silence > r.cfg.Lease:
+		case (row.State == Live || row.State == Leaving) && silence > r.lease(row):
 			r.setState(row, Lost)
 			lost = append(lost, *row)
 		case (row.State == Gone || row.State == Lost) && silence > r.cfg.Retention:
--- a/core/kwmembership/roster_test.go
+++ b/core/kwmembership/roster_test.go
@@ -175,3 +175,48 @@
 		}
 	}
 }
+
+// TestRosterUnresponsive has entries report that they cannot reach an endpoint. It must be lost soon only if enough of them do and
+// its heartbeats have stopped as well: a server that is only cut off from some entries, or only late to report, is kept.
+func TestRosterUnresponsive(t *testing.T) {
+	const witnesses = 2
+	start := time.Unix(1000, 0)
+	cases := []struct {
+		name      string
+		reporters []kwid.NodeID
+		heartbeat time.Duration
+		silence   time.Duration
+		want      State
+	}{
+		{"silent, nobody reports", nil, 0, 3 * time.Second, Live},
+		{"silent, one entry reports", []kwid.NodeID{"a", "a"}, 0, 3 * time.Second, Live},
+		{"silent, two entries report", []kwid.NodeID{"a", "b"}, 0, 1400 * time.Millisecond, Lost},
+		{"two entries report, not silent for long", []kwid.NodeID{"a", "b"}, 0, 1200 * time.Millisecond, Live},
+		{"two entries report, then a heartbeat", []kwid.NodeID{"a", "b"}, 500 * time.Millisecond, 3 * time.Second, Live},
+		{"silent for the whole lease", nil, 0, 4100 * time.Millisecond, Lost},
+	}
+	for _, c := range cases {
+		r := NewRoster(RosterConfig{Lease: 4 * time.Second, SuspectLease: 1300 * time.Millisecond, Retention: time.Minute})
+		a := Announcement{ID: "e1", Address: "x:1", Sequence: 1, StartedMillis: 10}
+		r.Announce(start, a)
+		for _, reporter := range c.reporters {
+			r.ReportUnresponsive("e1", 10, reporter, witnesses)
+			r.ReportUnresponsive("e1", 9, "an entry that means an earlier process "+reporter, witnesses)
+		}
+		if c.heartbeat > 0 {
+			a.Sequence++
+			r.Announce(start.Add(c.heartbeat), a)
+		}
+		r.Expire(start.Add(c.silence))
+		row, _ := r.Row("e1")
+		if row.State != c.want {
+			t.Errorf("%s: got %v, want %v", c.name, row.State, c.want)
+		}
+		a.Sequence++
+		if r.Announce(start.Add(c.silence), a); c.want == Lost {
+			if row, _ := r.Row("e1"); row.State != Live {
+				t.Errorf("%s, then a heartbeat: got %v, want %v", c.name, row.State, Live)
+			}
+		}
+	}
+}
--- a/io/kwcontrol/loop.go
+++ b/io/kwcontrol/loop.go
@@ -268,7 +268,8 @@
 	}
 	l.unknownOutcomes = append(l.unknownOutcomes, l.tables.UnknownOutcomes...)
 	for _, row := range l.tables.LostAnnounced {
-		l.cfg.Events.Emit(kwevent.EndpointLost, "", kwevent.F("endpoint", row.Announcement.ID), kwevent.F("address", row.Announcement.Address))
+		l.cfg.Events.Emit(kwevent.EndpointLost, "", kwevent.F("endpoint", row.Announcement.ID), kwevent.F("address", row.Announcement.Address),
+			kwevent.F("unreachable-from", row.UnreachableFrom()))
 	}
 	for _, e := range l.tables.LostEndpoints {
 		l.cfg.Events.Emit(kwevent.EndpointLost, "", kwevent.F("endpoint", e.ID))
--- a/io/kwdirectcontrol/config.go
+++ b/io/kwdirectcontrol/config.go
@@ -39,6 +39,9 @@
 	// leaseHeartbeats is how many missed heartbeats make an endpoint lost. Heartbeats may arrive seconds late, and entries
 	// stop using a dead endpoint much sooner on their own.
 	leaseHeartbeats = 4
+	// suspectLeaseHeartbeats is how many missed heartbeats make an endpoint lost that several entries cannot reach. A copy of a
+	// model stops without each of its endpoints, so that its layers are needed elsewhere soon.
+	suspectLeaseHeartbeats = 1.3
 	// goneRetention is how long endpoints that left are remembered, so that heartbeats which a partition delayed do not
 	// revive them.
 	goneRetention = 2 * time.Minute
@@ -146,7 +149,11 @@
 }
 
 func (c Config) rosterConfig() kwmembership.RosterConfig {
-	return kwmembership.RosterConfig{Lease: leaseHeartbeats * c.Heartbeat, Retention: goneRetention}
+	return kwmembership.RosterConfig{
+		Lease:        leaseHeartbeats * c.Heartbeat,
+		SuspectLease: time.Duration(suspectLeaseHeartbeats * float64(c.Heartbeat)),
+		Retention:    goneRetention,
+	}
 }
 
 func (c Config) autopilot() kwraft.Autopilot {
--- a/io/kwdirectcontrol/server.go
+++ b/io/kwdirectcontrol/server.go
@@ -65,6 +65,7 @@
 		kwdirectproto.KindWatch:             s.handleWatch,
 		kwdirectproto.KindConnectionRefused: s.handleConnectionRefused,
 		kwdirectproto.KindRetryLoan:         s.handleRetryLoan,
+		kwdirectproto.KindUnresponsive:      s.handleUnresponsive,
 	}, traffic)
 	if err != nil {
 		cancel()
--- a/io/kwdirectcontrol/watch.go
+++ b/io/kwdirectcontrol/watch.go
@@ -76,6 +76,27 @@
 	return nil, err
 }
 
+const (
+	// minUnresponsiveReports is the least number of entries that must find an endpoint unresponsive to shorten its lease, since a
+	// single entry may be cut off itself.
+	minUnresponsiveReports = 2
+	// unresponsiveReportShare is the share of all entries that must do so. Those of the endpoint's availability zone are about
+	// a fifth to a third of all.
+	unresponsiveReportShare = 0.1
+)
+
+// handleUnresponsive handles an entry's report that it cannot reach an endpoint.
+func (s *Server) handleUnresponsive(ctx context.Context, body kwtcprpc.Body) (any, error) {
+	var req kwdirectproto.Unresponsive
+	if err := body.Decode(&req); err != nil {
+		return nil, err
+	}
+	witnesses := max(minUnresponsiveReports, int(unresponsiveReportShare*float64(s.watchers.count(time.Now()))))
+	return nil, s.runAsLeader(ctx, func(_ time.Time, t *kwreconcile.Tables) {
+		t.Roster.ReportUnresponsive(req.Endpoint, req.StartedMillis, req.Entry, witnesses)
+	})
+}
+
 // handleRetryLoan grants an entry one retry from the fleet's budget, or returns an error if the budget is spent.
 func (s *Server) handleRetryLoan(ctx context.Context, body kwtcprpc.Body) (any, error) {
 	var req kwdirectproto.RetryLoan
--- a/io/kwdirectentry/config.go
+++ b/io/kwdirectentry/config.go
@@ -90,8 +90,8 @@
 	// faultCheckInterval is the minimum time between two stall queries or two probes of an endpoint, whose stall report
 	// lags by a few hundred milliseconds.
 	faultCheckInterval = 300 * time.Millisecond
-	// refusalReportTimeout bounds the report to the leader that an endpoint refuses connections.
-	refusalReportTimeout = time.Second
+	// faultReportTimeout bounds the report to the leader that an endpoint refuses connections or is unresponsive.
+	faultReportTimeout = time.Second
 	// minEventTimeout is the lower bound of the timeouts for events, for routes that declare no objective.
 	minEventTimeout = 500 * time.Millisecond
 	// attemptTimeShare is the share of the remaining time that one attempt of an idempotent request may take while
--- a/io/kwdirectentry/fault_detection.go
+++ b/io/kwdirectentry/fault_detection.go
@@ -95,9 +95,7 @@
 	lost := result == kwchainsearch.Refused
 	g.eject("", stage.Endpoint, stage.Address, "failed a probe of a silent chain", kwevent.F("refused", lost))
 	g.activeStreams.abortAll(stage.Endpoint, lost)
-	if lost {
-		g.reportRefusal(stage.Endpoint)
-	}
+	g.reportFaulty(stage.Endpoint, lost)
 }
 
 // eject takes an endpoint out of use for a while and logs the cause.
@@ -112,19 +110,26 @@
 	g.deps.Events.Emit(kwevent.EndpointEjected, request, append(fields, more...)...)
 }
 
-// reportRefusal reports to the leader that an endpoint refuses connections, so that other entries need not find out by
-// themselves and its layers are placed on other endpoints.
-func (g *Gateway) reportRefusal(id kwid.EndpointID) {
+// reportFaulty reports to the leader that an endpoint refuses connections or, if refuses is not set, is unresponsive, so that other
+// entries need not find out by themselves and its layers are placed on other endpoints.
+func (g *Gateway) reportFaulty(id kwid.EndpointID, refuses bool) {
 	row, known := g.view.Load().endpoints[id]
 	if !known {
 		return
 	}
-	ctx, cancel := context.WithTimeout(g.ctx, refusalReportTimeout)
+	ctx, cancel := context.WithTimeout(g.ctx, faultReportTimeout)
 	defer cancel()
-	req := kwdirectproto.ConnectionRefused{Entry: g.cfg.Node, Endpoint: id, StartedMillis: row.Announcement.StartedMillis}
-	if err := g.leader.Call(ctx, kwdirectproto.KindConnectionRefused, req, nil, 0); err != nil {
+	var err error
+	if started := row.Announcement.StartedMillis; refuses {
+		req := kwdirectproto.ConnectionRefused{Entry: g.cfg.Node, Endpoint: id, StartedMillis: started}
+		err = g.leader.Call(ctx, kwdirectproto.KindConnectionRefused, req, nil, 0)
+	} else {
+		req := kwdirectproto.Unresponsive{Entry: g.cfg.Node, Endpoint: id, StartedMillis: started}
+		err = g.leader.Call(ctx, kwdirectproto.KindUnresponsive, req, nil, 0)
+	}
+	if err != nil {
 		// A retry is not needed: the lease of the endpoint expires anyway.
-		g.deps.Events.Emit(kwevent.RefusalUnreported, "", kwevent.F("endpoint", id), kwevent.F("error", err.Error()))
+		g.deps.Events.Emit(kwevent.RefusalUnreported, "", kwevent.F("endpoint", id), kwevent.F("refuses", refuses), kwevent.F("error", err.Error()))
 	}
 }
 
--- a/io/kwdirectproto/messages.go
+++ b/io/kwdirectproto/messages.go
@@ -22,6 +22,7 @@
 	KindWatch             kwtcprpc.Kind = 7
 	KindConnectionRefused kwtcprpc.Kind = 8
 	KindRetryLoan         kwtcprpc.Kind = 9
+	KindUnresponsive      kwtcprpc.Kind = 10
 )
 
 // KindNames returns the names of the kinds in metrics.
@@ -30,6 +31,7 @@
 		KindRaft: "raft", KindAddMember: "add-member", KindAnnounce: "announce", KindDeregister: "deregister",
 		KindWriteDeclaration: "write-declaration", KindReadDeclaration: "read-declaration", KindWatch: "watch",
 		KindConnectionRefused: "connection-refused", KindRetryLoan: "retry-loan",
+		KindUnresponsive: "unresponsive",
 	}
 }
 
@@ -56,6 +58,13 @@
 	StartedMillis kwmembership.StartMillis `cbor:"3,keyasint,omitempty"`
 }
 
+// Unresponsive reports that an entry cannot reach an endpoint while it reaches others.
+type Unresponsive struct {
+	Entry         kwid.NodeID              `cbor:"1,keyasint"`
+	Endpoint      kwid.EndpointID          `cbor:"2,keyasint"`
+	StartedMillis kwmembership.StartMillis `cbor:"3,keyasint,omitempty"`
+}
+
 // RetryLoan asks for one retry beyond the entry's own share of the retry budget.
 type RetryLoan struct {
 	Entry   kwid.NodeID      `cbor:"1,keyasint"`
--- a/io/kwevent/catalogue.go
+++ b/io/kwevent/catalogue.go
@@ -107,7 +107,7 @@
 	{ReadyChanged, "ready-changed", levelInfo, "An entry became ready for callers, or stopped being so."},
 	{RequestQueued, "request-queued", levelDetail, "A request waits for room on model servers."},
 	{CallerGone, "caller-gone", levelInfo, "A caller left before its answer was complete; the work was cancelled."},
-	{RefusalUnreported, "refusal-unreported", levelInfo, "An entry could not tell control that an endpoint refuses connections."},
+	{RefusalUnreported, "refusal-unreported", levelInfo, "An entry could not tell control that an endpoint refuses connections or is unresponsive."},
 	{RetryDenied, "retry-denied", levelInfo, "A request is not tried again, since the retry budget is spent."},
 	{SessionStarted, "session-started", levelDetail, "The first stage of a chain began an attempt."},
 	{SessionEnded, "session-ended", levelDetail, "The first stage of a chain ended an attempt."},
