Wait longer for first events of chains that are slow for all requests

Cause: an attempt without a first event was cut after two latency objectives. While servers run slowly that cuts streams that are slow but sound: their prompts were read in vain, and the next chain was as slow. Callers leave after four objectives.

Change: the first event may take twice the time that the chain needs at present, up to 3.6 objectives.

TestFirstEventPatience.

--- a/core/kwdispatch/dispatcher.go
+++ b/core/kwdispatch/dispatcher.go
@@ -160,6 +160,22 @@
 	d.latencyOf(id).End(now, began, received)
 }
 
+const (
+	// patienceFactor is how many times its expected time a first event may take.
+	patienceFactor = 2
+	// maxPatienceFactor bounds the time to the first event, in latency objectives: callers leave after four.
+	maxPatienceFactor = 3.6
+)
+
+// FirstEventPatience returns how long the first event of a request on a granted chain may take before another chain is tried: the
+// first-event timeout, or longer if the chain is slow for all requests. It answers servers that turn slow or an overload inside
+// the engines: a request that is cut there has used their time in vain, and finds other chains as slow.
+func (d *Dispatcher) FirstEventPatience(now time.Time, chain kwchainsearch.Chain, r Request) time.Duration {
+	expected := d.latencyOf(chain.First().Endpoint).Estimate(now, chain.PrefillTime+chain.TokenTime)
+	longest := time.Duration(maxPatienceFactor * float64(r.FirstEventObjective))
+	return max(r.FirstEventTimeout, min(patienceFactor*expected, longest))
+}
+
 func (d *Dispatcher) latencyOf(id kwid.EndpointID) *kwqueue.LatencyEstimator {
 	l, ok := d.latency[id]
 	if !ok {
--- a/core/kwdispatch/dispatcher_test.go
+++ b/core/kwdispatch/dispatcher_test.go
@@ -132,3 +132,32 @@
 		t.Errorf("at the wait limit: got %+v, want a rejection with a time to come back", got)
 	}
 }
+
+// TestFirstEventPatience checks how long a first event may take on an idle chain, on one that is slow for all requests, and on one
+// that is so slow that callers would leave.
+func TestFirstEventPatience(t *testing.T) {
+	cases := []struct {
+		name       string
+		firstEvent time.Duration
+		want       time.Duration
+	}{
+		{"fast", 60 * time.Millisecond, 2 * firstEventObjective},
+		{"slow for all", 800 * time.Millisecond, 1600 * time.Millisecond},
+		{"too slow for callers", 5 * time.Second, 1800 * time.Millisecond},
+	}
+	for _, c := range cases {
+		d := newDispatcher()
+		now := time.Unix(100, 0)
+		for range 20 {
+			began := now
+			d.BeginFirstEventWait(began, "a-fast-0")
+			now = now.Add(c.firstEvent)
+			d.EndFirstEventWait(now, "a-fast-0", began, true)
+		}
+		chain := kwchainsearch.Chain{Stages: []kwchainsearch.Stage{{Endpoint: "a-fast-0"}}}
+		got := d.FirstEventPatience(now, chain, request(now))
+		if got.Round(50*time.Millisecond) != c.want {
+			t.Errorf("%s: got %v, want %v", c.name, got, c.want)
+		}
+	}
+}
--- a/io/kwdirectentry/queue.go
+++ b/io/kwdirectentry/queue.go
@@ -34,6 +34,13 @@
 	}
 }
 
+// firstEventPatience returns how long the first event of a request on its chain may take.
+func (s *scheduler) firstEventPatience(ctx context.Context, req chainRequest, chain kwchainsearch.Chain) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dispatcher.FirstEventPatience(time.Now(), chain, req.dispatchRequest(ctx))
+}
+
 // fleet returns the servers of the request's service in the present view, or an error if the service cannot be served.
 func (c chainRequest) fleet() (kwdispatch.Fleet, error) {
 	v, name := c.currentView(), c.r.service
--- a/io/kwdirectentry/stream.go
+++ b/io/kwdirectentry/stream.go
@@ -25,6 +25,8 @@
 	begun bool
 	// lastEventID is the ID of the last event that the caller has received.
 	lastEventID string
+	// firstEventDeadline is when the current attempt must have its first event.
+	firstEventDeadline time.Time
 	// watched is the current attempt.
 	watched *watchedStream
 }
@@ -49,7 +51,7 @@
 	}
 	s := &streamState{q: q, size: estimateSize(q), attempts: attemptState{exclude: make(endpointSet)}, lastEventID: q.meta.LastEventID}
 	for {
-		chain, waited, err := g.scheduler.acquireChain(ctx, chainRequest{r: q, size: s.size, exclude: s.attempts.exclude, currentView: g.view.Load})
+		chain, waited, err := g.scheduler.acquireChain(ctx, s.chainRequest(g))
 		q.waited += waited
 		g.metrics.queueWait.Update(waited)
 		if q.r.Context().Err() != nil {
@@ -78,6 +80,11 @@
 	g.finishStream(ctx, s)
 }
 
+// chainRequest returns the request for a chain for the next attempt.
+func (s *streamState) chainRequest(g *Gateway) chainRequest {
+	return chainRequest{r: s.q, size: s.size, exclude: s.attempts.exclude, currentView: g.view.Load}
+}
+
 // recordNoChain records that no chain was found, unless an earlier attempt may have run: its error is the one to
 // report.
 func (s *streamState) recordNoChain(err error) {
@@ -103,6 +110,7 @@
 	first := chain.First()
 	begin := time.Now()
 	defer g.scheduler.release(chain, s.size.TotalTokens)
+	s.firstEventDeadline = begin.Add(g.scheduler.firstEventPatience(ctx, s.chainRequest(g), chain))
 	firstWait := g.startFirstEventWait(first.Endpoint, begin)
 	defer firstWait.end(false)
 	c, err := g.upstreamPool.Get(ctx, first.Address, false)
@@ -126,7 +134,7 @@
 	}
 	s.watched = g.activeStreams.watch(q.meta.ID, c, chain, silenceLimitsFor(q, chain), silenceActions{probe: g.probeChain, queryStalls: g.queryStalls})
 	defer g.activeStreams.unwatch(q.meta.ID, s.watched)
-	c.SetReadDeadline(begin.Add(firstEventTimeout(q)))
+	c.SetReadDeadline(s.firstEventDeadline)
 	resp, meta, err := c.Receive(upstreamReq, g.deps.Dialect)
 	if err != nil {
 		return g.handleBrokenStream(ctx, s, chain, err)
@@ -144,7 +152,7 @@
 	return result
 }
 
-// firstEventTimeout is how long the first event may take before another chain is tried.
+// firstEventTimeout is how long the first event may take at least before another chain is tried.
 func firstEventTimeout(q *request) time.Duration {
 	return max(firstEventTimeoutFactor*q.route.LatencyObjective, minEventTimeout)
 }
@@ -192,7 +200,7 @@
 	q := s.q
 	events := kwupstream.NewEventReader(resp.Body)
 	flusher := http.NewResponseController(q.w)
-	deadline := firstWait.began.Add(firstEventTimeout(q))
+	deadline := s.firstEventDeadline
 	for {
 		c.SetReadDeadline(deadline)
 		chunk, err := events.Next()
