Known red: a single copy of the model does not regain its throughput after a loss

The test plays the loss of each server of such a zone: 0.24 to 0.63 of the throughput of a new placement is left, and no plan after it changes that.

--- a/core/kwplacement/plan_test.go
+++ b/core/kwplacement/plan_test.go
@@ -337,3 +337,34 @@
 		t.Errorf("layers to load for %d missing ones: got %d, want %d at most", missing, loaded, 3*missing)
 	}
 }
+
+// TestPlanRegainsThroughputAfterLoss takes any one server away from a zone that holds a single copy of the model. The repair fills
+// the gap at once, at the cost of KV cache beside it; the plans after it must bring the throughput to two thirds of that of a new
+// placement without ever leaving a layer out.
+func TestPlanRegainsThroughputAfterLoss(t *testing.T) {
+	const maxRounds = 12
+	e := engine()
+	e.KVMBPerTokenLayer = 0.0074
+	m := newModel(e)
+	servers := smallMemoryZone()
+	servers = apply(t, servers, Plan(e, servers))
+	for i := range servers {
+		left := slices.Delete(slices.Clone(servers), i, i+1)
+		empty := slices.Clone(left)
+		for j := range empty {
+			empty[j].Layers = kwid.LayerRange{}
+		}
+		fresh := m.throughput(settledPlacement(e, empty))
+		left = apply(t, left, Plan(e, left))
+		repaired := m.throughput(left)
+		for range maxRounds {
+			left = apply(t, left, Plan(e, left))
+			if minCoverage(left, "a") == 0 {
+				t.Fatalf("after the loss of %s: a layer is missing", servers[i].ID)
+			}
+		}
+		if got := m.throughput(left); got < fresh*2/3 {
+			t.Errorf("after the loss of %s: got %.2f of the throughput of a new placement (%.2f after the repair), want 0.67", servers[i].ID, got/fresh, repaired/fresh)
+		}
+	}
+}
