Two flaky tests wait for events and hold their ports

TestStreamResumesWithoutLostStage added the healthy server after 10 ms; where the request began later, it went there at once. The server now joins when the first one has received the request.

--- a/io/kwdirectentry/fault_detection_test.go
+++ b/io/kwdirectentry/fault_detection_test.go
@@ -44,9 +44,10 @@
 // nothing. The stream must resume elsewhere as soon as the second stage is found to refuse connections, long before the
 // event gap objective of 10 s.
 func TestStreamResumesWithoutLostStage(t *testing.T) {
-	unblock := make(chan struct{})
+	unblock, received := make(chan struct{}), make(chan struct{}, 1)
 	t.Cleanup(func() { close(unblock) })
 	first := serveRaw(t, func(w io.Writer, id string) bool {
+		received <- struct{}{}
 		_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n7\r\nid: 1\n\n\r\n", id)
 		<-unblock
 		return false
@@ -58,10 +59,12 @@
 	g := newTestGateway(t, first, "127.0.0.1:1")
 	lost := kwmembership.Announcement{ID: "lost", Address: closedAddress(t), Layers: kwid.LayerRange{From: 4, To: 8}}
 	setModelServers(g, kwmembership.Announcement{ID: "first", Address: first, Layers: kwid.LayerRange{To: 4}}, lost)
-	time.AfterFunc(10*time.Millisecond, func() {
+	// The healthy server joins once the request is on the chain with the lost stage, however late that is.
+	go func() {
+		<-received
 		setModelServers(g, kwmembership.Announcement{ID: "first", Address: first, Layers: kwid.LayerRange{To: 4}}, lost,
 			kwmembership.Announcement{ID: "whole", Address: healthy, Layers: kwid.LayerRange{To: 8}})
-	})
+	}()
 	client := &http.Client{Timeout: 8 * time.Second}
 	status, body := post(t, client, g, "/notes/x", "q1")
 	if want := "id: 1\n\nid: 2\n\n"; status != http.StatusOK || body != want {
--- a/scripts_test.go
+++ b/scripts_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -31,6 +32,7 @@
 
 // TestScripts runs the command-line scenarios in testscripts, in which every role is a separate process.
 func TestScripts(t *testing.T) {
+	ports := newPortSequence()
 	testscript.Run(t, testscript.Params{
 		Dir:                 "testscripts",
 		RequireExplicitExec: true,
@@ -43,7 +45,7 @@
 			env.Setenv("ROOT", root)
 			env.Setenv("TMPDIR", env.WorkDir)
 			for i := range portCount {
-				port, err := freePort()
+				port, err := ports.next()
 				if err != nil {
 					return err
 				}
@@ -60,15 +62,33 @@
 	})
 }
 
-// freePort returns a TCP port on loopback that is not in use.
-func freePort() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+// firstPort and lastPort bound the ports of the scenarios. They are below those that systems pick for sockets without a port of
+// their own, so that no such socket takes a port between its choice here and the start of the process that listens on it.
+const firstPort, lastPort = 12_000, 32_000
+
+// portSequence hands out TCP ports on loopback, each once. It is safe for concurrent use.
+type portSequence struct {
+	last atomic.Int64
+}
+
+// newPortSequence returns a sequence that begins elsewhere in each process, for tests of several checkouts side by side.
+func newPortSequence() *portSequence {
+	s := &portSequence{}
+	s.last.Store(int64(os.Getpid()) * portCount)
+	return s
+}
+
+// next returns a port that is not in use.
+func (s *portSequence) next() (string, error) {
+	var err error
+	for range lastPort - firstPort {
+		port := fmt.Sprint(firstPort + s.last.Add(1)%(lastPort-firstPort))
+		var l net.Listener
+		if l, err = net.Listen("tcp", "127.0.0.1:"+port); err == nil {
+			return port, l.Close()
+		}
 	}
-	defer func() { _ = l.Close() }()
-	_, port, err := net.SplitHostPort(l.Addr().String())
-	return port, err
+	return "", err
 }
 
 // waitReady implements the command "ready URL": it waits until URL returns status 200.
