--- a/core/kwretry/lender_test.go
+++ b/core/kwretry/lender_test.go
@@ -113,10 +113,15 @@
 	for range entries {
 		s := NewSharedBudgets(SharedBudgetsConfig{Ratio: ratio, Burst: burst, Window: 10 * time.Second})
 		s.SetEntryCount(entries)
+		s.ForService("llm").RecordFirstAttempt(now)
+		fleet = append(fleet, s)
+	}
+	// The entries have run for longer than a window, and so have their whole share of the burst.
+	now = now.Add(time.Minute)
+	for _, s := range fleet {
 		for range requests {
 			s.ForService("llm").RecordFirstAttempt(now)
 		}
-		fleet = append(fleet, s)
 	}
 	now = now.Add(time.Second)
 	reported := 0
--- a/io/kwdirectentry/fault_detection_test.go
+++ b/io/kwdirectentry/fault_detection_test.go
@@ -6,11 +6,13 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"knapweedproxy/core/kwchainsearch"
+	"knapweedproxy/core/kwdeclaration"
 	"knapweedproxy/core/kwid"
 	"knapweedproxy/core/kwmembership"
 	"knapweedproxy/io/kwupstream"
@@ -156,3 +158,52 @@
 		t.Errorf("got %q blamed, want second", got)
 	}
 }
+
+// A server sends a byte of an event now and then and never the whole event. The stream must go on elsewhere after the event gap
+// timeout, however many bytes arrive.
+func TestTricklingStreamGoesOnElsewhere(t *testing.T) {
+	stop, begun := make(chan struct{}), make(chan struct{}, 1)
+	t.Cleanup(func() { close(stop) })
+	trickling := serveRaw(t, func(w io.Writer, id string) bool {
+		begun <- struct{}{}
+		_, err := fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n7\r\nid: 1\n\n\r\n", id)
+		for err == nil {
+			select {
+			case <-stop:
+				return false
+			case <-time.After(50 * time.Millisecond):
+				_, err = io.WriteString(w, "1\r\nx\r\n")
+			}
+		}
+		return false
+	})
+	healthy := serveRaw(t, func(w io.Writer, id string) bool {
+		_, err := fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n7\r\nid: 2\n\n\r\n0\r\n\r\n", id)
+		return err == nil
+	})
+	g := newTestGateway(t, trickling, "127.0.0.1:1")
+	setEventGapObjective(g, 200*time.Millisecond)
+	setModelServers(g, kwmembership.Announcement{ID: "trickling", Address: trickling, Layers: kwid.LayerRange{To: 8}})
+	go func() {
+		<-begun
+		setModelServers(g, kwmembership.Announcement{ID: "trickling", Address: trickling, Layers: kwid.LayerRange{To: 8}},
+			kwmembership.Announcement{ID: "healthy", Address: healthy, Layers: kwid.LayerRange{To: 8}})
+	}()
+	client := &http.Client{Timeout: 8 * time.Second}
+	status, body := post(t, client, g, "/notes/x", "q1")
+	if want := "id: 1\n\nid: 2\n\n"; status != http.StatusOK || body != want {
+		t.Errorf("got %d %q, want %q", status, body, want)
+	}
+}
+
+// setEventGapObjective replaces the objective of all routes of a gateway.
+func setEventGapObjective(g *Gateway, objective time.Duration) {
+	v := *g.view.Load()
+	d := *v.index.Declaration
+	d.Routes = slices.Clone(d.Routes)
+	for i := range d.Routes {
+		d.Routes[i].EventGapObjective = objective
+	}
+	v.index = kwdeclaration.NewIndex(&d)
+	g.view.Store(&v)
+}
