--- a/io/kwupstream/conn.go
+++ b/io/kwupstream/conn.go
@@ -32,11 +32,14 @@
 	// responses count too. A response to another request is discarded if its body has at most maxMismatchedBodyBytes.
 	maxMismatchedResponses = 3
 	maxMismatchedBodyBytes = 1 << 20
+	// maxHeadBytes bounds the status line and the headers of a response; a server in trouble may send them without end.
+	maxHeadBytes = 64 << 10
 )
 
 // Conn is a connection to an endpoint; it carries one request at a time.
 type Conn struct {
 	raw     net.Conn
+	limit   *headLimit
 	reader  *bufio.Reader
 	address string
 	// Reused reports whether the connection has carried a request before.
@@ -84,7 +87,8 @@
 		return nil, kwcode.New(kwcode.PeerUnreachable, "%v", err)
 	}
 	kwkeepalive.Enable(raw)
-	return &Conn{raw: raw, reader: bufio.NewReaderSize(raw, readBufferBytes), address: address, idleTimeout: defaultIdleTimeout}, nil
+	limit := &headLimit{r: raw}
+	return &Conn{raw: raw, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes), address: address, idleTimeout: defaultIdleTimeout}, nil
 }
 
 func (p *Pool) popIdle(address string) *Conn {
--- a/io/kwupstream/exchange.go
+++ b/io/kwupstream/exchange.go
@@ -96,7 +96,9 @@
 func (c *Conn) Receive(r *Request, d Dialect) (*http.Response, ResponseMeta, error) {
 	leaving := false
 	for range maxMismatchedResponses {
+		c.limit.begin()
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+		c.limit.end()
 		if err != nil {
 			return nil, ResponseMeta{Leaving: leaving}, err
 		}
