Pass no part of an endless failure on as if it were whole

A model server that answers a stream with a failure whose body does not end had its first 8 MiB passed on with a length, so that the caller took them for the whole body. The limit of the reader looked like the end of the body. The entry now treats a body over the limit as a broken attempt, as plain requests do (TestEndlessFailureIsNotPassedOn: status 500 with 8,388,608 bytes before, 502 now).

--- a/io/kwdirectentry/stream_failure.go
+++ b/io/kwdirectentry/stream_failure.go
@@ -43,7 +43,7 @@
 // handleErrorResponse handles a response with a status other than 200; complete means that its body was read to the
 // end.
 func (g *Gateway) handleErrorResponse(ctx context.Context, s *streamState, chain kwchainsearch.Chain, resp *http.Response, meta kwupstream.ResponseMeta) (result attemptResult, complete bool) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	body, err := kwupstream.ReadBody(resp, maxResponseBytes)
 	if err != nil {
 		return g.handleBrokenStream(ctx, s, chain, err), false
 	}
--- a/io/kwupstream/exchange.go
+++ b/io/kwupstream/exchange.go
@@ -149,7 +149,7 @@
 	}
 	result.Response, result.Meta, result.Err = c.Receive(r, d)
 	if result.Err == nil {
-		result.Body, result.Err = readAll(result.Response, limit)
+		result.Body, result.Err = ReadBody(result.Response, limit)
 	}
 	if result.Err != nil {
 		c.Close()
@@ -163,8 +163,8 @@
 	return result
 }
 
-// readAll reads a whole response body; a connection reset is an error, not the end of the body.
-func readAll(resp *http.Response, limit int64) ([]byte, error) {
+// ReadBody reads a whole response body of at most limit bytes; a connection reset is an error, not the end of the body.
+func ReadBody(resp *http.Response, limit int64) ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
 	if err != nil {
 		return nil, err
