Finish streams whose service leaves the declaration

Callers saw a closed channel in the middle of a stream, or 404 unknown-service for a request that had been accepted, where their service left the declaration, lost its engine or had its accelerators renamed while they waited for a chain or were between two attempts. 404 is not retried.

Cause: the choice of a chain looked the service up in the present declaration alone. Now the declaration that the request was accepted under describes the servers where the present one does not; the servers themselves still come from the present view. An engine without layers counts as none in both places.

TestRequestsOutliveTheirService (12 of its 32 cases) and TestQueuedStreamsOutliveTheirService (all 4) failed before and pass now; TestRequestsOutliveTheirDeclaration, TestAcceptedTimeoutStays and TestRequestsThatWaitForAView cover the cases that are sound.

--- /dev/null
+++ b/io/kwdirectentry/declaration_change_test.go
@@ -0,0 +1,345 @@
+package kwdirectentry
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"knapweedproxy/core/kwchainsearch"
+	"knapweedproxy/core/kwdeclaration"
+	"knapweedproxy/core/kwid"
+	"knapweedproxy/core/kwmembership"
+	"knapweedproxy/io/kwupstream"
+)
+
+// declare puts a changed copy of the declaration into force.
+func declare(g *Gateway, change func(*kwdeclaration.Declaration)) {
+	v := *g.view.Load()
+	d := *v.index.Declaration
+	d.Number++
+	d.Routes, d.Services, d.Workspaces = slices.Clone(d.Routes), slices.Clone(d.Services), slices.Clone(d.Workspaces)
+	change(&d)
+	v.index, v.declarationNumber = kwdeclaration.NewIndex(&d), d.Number
+	v.indexEndpoints()
+	setView(g, &v)
+}
+
+// setView replaces the view as watchControl does.
+func setView(g *Gateway, v *view) {
+	g.view.Store(v)
+	g.scheduler.applyView(v, nil)
+	g.viewChanged.broadcast()
+}
+
+// setEndpoints replaces the endpoints in the view by others of both services at the given addresses.
+func setEndpoints(g *Gateway, model, records []string) {
+	v := *g.view.Load()
+	v.endpoints = make(map[kwid.EndpointID]kwmembership.RosterRow)
+	add := func(service kwid.ServiceName, address string) {
+		id := kwid.EndpointID(fmt.Sprintf("%s-%d", service, len(v.endpoints)))
+		v.endpoints[id] = kwmembership.RosterRow{State: kwmembership.Live, Announcement: kwmembership.Announcement{
+			ID: id, Service: service, Zone: "a", Address: address, Accelerator: "fast", Layers: kwid.LayerRange{To: 8},
+		}}
+	}
+	for _, address := range model {
+		add("llm", address)
+	}
+	for _, address := range records {
+		add("records", address)
+	}
+	v.indexEndpoints()
+	setView(g, &v)
+}
+
+// removeServices drops all services, and the routes with them.
+func removeServices(d *kwdeclaration.Declaration) { d.Services, d.Routes = nil, nil }
+
+// changeEngine changes the engine of the model servers.
+func changeEngine(d *kwdeclaration.Declaration, change func(*kwdeclaration.Engine)) {
+	for i := range d.Services {
+		if d.Services[i].Engine != nil {
+			engine := *d.Services[i].Engine
+			change(&engine)
+			d.Services[i].Engine = &engine
+		}
+	}
+}
+
+// changeRoutes changes each route.
+func changeRoutes(d *kwdeclaration.Declaration, change func(*kwdeclaration.Route)) {
+	for i := range d.Routes {
+		change(&d.Routes[i])
+	}
+}
+
+// besideChange is a request that is in progress while a new declaration comes into force.
+type besideChange struct {
+	path string
+	// firstBytes is what the first server that gets the request sends, with the request ID in place of %s, before the change;
+	// rest is what it sends after the change. It then closes the connection. The second one sends a whole answer.
+	firstBytes, rest string
+}
+
+const (
+	streamHead  = "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n"
+	firstEvent  = "7\r\nid: 1\n\n\r\n"
+	secondEvent = "7\r\nid: 2\n\n\r\n0\r\n\r\n"
+	unaryAnswer = "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 2\r\n\r\nok"
+	notRun      = "HTTP/1.1 503 Busy\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+)
+
+// places are where a request that is sent to servers may be when the declaration changes.
+var places = map[string]besideChange{
+	"stream before its first event":           {path: "/notes/x"},
+	"stream after its first event":            {path: "/notes/x", firstBytes: streamHead + firstEvent},
+	"stream being served":                     {path: "/notes/x", firstBytes: streamHead + firstEvent, rest: secondEvent},
+	"stream that was refused":                 {path: "/notes/x", rest: notRun},
+	"idempotent request between two attempts": {path: "/lookups/x"},
+	"idempotent request being served":         {path: "/lookups/x", rest: unaryAnswer},
+	"at-most-once request that was refused":   {path: "/alerts/x", rest: notRun},
+	"at-most-once request being served":       {path: "/alerts/x", rest: unaryAnswer},
+}
+
+// run sends the request, changes the view while its first server is at work, and returns the status and the body.
+func (b besideChange) run(t *testing.T, change func(g *Gateway)) (status int, body string) {
+	t.Helper()
+	var sends atomic.Int32
+	received, changed := make(chan struct{}), make(chan struct{})
+	server := serveRaw(t, func(w io.Writer, id string) bool {
+		if sends.Add(1) > 1 {
+			answer := unaryAnswer
+			if b.path == "/notes/x" {
+				answer = streamHead + firstEvent + secondEvent
+			}
+			if b.firstBytes != "" {
+				answer = streamHead + secondEvent
+			}
+			_, _ = fmt.Fprintf(w, answer, id)
+			return true
+		}
+		write := func(text string) { _, _ = io.WriteString(w, strings.ReplaceAll(text, "%s", id)) }
+		write(b.firstBytes)
+		close(received)
+		<-changed
+		write(b.rest)
+		return false
+	})
+	g := newTestGateway(t, server, server)
+	setEndpoints(g, []string{server, server}, []string{server, server})
+	response := postInBackground(t, g, b.path, "r")
+	<-received
+	if b.firstBytes != "" {
+		awaitTrue(t, "the caller has the first event", func() bool { return g.metrics.eventWrites.Count() == 1 })
+	}
+	change(g)
+	close(changed)
+	got := <-response
+	return got.status, got.body
+}
+
+// wantBody returns the whole answer to the request.
+func (b besideChange) wantBody() string {
+	if b.path == "/notes/x" {
+		return "id: 1\n\nid: 2\n\n"
+	}
+	return "ok"
+}
+
+// TestRequestsOutliveTheirDeclaration guards against requests in progress that end without an answer when the declaration changes.
+func TestRequestsOutliveTheirDeclaration(t *testing.T) {
+	changes := map[string]func(*kwdeclaration.Declaration){
+		"no change":     func(*kwdeclaration.Declaration) {},
+		"route removed": func(d *kwdeclaration.Declaration) { d.Routes = nil },
+		"route moved": func(d *kwdeclaration.Declaration) {
+			changeRoutes(d, func(r *kwdeclaration.Route) { r.Targets = []kwdeclaration.Target{{Service: "other", Weight: 1}} })
+			d.Services = append(d.Services, kwdeclaration.Service{Name: "other"})
+		},
+		"timeout shortened": func(d *kwdeclaration.Declaration) {
+			changeRoutes(d, func(r *kwdeclaration.Route) { r.Timeout = time.Millisecond })
+		},
+		"attempts lowered": func(d *kwdeclaration.Declaration) {
+			changeRoutes(d, func(r *kwdeclaration.Route) { r.MaxAttempts, r.Resumable = 1, false })
+		},
+		"workspaces declared": func(d *kwdeclaration.Declaration) {
+			d.Workspaces = []kwdeclaration.Workspace{{Name: "w", Keys: []string{"k"}}}
+		},
+		"fewer slots": func(d *kwdeclaration.Declaration) {
+			changeEngine(d, func(e *kwdeclaration.Engine) { e.Slots = 2 })
+		},
+	}
+	for name, change := range changes {
+		for place, b := range places {
+			t.Run(place+", "+name, func(t *testing.T) {
+				t.Parallel()
+				status, body := b.run(t, func(g *Gateway) { declare(g, change) })
+				if want := b.wantBody(); status != http.StatusOK || body != want {
+					t.Errorf("got %d %q, want 200 %q", status, body, want)
+				}
+			})
+		}
+	}
+}
+
+// serviceChanges are changes after which the servers of a service go on, but the declaration does not describe them.
+var serviceChanges = map[string]func(*kwdeclaration.Declaration){
+	"service removed": removeServices,
+	"service without engine": func(d *kwdeclaration.Declaration) {
+		for i := range d.Services {
+			d.Services[i].Engine = nil
+		}
+	},
+	"engine without layers": func(d *kwdeclaration.Declaration) {
+		changeEngine(d, func(e *kwdeclaration.Engine) { e.Layers = 0 })
+	},
+	"accelerator removed": func(d *kwdeclaration.Declaration) {
+		changeEngine(d, func(e *kwdeclaration.Engine) { e.Accelerators = nil })
+	},
+}
+
+// TestRequestsOutliveTheirService guards against streams that are cut, or rejected as unknown, when their service leaves the
+// declaration after they were accepted.
+func TestRequestsOutliveTheirService(t *testing.T) {
+	for name, change := range serviceChanges {
+		for place, b := range places {
+			t.Run(place+", "+name, func(t *testing.T) {
+				t.Parallel()
+				status, body := b.run(t, func(g *Gateway) { declare(g, change) })
+				if want := b.wantBody(); status != http.StatusOK || body != want {
+					t.Errorf("got %d %q, want 200 %q", status, body, want)
+				}
+			})
+		}
+	}
+}
+
+// queueBehind fills the only slot of a model server, and returns the reserved chain and its size.
+func queueBehind(t *testing.T, g *Gateway) (kwchainsearch.Chain, kwchainsearch.RequestSize) {
+	t.Helper()
+	declare(g, func(d *kwdeclaration.Declaration) { changeEngine(d, func(e *kwdeclaration.Engine) { e.Slots = 1 }) })
+	v := g.view.Load()
+	busy := &request{view: v, arrived: time.Now(), service: "llm", route: v.index.Route("h", "/notes/x")}
+	s := &streamState{q: busy, size: estimateSize(busy)}
+	chain, _, err := g.scheduler.acquireChain(t.Context(), s.chainRequest(g))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return chain, s.size
+}
+
+// TestQueuedStreamsOutliveTheirService guards against streams that wait for a chain and are rejected as unknown when their service
+// leaves the declaration.
+func TestQueuedStreamsOutliveTheirService(t *testing.T) {
+	for name, change := range serviceChanges {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var served atomic.Int64
+			g := newTestGateway(t, serveTwoEvents(t, &served), "127.0.0.1:1")
+			chain, size := queueBehind(t, g)
+			response := postInBackground(t, g, "/notes/x", "q")
+			awaitTrue(t, "the request is queued", func() bool {
+				g.scheduler.mu.Lock()
+				defer g.scheduler.mu.Unlock()
+				return g.scheduler.dispatcher.Waiting() == 1
+			})
+			declare(g, change)
+			declare(g, change)
+			g.scheduler.release(chain, size.TotalTokens)
+			if got, want := <-response, "id: 1\ndata: x\n\nid: 2\ndata: x\n\n"; got.status != http.StatusOK || got.body != want {
+				t.Errorf("got %d %q, want 200 %q", got.status, got.body, want)
+			}
+		})
+	}
+}
+
+// TestAcceptedTimeoutStays lengthens the timeout of a route while requests are served. They must end at the timeout they were
+// accepted under.
+func TestAcceptedTimeoutStays(t *testing.T) {
+	const accepted = 300 * time.Millisecond
+	for _, path := range []string{"/notes/x", "/lookups/x", "/alerts/x"} {
+		received, unblock := make(chan struct{}, 2), make(chan struct{})
+		t.Cleanup(func() { close(unblock) })
+		server := serveRaw(t, func(io.Writer, string) bool {
+			received <- struct{}{}
+			<-unblock
+			return false
+		})
+		g := newTestGateway(t, server, server)
+		declare(g, func(d *kwdeclaration.Declaration) {
+			changeRoutes(d, func(r *kwdeclaration.Route) { r.Timeout, r.MaxAttempts = accepted, 1 })
+		})
+		begin := time.Now()
+		response := postInBackground(t, g, path, "t")
+		<-received
+		declare(g, func(d *kwdeclaration.Declaration) {
+			changeRoutes(d, func(r *kwdeclaration.Route) { r.Timeout = time.Minute })
+		})
+		got := <-response
+		if took := time.Since(begin); got.status != http.StatusGatewayTimeout || took < accepted || took > 10*accepted {
+			t.Errorf("%s: got %d %q after %v, want 504 after about %v", path, got.status, got.body, took, accepted)
+		}
+	}
+}
+
+// keyDialect reads the key of a request, next to what testDialect reads.
+type keyDialect struct{ testDialect }
+
+func (d keyDialect) ReadRequest(h http.Header) kwupstream.RequestMeta {
+	meta := d.testDialect.ReadRequest(h)
+	meta.Credential = "k"
+	return meta
+}
+
+// TestRequestsThatWaitForAView checks that requests which arrive before the first view, or after the last has expired, are answered
+// under the declaration that ends their wait, or rejected with a promise that they have not run.
+func TestRequestsThatWaitForAView(t *testing.T) {
+	key := func(keys ...string) func(d *kwdeclaration.Declaration) {
+		return func(d *kwdeclaration.Declaration) { d.Workspaces = []kwdeclaration.Workspace{{Name: "w", Keys: keys}} }
+	}
+	cases := []struct {
+		name       string
+		change     func(*kwdeclaration.Declaration)
+		wantStatus int
+		wantBody   string
+	}{
+		{"no change", key("k"), http.StatusOK, "ok"},
+		{"key removed", key("other"), http.StatusUnauthorized, "unauthenticated"},
+		{"route removed", func(d *kwdeclaration.Declaration) { d.Routes = nil }, http.StatusNotFound, "no-rule"},
+		{"timeout shorter than the wait", func(d *kwdeclaration.Declaration) {
+			changeRoutes(d, func(r *kwdeclaration.Route) { r.Timeout = time.Millisecond })
+		}, http.StatusServiceUnavailable, "not-run"},
+		{"service removed", removeServices, http.StatusNotFound, "no-rule"},
+	}
+	for _, c := range cases {
+		for _, first := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, first view %t", c.name, first), func(t *testing.T) {
+				t.Parallel()
+				server := serveRaw(t, func(w io.Writer, id string) bool {
+					_, _ = fmt.Fprintf(w, unaryAnswer, id)
+					return true
+				})
+				g := newTestGateway(t, "127.0.0.1:1", server)
+				g.deps.Dialect = keyDialect{}
+				valid := g.view.Load()
+				expired := *valid
+				expired.confirmedAt = time.Now().Add(-g.cfg.ViewLease)
+				g.view.Store(&expired)
+				if first {
+					g.view.Store(emptyView())
+				}
+				response := postInBackground(t, g, "/lookups/x", "w")
+				awaitTrue(t, "the request waits", func() bool { return g.inFlight.Load() == 1 })
+				time.Sleep(20 * time.Millisecond)
+				g.view.Store(valid)
+				declare(g, c.change)
+				if got := <-response; got.status != c.wantStatus || !strings.Contains(got.body, c.wantBody) {
+					t.Errorf("got %d %q, want %d with %q", got.status, got.body, c.wantStatus, c.wantBody)
+				}
+			})
+		}
+	}
+}
--- a/io/kwdirectentry/queue.go
+++ b/io/kwdirectentry/queue.go
@@ -46,17 +46,19 @@
 	return s.dispatcher.FirstEventPatience(time.Now(), chain, req.dispatchRequest(ctx))
 }
 
-// fleet returns the servers of the request's service in the present view, or an error if the service cannot be served.
+// fleet returns the servers of the request's service in the present view, or an error if none of them holds model layers. Where the
+// present declaration does not describe them, the one that the request was accepted under does: it may be the older one.
 func (c chainRequest) fleet() (kwdispatch.Fleet, error) {
 	v, name := c.currentView(), c.r.service
-	service := v.index.Service(name)
-	if service == nil || service.Engine == nil {
-		return kwdispatch.Fleet{}, kwcode.New(kwcode.UnknownService, "service %q is not declared or has no engine", name)
+	engine, servers := v.modelEngine(name), v.servers[name]
+	if engine == nil || len(servers) == 0 {
+		engine = c.r.view.modelEngine(name)
+		servers = v.modelServers(name, engine)
 	}
-	if len(v.servers[name]) == 0 && !v.gathering {
+	if engine == nil || len(servers) == 0 && !v.gathering {
 		return kwdispatch.Fleet{}, kwcode.New(kwcode.NoChain, "no endpoint of service %q holds model layers", name)
 	}
-	return kwdispatch.Fleet{Engine: service.Engine, Servers: v.servers[name], Incomplete: v.gathering}, nil
+	return kwdispatch.Fleet{Engine: engine, Servers: servers, Incomplete: v.gathering}, nil
 }
 
 // acquireChain reserves capacity on a chain, waiting in the queue if necessary, and returns how long that took. The
--- a/io/kwdirectentry/scheduler_test.go
+++ b/io/kwdirectentry/scheduler_test.go
@@ -62,6 +62,7 @@
 
 // chainRequest returns a request of typical size.
 func (f *schedulerFixture) chainRequest(r *request) chainRequest {
+	r.view = f.view
 	return chainRequest{
 		r: r, size: kwchainsearch.RequestSize{TotalTokens: 900, PromptTokens: 700}, currentView: func() *view { return f.view },
 		exitTime: func() time.Time { return time.Time{} },
--- a/io/kwdirectentry/stream.go
+++ b/io/kwdirectentry/stream.go
@@ -51,7 +51,7 @@
 
 // serveStream serves a streaming request; a broken stream resumes after its last event on another chain.
 func (g *Gateway) serveStream(ctx context.Context, q *request) {
-	if s := q.view.index.Service(q.service); s == nil || s.Engine == nil || s.Engine.Layers == 0 {
+	if q.view.modelEngine(q.service) == nil {
 		g.serveUnary(ctx, q)
 		return
 	}
--- a/io/kwdirectentry/view.go
+++ b/io/kwdirectentry/view.go
@@ -248,20 +248,45 @@
 			continue
 		}
 		v.live[a.Service] = append(v.live[a.Service], a)
-		if v.index == nil {
-			continue
-		}
-		service := v.index.Service(a.Service)
-		if service == nil || service.Engine == nil {
-			continue
-		}
-		if s, ok := kwchainsearch.NewServer(service.Engine, a.Accelerator, a.Layers); ok {
-			s.ID, s.Address, s.Zone = a.ID, a.Address, a.Zone
+		if s, ok := newModelServer(v.modelEngine(a.Service), a); ok {
 			v.servers[a.Service] = append(v.servers[a.Service], s)
 		}
 	}
 }
 
+// modelEngine returns the engine of a service whose servers hold layers of a model, nil for any other service.
+func (v *view) modelEngine(name kwid.ServiceName) *kwdeclaration.Engine {
+	if v.index == nil {
+		return nil
+	}
+	s := v.index.Service(name)
+	if s == nil || s.Engine == nil || s.Engine.Layers == 0 {
+		return nil
+	}
+	return s.Engine
+}
+
+// modelServers returns the model servers of a service as an engine describes them.
+func (v *view) modelServers(name kwid.ServiceName, engine *kwdeclaration.Engine) []kwchainsearch.Server {
+	var out []kwchainsearch.Server
+	for _, a := range v.live[name] {
+		if s, ok := newModelServer(engine, a); ok {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// newModelServer returns the server that an announcement describes, without load; ok is false if the engine does not describe it.
+func newModelServer(engine *kwdeclaration.Engine, a kwmembership.Announcement) (s kwchainsearch.Server, ok bool) {
+	if engine == nil {
+		return s, false
+	}
+	s, ok = kwchainsearch.NewServer(engine, a.Accelerator, a.Layers)
+	s.ID, s.Address, s.Zone = a.ID, a.Address, a.Zone
+	return s, ok
+}
+
 // waitForView waits for a valid view while one can be expected soon and the caller's timeout allows: after a start or
 // the loss of the leader, the next one is elected within the time of an election.
 func (g *Gateway) waitForView(q *request) {
