Send plain requests to the endpoints of the present view

Callers of services without model servers got 503 no-endpoint or 502 although live endpoints were known: a request that was between two attempts, or whose body took its time, tried the endpoints of its arrival only, also those that had left meanwhile.

The declaration of its arrival still decides on route, timeout and service; the endpoints now come from the view at each attempt, as they do for streams. TestPlainRequestsFollowTheRoster failed before in all four cases: the old endpoints got 1 to 3 requests after they had been replaced.

--- a/io/kwdirectentry/declaration_change_test.go
+++ b/io/kwdirectentry/declaration_change_test.go
@@ -343,3 +343,80 @@
 		}
 	}
 }
+
+// TestPlainRequestsFollowTheRoster guards against requests to services without model servers that go by the endpoints of their
+// arrival: while a request is between two attempts, or its body still arrives, all endpoints are replaced by one other.
+func TestPlainRequestsFollowTheRoster(t *testing.T) {
+	cases := []struct {
+		name, path string
+		// first is what the first endpoint sends before it closes the connection.
+		first string
+		// slowBody means that the endpoints are replaced before the body is sent, so that the first one gets nothing.
+		slowBody bool
+	}{
+		{"idempotent request between two attempts", "/lookups/x", "", false},
+		{"at-most-once request that was refused", "/alerts/x", notRun, false},
+		{"idempotent request with a slow body", "/lookups/x", "", true},
+		{"at-most-once request with a slow body", "/alerts/x", "", true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			var old atomic.Int32
+			received, replaced := make(chan struct{}, 2), make(chan struct{})
+			oldServer := serveRaw(t, func(w io.Writer, id string) bool {
+				old.Add(1)
+				received <- struct{}{}
+				<-replaced
+				_, _ = io.WriteString(w, strings.ReplaceAll(c.first, "%s", id))
+				return false
+			})
+			newServer := serveRaw(t, func(w io.Writer, id string) bool {
+				_, _ = fmt.Fprintf(w, unaryAnswer, id)
+				return true
+			})
+			g := newTestGateway(t, "127.0.0.1:1", oldServer)
+			setEndpoints(g, nil, []string{oldServer, oldServer, oldServer})
+			body, send := io.Pipe()
+			address, _ := g.Addresses()
+			req, err := http.NewRequest(http.MethodPost, "http://"+address+c.path, body)
+			if err != nil {
+				t.Fatal(err)
+			}
+			req.Host = "h"
+			req.Header.Set("Id", "r")
+			response := make(chan string, 1)
+			go func() {
+				resp, err := http.DefaultClient.Do(req)
+				if err != nil {
+					response <- err.Error()
+					return
+				}
+				defer func() { _ = resp.Body.Close() }()
+				text, _ := io.ReadAll(resp.Body)
+				response <- fmt.Sprint(resp.StatusCode, " ", string(text))
+			}()
+			_, _ = io.WriteString(send, "bo")
+			awaitTrue(t, "the request has arrived", func() bool { return g.inFlight.Load() == 1 })
+			if !c.slowBody {
+				_ = send.Close()
+				<-received
+			}
+			v := *g.view.Load()
+			v.endpoints = map[kwid.EndpointID]kwmembership.RosterRow{"new": {State: kwmembership.Live, Announcement: kwmembership.Announcement{
+				ID: "new", Service: "records", Zone: "a", Address: newServer,
+			}}}
+			v.indexEndpoints()
+			setView(g, &v)
+			close(replaced)
+			_ = send.Close()
+			wantOld := int32(1)
+			if c.slowBody {
+				wantOld = 0
+			}
+			if got := <-response; got != "200 ok" || old.Load() != wantOld {
+				t.Errorf("got %q after %d requests at the old endpoints, want %q after %d", got, old.Load(), "200 ok", wantOld)
+			}
+		})
+	}
+}
--- a/io/kwdirectentry/unary.go
+++ b/io/kwdirectentry/unary.go
@@ -35,7 +35,7 @@
 			attempts.refusal = err
 			break
 		}
-		endpoint, ok := g.scheduler.pickUnary(time.Now(), q.view.live[q.service], attempts.exclude)
+		endpoint, ok := g.scheduler.pickUnary(time.Now(), g.liveEndpoints(q), attempts.exclude)
 		if !ok {
 			break
 		}
@@ -50,6 +50,11 @@
 	g.finishUnary(ctx, q, &attempts)
 }
 
+// liveEndpoints returns the live endpoints of the request's service in the present view, since those of its arrival may have left.
+func (g *Gateway) liveEndpoints(q *request) []kwmembership.Announcement {
+	return g.view.Load().live[q.service]
+}
+
 func (g *Gateway) sendUnary(ctx context.Context, q *request, endpoint kwmembership.Announcement) kwupstream.Result {
 	atMostOnce := !q.route.Retryable()
 	attemptCtx := ctx
@@ -163,7 +168,7 @@
 		g.reject(q, attempts.refusal)
 	case attempts.mayHaveRun == 0 && ctx.Err() == nil:
 		retryAfter := g.cfg.Queue.RetryAfterMin
-		if pause := g.scheduler.pauseOfAll(time.Now(), q.view.live[q.service]); pause > 0 {
+		if pause := g.scheduler.pauseOfAll(time.Now(), g.liveEndpoints(q)); pause > 0 {
 			retryAfter = pause
 		}
 		g.reject(q, noEndpointError(q, attempts).After(retryAfter))
