Test requests in progress while their view is replaced

A fake leader replaces the view in quick succession, as a new leader that gathers, with an older declaration, with deltas that do not apply and between failures.

--- a/io/kwdirectentry/declaration_change_test.go
+++ b/io/kwdirectentry/declaration_change_test.go
@@ -1,19 +1,24 @@
 package kwdirectentry
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"knapweedproxy/core/kwchainsearch"
+	"knapweedproxy/core/kwcode"
 	"knapweedproxy/core/kwdeclaration"
 	"knapweedproxy/core/kwid"
 	"knapweedproxy/core/kwmembership"
+	"knapweedproxy/io/kwdirectproto"
+	"knapweedproxy/io/kwtcprpc"
 	"knapweedproxy/io/kwupstream"
 )
 
@@ -420,3 +425,153 @@
 		})
 	}
 }
+
+// changeDecoder decodes a number and the name of a change to the declaration of a gateway's first view.
+type changeDecoder struct{ first *kwdeclaration.Declaration }
+
+func (c changeDecoder) Decode(content []byte) (*kwdeclaration.Declaration, error) {
+	d := *c.first
+	d.Routes, d.Services = slices.Clone(d.Routes), slices.Clone(d.Services)
+	var change string
+	if _, err := fmt.Sscan(string(content), &d.Number, &change); err != nil {
+		return nil, err
+	}
+	switch change {
+	case "removed":
+		removeServices(&d)
+	case "engineless":
+		serviceChanges["service without engine"](&d)
+	}
+	return &d, nil
+}
+
+// fakeLeader answers watches with the views of a script, the last one again and again.
+type fakeLeader struct {
+	mu      sync.Mutex
+	script  []kwdirectproto.View
+	replies int
+	// failures is how many calls fail before each reply.
+	failures, failed int
+	// newest is the number of the declaration that the script leaves in force.
+	newest kwdeclaration.Number
+}
+
+func (l *fakeLeader) handleWatch(context.Context, kwtcprpc.Body) (any, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.failed < l.failures {
+		l.failed++
+		return nil, kwcode.New(kwcode.NotLeader, "no leader")
+	}
+	l.failed = 0
+	l.replies++
+	if l.replies > len(l.script) {
+		time.Sleep(5 * time.Millisecond)
+	}
+	return l.script[min(l.replies, len(l.script))-1], nil
+}
+
+// replay has the gateway fetch all views of a script.
+func (l *fakeLeader) replay(t *testing.T, g *Gateway) {
+	t.Helper()
+	control, err := kwtcprpc.Listen("127.0.0.1:0", map[kwtcprpc.Kind]kwtcprpc.Handler{kwdirectproto.KindWatch: l.handleWatch}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = control.Serve() }()
+	t.Cleanup(control.Close)
+	if g.deps.Decoder == nil {
+		g.deps.Decoder = changeDecoder{g.view.Load().index.Declaration}
+	}
+	g.leader.SetAddresses([]string{control.Address()})
+	g.goBackground(func() { g.watchControl(g.ctx) })
+	awaitTrue(t, "the script is over", func() bool {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return l.replies > len(l.script)
+	})
+	if got := g.view.Load().declarationNumber; got != l.newest {
+		t.Errorf("declaration in force: got %d, want %d", got, l.newest)
+	}
+}
+
+// TestRequestsOutliveReplacedViews replaces the view several times in quick succession while a request is in progress, also by a
+// leader that knows no endpoints yet and by deltas that do not apply.
+func TestRequestsOutliveReplacedViews(t *testing.T) {
+	whole := func(number kwdeclaration.Number, change string) *kwdirectproto.CompressedDeclaration {
+		content, err := kwdirectproto.Compress(fmt.Appendf(nil, "%d %s", number, change))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return &kwdirectproto.CompressedDeclaration{Number: number, Content: content}
+	}
+	scripts := map[string]*fakeLeader{
+		"twice": {newest: 6, script: []kwdirectproto.View{
+			{Declaration: whole(5, "removed")}, {DeclarationDelta: deltaOf(t, 5, 6, "5 removed", "6 engineless")},
+		}},
+		"and back": {newest: 6, script: []kwdirectproto.View{
+			{Declaration: whole(5, "removed")}, {DeclarationDelta: deltaOf(t, 5, 6, "5 removed", "6 same")},
+		}},
+		"by a new leader that gathers": {newest: 5, script: []kwdirectproto.View{
+			{Epoch: 2, Full: true, Gathering: true}, {Epoch: 2, Gathering: true, Declaration: whole(5, "removed")}, {Epoch: 2, Gathering: true},
+		}},
+		"by a leader with an older declaration": {newest: 5, script: []kwdirectproto.View{
+			{Declaration: whole(5, "engineless")}, {Epoch: 2, Full: true, Gathering: true, Declaration: whole(4, "removed")},
+		}},
+		"by a delta that does not apply": {newest: 6, script: []kwdirectproto.View{
+			{Declaration: whole(5, "same")},
+			{DeclarationDelta: deltaOf(t, 3, 6, "3 same", "6 same")},
+			{DeclarationDelta: deltaOf(t, 5, 6, "5 other", "6 otherwise")},
+			{Declaration: whole(6, "removed")},
+		}},
+		"between changes of the leader": {newest: 6, failures: 3, script: []kwdirectproto.View{
+			{Declaration: whole(5, "removed")}, {Epoch: 2, Full: true, Gathering: true, Declaration: whole(6, "engineless")},
+		}},
+	}
+	for name, script := range scripts {
+		for place, b := range places {
+			t.Run(place+", "+name, func(t *testing.T) {
+				t.Parallel()
+				leader := &fakeLeader{script: script.script, failures: script.failures, newest: script.newest}
+				status, body := b.run(t, func(g *Gateway) { leader.replay(t, g) })
+				if want := b.wantBody(); status != http.StatusOK || body != want {
+					t.Errorf("got %d %q, want 200 %q", status, body, want)
+				}
+			})
+		}
+	}
+}
+
+// TestFirstViewEndsTheWait sends requests to an entry that has just started, while control elects a leader, which does not know
+// all endpoints yet.
+func TestFirstViewEndsTheWait(t *testing.T) {
+	for _, path := range []string{"/notes/x", "/lookups/x", "/alerts/x"} {
+		server := serveRaw(t, func(w io.Writer, id string) bool {
+			answer := unaryAnswer
+			if path == "/notes/x" {
+				answer = streamHead + firstEvent + secondEvent
+			}
+			_, _ = fmt.Fprintf(w, answer, id)
+			return true
+		})
+		g := newTestGateway(t, server, server)
+		first := g.view.Load()
+		g.deps.Decoder = changeDecoder{first.index.Declaration}
+		g.view.Store(emptyView())
+		content, err := kwdirectproto.Compress([]byte("5 same"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		leader := &fakeLeader{failures: 2, newest: 5, script: []kwdirectproto.View{
+			{Epoch: 1, Full: true, Gathering: true, Endpoints: []kwmembership.RosterRow{first.endpoints["m"], first.endpoints["r"]}},
+			{Epoch: 1, Gathering: true, Declaration: &kwdirectproto.CompressedDeclaration{Number: 5, Content: content}},
+		}}
+		response := postInBackground(t, g, path, "f")
+		awaitTrue(t, "the request waits", func() bool { return g.inFlight.Load() == 1 })
+		begin := time.Now()
+		leader.replay(t, g)
+		if got := <-response; got.status != http.StatusOK || time.Since(begin) > viewWaitTimeout*9/10 {
+			t.Errorf("%s: got %d %q after %v, want 200 as soon as the view is there", path, got.status, got.body, time.Since(begin))
+		}
+	}
+}
