Finish generations whose model leaves the fleet

In the fleet with agents, callers got 502 stream-cut or an error event in the middle of an answer where the model left the fleet between two attempts, although agents still served it.

Cause: chains come from graphs that the view builds for the models of the present fleet. The graphs of a model that it no longer declares are now built from the live endpoints when a request that was admitted needs them.

--- a/core/kwlimit/limiter_test.go
+++ b/core/kwlimit/limiter_test.go
@@ -51,3 +51,27 @@
 		t.Errorf("got %d in flight after a double release, want 2", got)
 	}
 }
+
+// TestRequestsOutliveTheirShare lowers and removes the share of a workspace while a request is in flight. The request stays counted
+// until it ends, and later ones are rejected.
+func TestRequestsOutliveTheirShare(t *testing.T) {
+	for _, shares := range [][]Share{{{Workspace: "a", MaxInFlight: 1}}, nil} {
+		l := New(Config{MaxInFlight: 10})
+		l.SetShares([]Share{{Workspace: "a", MaxInFlight: 5}})
+		release, err := l.Acquire("a")
+		if err != nil {
+			t.Fatal(err)
+		}
+		l.SetShares(shares)
+		if _, err := l.Acquire("a"); !kwcode.Is(err, kwcode.WorkspaceLimit) {
+			t.Errorf("shares %v: got %v for the next request, want %d", shares, err, kwcode.WorkspaceLimit)
+		}
+		if got := l.InFlight(); got != 1 {
+			t.Errorf("shares %v: got %d in flight, want 1", shares, got)
+		}
+		release(time.Second)
+		if got := l.InFlight(); got != 0 {
+			t.Errorf("shares %v: got %d in flight after the release, want 0", shares, got)
+		}
+	}
+}
--- a/io/kwagententry/generation.go
+++ b/io/kwagententry/generation.go
@@ -86,10 +86,7 @@
 // chooseChain picks a chain at this site, else over all sites, else over all sites with ejected endpoints included.
 func (g *generation) chooseChain() ([]kwmaxflow.Stage, error) {
 	r := g.role
-	graphs, ok := r.view.Load().graphs[g.model.Name]
-	if !ok {
-		return nil, kwcode.New(kwcode.NoChain, "the view has no chains for model %q", g.model.Name)
-	}
+	graphs := r.graphsOf(r.view.Load(), g.model)
 	status := endpointStatus{loads: r.loads, ejector: r.ejector, now: time.Now(), failed: g.failedEndpoints}
 	r.chooserMu.Lock()
 	defer r.chooserMu.Unlock()
--- a/io/kwagententry/view.go
+++ b/io/kwagententry/view.go
@@ -255,16 +255,26 @@
 	out := make(map[kwid.ModelName]modelGraphs)
 	links := zoneLinks(v.fleet)
 	for _, m := range v.fleet.Models {
-		local := liveStages(v.endpoints, m.Name, r.cfg.Site)
-		all := liveStages(v.endpoints, m.Name, "")
-		out[m.Name] = modelGraphs{
-			site: kwmaxflow.NewGraph(m.Layers, local, links),
-			all:  kwmaxflow.NewGraph(m.Layers, all, links),
-		}
+		out[m.Name] = r.buildModelGraphs(v, m, links)
 	}
 	return out
 }
 
+func (r *Role) buildModelGraphs(v *view, m kwsiteconfig.Model, links kwmaxflow.Links) modelGraphs {
+	return modelGraphs{
+		site: kwmaxflow.NewGraph(m.Layers, liveStages(v.endpoints, m.Name, r.cfg.Site), links),
+		all:  kwmaxflow.NewGraph(m.Layers, liveStages(v.endpoints, m.Name, ""), links),
+	}
+}
+
+// graphsOf returns the graphs of the model of an admitted request, which the fleet may no longer declare.
+func (r *Role) graphsOf(v *view, m kwsiteconfig.Model) modelGraphs {
+	if graphs, ok := v.graphs[m.Name]; ok {
+		return graphs
+	}
+	return r.buildModelGraphs(v, m, zoneLinks(v.fleet))
+}
+
 // liveStages lists the live stages of a model at a site; an empty site means all.
 func liveStages(endpoints map[kwid.EndpointID]kwmembership.Endpoint, model kwid.ModelName, site kwid.Site) []kwmaxflow.Stage {
 	var out []kwmaxflow.Stage
