--- /dev/null
+++ b/core/kwquarantine/crashes.go
@@ -0,0 +1,215 @@
+package kwquarantine
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"knapweedproxy/core/kwid"
+	"knapweedproxy/core/kwmembership"
+)
+
+// Evidence is a request that had received at most one event when an endpoint of its chain crashed.
+type Evidence struct {
+	// Crash is the process that crashed.
+	Crash   kwmembership.Process
+	Request kwid.RequestID
+	Parts   []kwid.PromptPartID
+}
+
+// crashState is a crash that is remembered until Memory after its first evidence.
+type crashState struct {
+	id         kwmembership.Process
+	recordedAt time.Time
+	// explained is set when a request with a quarantined part was among those that the crash ended.
+	explained bool
+	// parts holds the parts of the requests that the crash ended.
+	parts map[kwid.PromptPartID]struct{}
+}
+
+// partCrash is an unexplained crash under a part.
+type partCrash struct {
+	crash *crashState
+	// recordedAt is when the first evidence with the part was recorded.
+	recordedAt time.Time
+	// requests holds at most MinRequests different requests.
+	requests []kwid.RequestID
+}
+
+// partState holds the crashes under a part since its last sound request.
+type partState struct {
+	crashes []partCrash
+	soundAt time.Time
+	// served is the first report of a sound request of any kind after the decisive crash; one from before it does not count.
+	served servedReport
+}
+
+// crashesBefore returns the number of crashes under the part that were recorded before a point in time.
+func (p *partState) crashesBefore(at time.Time) int {
+	n := slices.IndexFunc(p.crashes, func(c partCrash) bool { return !c.recordedAt.Before(at) })
+	if n < 0 {
+		return len(p.crashes)
+	}
+	return n
+}
+
+// RecordCrash records a request that a crash has ended. A request with a quarantined part explains the crash, and fails a trial
+// of the part that started before the crash.
+func (r *Registry) RecordCrash(now time.Time, ev Evidence) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.forget(now)
+	crash := r.recordCrash(now, ev.Crash)
+	parts := ev.Parts[:min(len(ev.Parts), maxPartsPerEvidence)]
+	for _, part := range parts {
+		q, ok := r.quarantined[part]
+		if !ok {
+			continue
+		}
+		r.explain(crash)
+		if !q.trialAt.IsZero() && !crash.recordedAt.Before(q.trialAt) {
+			q.term = min(2*q.term, r.cfg.MaxTerm)
+			q.until, q.trialAt = now.Add(q.term), time.Time{}
+			r.changed = true
+		}
+	}
+	if crash.explained {
+		return
+	}
+	for _, part := range parts {
+		r.suspect(now, part, crash, ev.Request)
+	}
+}
+
+// recordCrash returns the state of a crash, which is new if this is the first evidence of it.
+func (r *Registry) recordCrash(now time.Time, id kwmembership.Process) *crashState {
+	if crash, ok := r.crashOf[id]; ok {
+		return crash
+	}
+	if len(r.crashes) >= maxCrashes {
+		r.forgetOldestCrash()
+	}
+	crash := &crashState{id: id, recordedAt: now, parts: make(map[kwid.PromptPartID]struct{})}
+	r.crashes = append(r.crashes, crash)
+	r.crashOf[id] = crash
+	return crash
+}
+
+// suspect counts a crash against a part, unless the part was served soundly after it.
+func (r *Registry) suspect(now time.Time, part kwid.PromptPartID, crash *crashState, request kwid.RequestID) {
+	if _, ok := crash.parts[part]; !ok && len(crash.parts) >= maxPartsPerCrash {
+		return
+	}
+	crash.parts[part] = struct{}{}
+	p, ok := r.parts[part]
+	if !ok {
+		r.makeRoom()
+		p = &partState{}
+		r.parts[part] = p
+	}
+	if !crash.recordedAt.After(p.soundAt) {
+		return
+	}
+	r.newEvidence = true
+	for i := range p.crashes {
+		c := &p.crashes[i]
+		if c.crash != crash {
+			continue
+		}
+		if len(c.requests) < r.cfg.MinRequests && !slices.Contains(c.requests, request) {
+			c.requests = append(c.requests, request)
+		}
+		return
+	}
+	if len(p.crashes) >= maxCrashesPerPart {
+		i := r.unneededCrash(p)
+		p.crashes = slices.Delete(p.crashes, i, i+1)
+	}
+	p.crashes = append(p.crashes, partCrash{crash: crash, recordedAt: now, requests: []kwid.RequestID{request}})
+	r.suspectsValid = false
+}
+
+// decisiveCrash returns the index of the crash that makes the crashes under a part enough for a decision: there are MinCrashes up
+// to it, over MinSpread.
+func (r *Registry) decisiveCrash(p *partState) (int, bool) {
+	for i := r.cfg.MinCrashes - 1; i < len(p.crashes); i++ {
+		if p.crashes[i].recordedAt.Sub(p.crashes[0].recordedAt) >= r.cfg.MinSpread {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+// unneededCrash returns the index of the oldest crash under a part that its decision does not need.
+func (r *Registry) unneededCrash(p *partState) int {
+	if i, ok := r.decisiveCrash(p); ok && i == r.cfg.MinCrashes-1 {
+		return i + 1
+	}
+	return r.cfg.MinCrashes - 1
+}
+
+// makeRoom forgets the part whose latest crash is oldest if there are maxSuspects parts; those without crashes go first.
+func (r *Registry) makeRoom() {
+	if len(r.parts) < maxSuspects {
+		return
+	}
+	var oldest kwid.PromptPartID
+	var oldestAt time.Time
+	found := false
+	for part, p := range r.parts {
+		var at time.Time
+		if n := len(p.crashes); n > 0 {
+			at = p.crashes[n-1].recordedAt
+		}
+		if order := at.Compare(oldestAt); !found || order < 0 || order == 0 && part < oldest {
+			oldest, oldestAt, found = part, at, true
+		}
+	}
+	delete(r.parts, oldest)
+	r.suspectsValid = false
+}
+
+// explain stops a crash from counting against any part.
+func (r *Registry) explain(crash *crashState) {
+	if crash.explained {
+		return
+	}
+	crash.explained = true
+	r.removeFromParts(func(c *crashState) bool { return c == crash })
+}
+
+// removeFromParts removes crashes from all parts.
+func (r *Registry) removeFromParts(remove func(*crashState) bool) {
+	for _, p := range r.parts {
+		p.crashes = slices.DeleteFunc(p.crashes, func(c partCrash) bool { return remove(c.crash) })
+	}
+	r.suspectsValid = false
+}
+
+// Suspects returns, sorted, the quarantined parts and those with unexplained crashes since their last sound request.
+func (r *Registry) Suspects(now time.Time) []kwid.PromptPartID {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.forget(now)
+	if !r.suspectsValid {
+		r.suspects = slices.Collect(maps.Keys(r.quarantined))
+		for part, p := range r.parts {
+			if len(p.crashes) > 0 {
+				r.suspects = append(r.suspects, part)
+			}
+		}
+		slices.Sort(r.suspects)
+		r.suspectsValid = true
+	}
+	return slices.Clone(r.suspects)
+}
+
+func (r *Registry) forgetOldestCrash() {
+	oldest := r.crashes[0]
+	r.crashes[0] = nil
+	r.crashes = r.crashes[1:]
+	delete(r.crashOf, oldest.id)
+	if !oldest.explained {
+		r.removeFromParts(func(c *crashState) bool { return c == oldest })
+	}
+}
--- /dev/null
+++ b/core/kwquarantine/decide_parts.go
@@ -0,0 +1,148 @@
+package kwquarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"knapweedproxy/core/kwid"
+)
+
+// Decide quarantines the parts that qualify, and reports whether any quarantine has begun, ended or changed its term since the
+// last call. It answers a part that crashes every server while its requests keep coming, and whose requests are caught together
+// with sound ones that the same crashes end. An outage, in which nothing is served, is no evidence against any part.
+func (r *Registry) Decide(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.forget(now)
+	if r.newEvidence || r.evaluateLater && !now.Before(r.evaluateAt) {
+		for {
+			part, ok := r.firstQualifying(now)
+			if !ok {
+				break
+			}
+			r.quarantine(now, part)
+		}
+		r.newEvidence = false
+		r.scheduleEvaluation(now)
+	}
+	changed := r.changed
+	r.changed = false
+	return changed
+}
+
+// candidate is a part that qualifies for a quarantine, now or once it is settled.
+type candidate struct {
+	part  kwid.PromptPartID
+	state *partState
+	// complete is the number of its crashes of which all entries have reported their requests.
+	complete int
+}
+
+// firstQualifying returns, of the parts that qualify, the one with the oldest last sound request: a part that is in all requests
+// that crash, and in others, has a later one. It passes over parts that yield to another one.
+func (r *Registry) firstQualifying(now time.Time) (kwid.PromptPartID, bool) {
+	var candidates []candidate
+	for part, p := range r.parts {
+		if r.implicated(p) {
+			candidates = append(candidates, candidate{part: part, state: p, complete: p.crashesBefore(now.Add(-evidenceDelay))})
+		}
+	}
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(
+			a.state.soundAt.Compare(b.state.soundAt),
+			cmp.Compare(len(b.state.crashes), len(a.state.crashes)),
+			cmp.Compare(a.part, b.part),
+		)
+	})
+	for _, c := range candidates {
+		if at, ok := r.settledAt(c.state); !ok || now.Before(at) {
+			continue
+		}
+		if !slices.ContainsFunc(candidates, func(other candidate) bool { return r.yields(now, c, other) }) {
+			return c.part, true
+		}
+	}
+	return "", false
+}
+
+// yields reports whether a candidate leaves the decision to another one, which has more crashes and was in a request of each
+// settled crash of the candidate. With as many crashes, it does so for another Settle, in which further crashes may tell the two
+// apart. It answers rare parts, such as those of one session, that come with the crashing part and were never served.
+func (r *Registry) yields(now time.Time, c, other candidate) bool {
+	if c.part == other.part {
+		return false
+	}
+	more := other.complete - c.complete
+	settledAt, _ := r.settledAt(c.state)
+	if more < 0 || more == 0 && !now.Before(settledAt.Add(r.cfg.Settle)) {
+		return false
+	}
+	return !slices.ContainsFunc(c.state.crashes, func(own partCrash) bool {
+		_, shared := own.crash.parts[other.part]
+		return !shared && now.Sub(own.recordedAt) >= r.cfg.Settle
+	})
+}
+
+// implicated reports whether enough servers crashed under enough requests with a part, and not all at one moment.
+func (r *Registry) implicated(p *partState) bool {
+	if _, ok := r.decisiveCrash(p); !ok {
+		return false
+	}
+	requests := make(map[kwid.RequestID]struct{}, r.cfg.MinRequests)
+	for _, c := range p.crashes {
+		for _, request := range c.requests {
+			requests[request] = struct{}{}
+		}
+		if len(requests) >= r.cfg.MinRequests {
+			return true
+		}
+	}
+	return false
+}
+
+// settledAt returns when entries have had the time to report sound requests of an implicated part, if servers have served anything
+// since its decisive crash. After an outage, in which nothing was served for minOutage, a server has to crash under the part again:
+// the requests that an outage ends crash nothing once service is back.
+func (r *Registry) settledAt(p *partState) (time.Time, bool) {
+	i, ok := r.decisiveCrash(p)
+	if !ok || !p.crashes[i].precedes(p.served.servedAt) {
+		return time.Time{}, false
+	}
+	from := p.served.reportedAt
+	if p.served.servedAt.Sub(p.crashes[i].recordedAt) > minOutage {
+		again := slices.IndexFunc(p.crashes, func(c partCrash) bool { return c.crash.recordedAt.After(p.served.servedAt) })
+		if again < 0 {
+			return time.Time{}, false
+		}
+		if at := p.crashes[again].recordedAt; at.After(from) {
+			from = at
+		}
+	}
+	return from.Add(r.cfg.Settle), true
+}
+
+// scheduleEvaluation sets when the next of the implicated parts may be decided on without further evidence.
+func (r *Registry) scheduleEvaluation(now time.Time) {
+	r.evaluateLater = false
+	for _, p := range r.parts {
+		if !r.implicated(p) {
+			continue
+		}
+		settledAt, ok := r.settledAt(p)
+		if !ok {
+			continue
+		}
+		at := settledAt
+		if !now.Before(at) {
+			// The part yields to another one: for Settle at most, or until that is cleared.
+			at = now.Add(evidenceDelay)
+			if end := settledAt.Add(r.cfg.Settle); now.Before(end) && end.Before(at) {
+				at = end
+			}
+		}
+		if !r.evaluateLater || at.Before(r.evaluateAt) {
+			r.evaluateAt, r.evaluateLater = at, true
+		}
+	}
+}
