kwquarantine: hold back requests that crash servers

Callers saw the same request crash one server after another: 9 and 12 more than the three that are needed to know it, since the fleet learns parts of prompts only, and a plain request has none.

A digest of host, target, caller and body names a request that comes again under a new ID. The Registry counts the processes that crashed under each digest since its last sound run, holds the one with most of them, and takes what it explains from the others.

This is the interface with the plain decision; nothing calls it yet.

--- a/core/kwquarantine/adopt.go
+++ b/core/kwquarantine/adopt.go
@@ -27,3 +27,43 @@
 		}
 	}
 }
+
+// AdoptRequests takes over the requests that an entry holds, and the counts of its suspects, from an earlier leader; of several terms
+// or counts of a request the largest counts. A request that this Registry has released is not taken over again.
+func (r *Registry) AdoptRequests(now time.Time, held []HeldRequest, suspects []SuspectRequest) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.forget(now)
+	for _, h := range held {
+		if _, ok := r.releasedRequests[h.Digest]; ok {
+			continue
+		}
+		remaining := min(max(h.Remaining, 0), r.cfg.MaxTerm)
+		term := min(max(h.Term, remaining, r.cfg.FirstRequestTerm), r.cfg.MaxTerm)
+		until := now.Add(remaining)
+		q, ok := r.heldRequests[h.Digest]
+		if !ok {
+			r.addHeldRequest(now, h.Digest, &quarantineState{term: term, until: until})
+			continue
+		}
+		if q.held.trialAt.IsZero() && until.After(q.held.until) {
+			q.held.until, q.held.term = until, max(q.held.term, term)
+			r.changed = true
+		}
+	}
+	for _, s := range suspects {
+		if _, ok := r.releasedRequests[s.Digest]; ok || r.heldRequests[s.Digest] != nil || s.Crashes <= 0 {
+			continue
+		}
+		q, ok := r.requests[s.Digest]
+		if !ok {
+			r.makeRoomForRequest()
+			q = &requestState{}
+			r.requests[s.Digest] = q
+		}
+		if n := min(s.Crashes, r.cfg.MinCrashes); n > q.adopted {
+			q.adopted, q.adoptedAt = n, now
+			r.newEvidence, r.requestsValid = true, false
+		}
+	}
+}
--- a/core/kwquarantine/crashes.go
+++ b/core/kwquarantine/crashes.go
@@ -9,12 +9,16 @@
 	"knapweedproxy/core/kwmembership"
 )
 
-// Evidence is a request that had received at most one event when an endpoint of its chain crashed.
+// Evidence is a request that a process was serving when it crashed, or had answered shortly before.
 type Evidence struct {
 	// Crash is the process that crashed.
 	Crash   kwmembership.Process
 	Request kwid.RequestID
-	Parts   []kwid.PromptPartID
+	// Digest identifies what the request asks for; entries of earlier versions report none.
+	Digest kwid.RequestDigest
+	// Parts are the shared parts of the prompt; empty if the request had received more than one event, or has no prompt. Then it
+	// counts for its digest alone.
+	Parts []kwid.PromptPartID
 }
 
 // crashState is a crash that is remembered until Memory after its first evidence.
@@ -25,6 +29,9 @@
 	explained bool
 	// parts holds the parts of the requests that the crash ended.
 	parts map[kwid.PromptPartID]struct{}
+	// digests holds the remembered requests that the crash ended, and heldBy how many of them are held.
+	digests map[kwid.RequestDigest]struct{}
+	heldBy  int
 }
 
 // partCrash is an unexplained crash under a part.
@@ -32,8 +39,8 @@
 	crash *crashState
 	// recordedAt is when the first evidence with the part was recorded.
 	recordedAt time.Time
-	// requests holds at most MinRequests different requests.
-	requests []kwid.RequestID
+	// digests holds the requests with the part that the crash ended, at most maxDigestsPerPartCrash.
+	digests []kwid.RequestDigest
 }
 
 // partState holds the crashes under a part since its last sound request.
@@ -53,8 +60,8 @@
 	return n
 }
 
-// RecordCrash records a request that a crash has ended. A request with a quarantined part explains the crash, and fails a trial
-// of the part that started before the crash.
+// RecordCrash records a request that a crash has ended. A request with a quarantined part explains the crash, as one that is held
+// does for all but its own parts; either fails its trial if that started before the crash.
 func (r *Registry) RecordCrash(now time.Time, ev Evidence) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -76,8 +83,16 @@
 	if crash.explained {
 		return
 	}
+	digest := ev.Digest
+	if digest.IsZero() {
+		digest = DigestRequest("", "", "", []byte(ev.Request))
+	}
+	r.suspectRequest(now, digest, crash)
+	if crash.heldBy > 0 && r.heldRequests[digest] == nil {
+		return
+	}
 	for _, part := range parts {
-		r.suspect(now, part, crash, ev.Request)
+		r.suspect(now, part, crash, digest)
 	}
 }
 
@@ -89,14 +104,16 @@
 	if len(r.crashes) >= maxCrashes {
 		r.forgetOldestCrash()
 	}
-	crash := &crashState{id: id, recordedAt: now, parts: make(map[kwid.PromptPartID]struct{})}
+	crash := &crashState{
+		id: id, recordedAt: now, parts: make(map[kwid.PromptPartID]struct{}), digests: make(map[kwid.RequestDigest]struct{}),
+	}
 	r.crashes = append(r.crashes, crash)
 	r.crashOf[id] = crash
 	return crash
 }
 
 // suspect counts a crash against a part, unless the part was served soundly after it.
-func (r *Registry) suspect(now time.Time, part kwid.PromptPartID, crash *crashState, request kwid.RequestID) {
+func (r *Registry) suspect(now time.Time, part kwid.PromptPartID, crash *crashState, digest kwid.RequestDigest) {
 	if _, ok := crash.parts[part]; !ok && len(crash.parts) >= maxPartsPerCrash {
 		return
 	}
@@ -116,8 +133,8 @@
 		if c.crash != crash {
 			continue
 		}
-		if len(c.requests) < r.cfg.MinRequests && !slices.Contains(c.requests, request) {
-			c.requests = append(c.requests, request)
+		if len(c.digests) < maxDigestsPerPartCrash && !slices.Contains(c.digests, digest) {
+			c.digests = append(c.digests, digest)
 		}
 		return
 	}
@@ -125,7 +142,7 @@
 		i := r.unneededCrash(p)
 		p.crashes = slices.Delete(p.crashes, i, i+1)
 	}
-	p.crashes = append(p.crashes, partCrash{crash: crash, recordedAt: now, requests: []kwid.RequestID{request}})
+	p.crashes = append(p.crashes, partCrash{crash: crash, recordedAt: now, digests: []kwid.RequestDigest{digest}})
 	r.suspectsValid = false
 }
 
@@ -175,13 +192,14 @@
 		return
 	}
 	crash.explained = true
-	r.removeFromParts(func(c *crashState) bool { return c == crash })
+	r.removeFromParts(func(c partCrash) bool { return c.crash == crash })
+	r.removeFromRequests(crash)
 }
 
 // removeFromParts removes crashes from all parts.
-func (r *Registry) removeFromParts(remove func(*crashState) bool) {
+func (r *Registry) removeFromParts(remove func(partCrash) bool) {
 	for _, p := range r.parts {
-		p.crashes = slices.DeleteFunc(p.crashes, func(c partCrash) bool { return remove(c.crash) })
+		p.crashes = slices.DeleteFunc(p.crashes, remove)
 	}
 	r.suspectsValid = false
 }
@@ -210,6 +228,7 @@
 	r.crashes = r.crashes[1:]
 	delete(r.crashOf, oldest.id)
 	if !oldest.explained {
-		r.removeFromParts(func(c *crashState) bool { return c == oldest })
+		r.removeFromParts(func(c partCrash) bool { return c.crash == oldest })
+		r.removeFromRequests(oldest)
 	}
 }
--- a/core/kwquarantine/decide_parts.go
+++ b/core/kwquarantine/decide_parts.go
@@ -8,29 +8,6 @@
 	"knapweedproxy/core/kwid"
 )
 
-// Decide quarantines the parts that qualify, and reports whether any quarantine has begun, ended or changed its term since the
-// last call. It answers a part that crashes every server while its requests keep coming, and whose requests are caught together
-// with sound ones that the same crashes end. An outage, in which nothing is served, is no evidence against any part.
-func (r *Registry) Decide(now time.Time) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.forget(now)
-	if r.newEvidence || r.evaluateLater && !now.Before(r.evaluateAt) {
-		for {
-			part, ok := r.firstQualifying(now)
-			if !ok {
-				break
-			}
-			r.quarantine(now, part)
-		}
-		r.newEvidence = false
-		r.scheduleEvaluation(now)
-	}
-	changed := r.changed
-	r.changed = false
-	return changed
-}
-
 // candidate is a part that qualifies for a quarantine, now or once it is settled.
 type candidate struct {
 	part  kwid.PromptPartID
@@ -84,21 +61,29 @@
 	})
 }
 
-// implicated reports whether enough servers crashed under enough requests with a part, and not all at one moment.
+// implicated reports whether enough servers crashed under a part, not all at one moment, and not under one request: a request that
+// crashes servers by itself comes again with all its parts. A part with several such requests is implicated by their crashes.
 func (r *Registry) implicated(p *partState) bool {
 	if _, ok := r.decisiveCrash(p); !ok {
 		return false
 	}
-	requests := make(map[kwid.RequestID]struct{}, r.cfg.MinRequests)
-	for _, c := range p.crashes {
-		for _, request := range c.requests {
-			requests[request] = struct{}{}
+	for digest, crashes := range r.crashesUnder(p) {
+		if len(p.crashes)-crashes < r.cfg.MinOtherCrashes && r.repeats(digest) {
+			return false
 		}
-		if len(requests) >= r.cfg.MinRequests {
-			return true
+	}
+	return true
+}
+
+// crashesUnder returns how many of the crashes under a part each request was on.
+func (r *Registry) crashesUnder(p *partState) map[kwid.RequestDigest]int {
+	crashes := make(map[kwid.RequestDigest]int)
+	for _, c := range p.crashes {
+		for digest := range c.crash.digests {
+			crashes[digest]++
 		}
 	}
-	return false
+	return crashes
 }
 
 // settledAt returns when entries have had the time to report sound requests of an implicated part, if servers have served anything
@@ -122,9 +107,8 @@
 	return from.Add(r.cfg.Settle), true
 }
 
-// scheduleEvaluation sets when the next of the implicated parts may be decided on without further evidence.
-func (r *Registry) scheduleEvaluation(now time.Time) {
-	r.evaluateLater = false
+// scheduleParts sets when the next of the implicated parts may be decided on without further evidence.
+func (r *Registry) scheduleParts(now time.Time) {
 	for _, p := range r.parts {
 		if !r.implicated(p) {
 			continue
@@ -141,8 +125,6 @@
 				at = end
 			}
 		}
-		if !r.evaluateLater || at.Before(r.evaluateAt) {
-			r.evaluateAt, r.evaluateLater = at, true
-		}
+		r.evaluateBy(at)
 	}
 }
--- a/core/kwquarantine/guard.go
+++ b/core/kwquarantine/guard.go
@@ -48,6 +48,7 @@
 	soundAt     time.Time
 	suspects    map[kwid.PromptPartID]struct{}
 	quarantined map[kwid.PromptPartID]time.Time
+	requests    requestGuard
 }
 
 // NewGuard returns a Guard that holds nothing.
@@ -58,6 +59,7 @@
 		soundOf:     make(map[kwid.PromptPartID]*list.Element),
 		suspects:    make(map[kwid.PromptPartID]struct{}),
 		quarantined: make(map[kwid.PromptPartID]time.Time),
+		requests:    newRequestGuard(),
 	}
 }
 
--- /dev/null
+++ b/core/kwquarantine/guard_requests.go
@@ -0,0 +1,275 @@
+package kwquarantine
+
+import (
+	"container/list"
+	"maps"
+	"slices"
+	"time"
+
+	"knapweedproxy/core/kwid"
+	"knapweedproxy/core/kwmembership"
+)
+
+const (
+	// outlive is how long a server has to go on after an answer for the answer to be sound.
+	outlive = time.Second
+	// quietSound is the time after an answer for it to be sound if nothing else is heard of its server.
+	quietSound = 3 * time.Second
+	// maxAnswersPerProcess is the number of answers of one process that a Guard remembers; beyond it the oldest is forgotten.
+	maxAnswersPerProcess = 1024
+	// maxAnsweringProcesses is the number of processes whose answers a Guard remembers; beyond it the one that answered least
+	// recently is forgotten.
+	maxAnsweringProcesses = 1024
+	// maxSoundRequests is the number of requests whose last sound run a Guard remembers; beyond it the one that had its sound run
+	// least recently is forgotten.
+	maxSoundRequests = 4096
+	// suspectCrashes is the number of crashes from which on a request is suspected: one more and it is held.
+	suspectCrashes = 2
+	// cutOffAfter is the time since the last view after which an entry relies on what it saw itself. Views come every second.
+	cutOffAfter = 2 * time.Second
+)
+
+// answer is a request that a process answered completely.
+type answer struct {
+	digest kwid.RequestDigest
+	at     time.Time
+}
+
+// answerLog holds the answers of a process that are not known to be sound, the oldest first.
+type answerLog struct {
+	process kwmembership.Process
+	answers []answer
+	lastAt  time.Time
+}
+
+// heldUntil is a held request of the leader's view.
+type heldUntil struct {
+	until time.Time
+	term  time.Duration
+}
+
+// requestGuard is a Guard's view of the held requests and its memory of answers; the Guard's lock protects it.
+type requestGuard struct {
+	// answerLogs holds answerLogs, the one with the latest answer first.
+	answerLogs *list.List
+	logOf      map[kwmembership.Process]*list.Element
+	// sounds holds answers that are sound, the latest first.
+	sounds  *list.List
+	soundOf map[kwid.RequestDigest]*list.Element
+
+	suspects map[kwid.RequestDigest]int
+	held     map[kwid.RequestDigest]heldUntil
+	// appliedAt is when the last view was applied.
+	appliedAt time.Time
+	// own decides on what this entry saw itself.
+	own *Registry
+}
+
+func newRequestGuard() requestGuard {
+	return requestGuard{
+		answerLogs: list.New(),
+		logOf:      make(map[kwmembership.Process]*list.Element),
+		sounds:     list.New(),
+		soundOf:    make(map[kwid.RequestDigest]*list.Element),
+		suspects:   make(map[kwid.RequestDigest]int),
+		held:       make(map[kwid.RequestDigest]heldUntil),
+		own:        NewRegistry(DefaultConfig()),
+	}
+}
+
+// ApplyRequests takes over the requests of a leader's view, as Apply does with parts.
+func (g *Guard) ApplyRequests(now time.Time, suspects []SuspectRequest, held []HeldRequest, merge bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	q := &g.requests
+	q.appliedAt = now
+	if !merge {
+		clear(q.suspects)
+		clear(q.held)
+	}
+	for _, s := range suspects {
+		if _, ok := q.suspects[s.Digest]; ok || len(q.suspects) < 2*maxRequestsInView {
+			q.suspects[s.Digest] = max(q.suspects[s.Digest], s.Crashes)
+		}
+	}
+	for _, h := range held {
+		old, ok := q.held[h.Digest]
+		if !ok && len(q.held) >= 2*maxHeldRequests {
+			continue
+		}
+		if until := now.Add(max(h.Remaining, 0)); !ok || until.After(old.until) {
+			q.held[h.Digest] = heldUntil{until: until, term: h.Term}
+		}
+	}
+}
+
+// CheckRequest returns the hold that keeps a request from servers. A trial is due when Remaining is 0: the leader allows it. While the
+// entry is cut off from control it holds what crashed servers in its own sight, and lets a trial pass itself.
+func (g *Guard) CheckRequest(now time.Time, digest kwid.RequestDigest) (HeldRequest, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	q := &g.requests
+	if h, ok := q.held[digest]; ok {
+		return HeldRequest{Digest: digest, Remaining: max(h.until.Sub(now), 0), Term: h.term}, true
+	}
+	if !q.cutOff(now) {
+		return HeldRequest{}, false
+	}
+	q.own.Decide(now)
+	h, ok := q.own.heldRequest(now, digest)
+	if ok && h.Remaining == 0 && q.own.StartRequestTrial(now, digest) {
+		return HeldRequest{}, false
+	}
+	return h, ok
+}
+
+// cutOff reports whether no view has come for so long that the entry relies on what it saw itself.
+func (q *requestGuard) cutOff(now time.Time) bool { return now.Sub(q.appliedAt) > cutOffAfter }
+
+// SuspectedRequest reports whether a request is likely to crash the next server too, so that it is not sent again after a crash.
+func (g *Guard) SuspectedRequest(digest kwid.RequestDigest) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.requests.suspects[digest] >= suspectCrashes || g.requests.own.crashesOf(digest) >= suspectCrashes
+}
+
+// RecordAnswered records that a process answered a request completely. The answer is sound once the process has outlived it.
+func (g *Guard) RecordAnswered(now time.Time, process kwmembership.Process, digest kwid.RequestDigest) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	q := &g.requests
+	e, ok := q.logOf[process]
+	if ok {
+		q.answerLogs.MoveToFront(e)
+	} else {
+		if q.answerLogs.Len() >= maxAnsweringProcesses {
+			q.forgetLog(q.answerLogs.Back())
+		}
+		e = q.answerLogs.PushFront(&answerLog{process: process})
+		q.logOf[process] = e
+	}
+	log := e.Value.(*answerLog)
+	q.confirm(log, now.Add(-outlive))
+	if len(log.answers) >= maxAnswersPerProcess {
+		log.answers = slices.Delete(log.answers, 0, 1)
+	}
+	log.answers = append(log.answers, answer{digest: digest, at: now})
+	log.lastAt = now
+}
+
+// confirm makes the answers of a process up to a point in time sound.
+func (q *requestGuard) confirm(log *answerLog, until time.Time) {
+	n := 0
+	for ; n < len(log.answers) && !log.answers[n].at.After(until); n++ {
+		q.recordSound(log.answers[n])
+	}
+	log.answers = slices.Delete(log.answers, 0, n)
+}
+
+func (q *requestGuard) forgetLog(e *list.Element) {
+	delete(q.logOf, e.Value.(*answerLog).process)
+	q.answerLogs.Remove(e)
+}
+
+// recordSound remembers the sound run of a request.
+func (q *requestGuard) recordSound(a answer) {
+	if e, ok := q.soundOf[a.digest]; ok {
+		if s := e.Value.(*answer); a.at.After(s.at) {
+			s.at = a.at
+		}
+		q.sounds.MoveToFront(e)
+		return
+	}
+	if q.sounds.Len() >= maxSoundRequests {
+		oldest := q.sounds.Back()
+		delete(q.soundOf, oldest.Value.(*answer).digest)
+		q.sounds.Remove(oldest)
+	}
+	q.soundOf[a.digest] = q.sounds.PushFront(&a)
+}
+
+// RecordCrashed records that a process crashed with these requests under way, and returns the requests that it had answered shortly
+// before it was last heard of. It is to be called for each crash that the entry learns of, also with no request under way: the answers
+// of a process of which nothing is heard become sound. Further calls for a process add requests.
+func (g *Guard) RecordCrashed(now time.Time, process kwmembership.Process, inFlight []kwid.RequestDigest) []kwid.RequestDigest {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	q := &g.requests
+	var answeredBefore []kwid.RequestDigest
+	if e, ok := q.logOf[process]; ok {
+		log := e.Value.(*answerLog)
+		q.confirm(log, log.lastAt.Add(-outlive))
+		for _, a := range log.answers {
+			if !slices.Contains(inFlight, a.digest) && !slices.Contains(answeredBefore, a.digest) {
+				answeredBefore = append(answeredBefore, a.digest)
+			}
+		}
+		q.forgetLog(e)
+	}
+	for _, digest := range slices.Concat(inFlight, answeredBefore) {
+		q.own.RecordCrash(now, Evidence{Crash: process, Digest: digest})
+	}
+	return answeredBefore
+}
+
+// SoundRequests returns the last sound runs of the suspect and held requests within Memory, sorted.
+func (g *Guard) SoundRequests(now time.Time) []SoundRequest {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	q := &g.requests
+	for e := q.answerLogs.Back(); e != nil; {
+		log, previous := e.Value.(*answerLog), e.Prev()
+		if q.confirm(log, now.Add(-quietSound)); len(log.answers) == 0 {
+			q.forgetLog(e)
+		}
+		e = previous
+	}
+	q.own.RecordSoundRequests(now, q.soundsOf(now, g.cfg.Memory, q.own.suspectDigests(now)))
+	digests := make(map[kwid.RequestDigest]struct{}, len(q.suspects)+len(q.held))
+	for digest := range q.suspects {
+		digests[digest] = struct{}{}
+	}
+	for digest := range q.held {
+		digests[digest] = struct{}{}
+	}
+	return q.soundsOf(now, g.cfg.Memory, slices.SortedFunc(maps.Keys(digests), compareDigests))
+}
+
+// soundsOf returns the last sound runs of requests within a time.
+func (q *requestGuard) soundsOf(now time.Time, memory time.Duration, digests []kwid.RequestDigest) []SoundRequest {
+	var sounds []SoundRequest
+	for _, digest := range digests {
+		e, ok := q.soundOf[digest]
+		if !ok {
+			continue
+		}
+		if age := max(now.Sub(e.Value.(*answer).at), 0); age <= memory {
+			sounds = append(sounds, SoundRequest{Digest: digest, Age: age})
+		}
+	}
+	return sounds
+}
+
+// HeldRequests returns the requests that the leader's view holds, sorted, for a new leader to adopt.
+func (g *Guard) HeldRequests(now time.Time) []HeldRequest {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	held := make([]HeldRequest, 0, len(g.requests.held))
+	for digest, h := range g.requests.held {
+		held = append(held, HeldRequest{Digest: digest, Remaining: max(h.until.Sub(now), 0), Term: h.term})
+	}
+	slices.SortFunc(held, compareHeldRequests)
+	return held
+}
+
+// SuspectRequests returns the suspects of the leader's view, sorted, for a new leader to adopt.
+func (g *Guard) SuspectRequests(now time.Time) []SuspectRequest {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	suspects := make([]SuspectRequest, 0, len(g.requests.suspects))
+	for digest, crashes := range g.requests.suspects {
+		suspects = append(suspects, SuspectRequest{Digest: digest, Crashes: crashes})
+	}
+	slices.SortFunc(suspects, func(a, b SuspectRequest) int { return compareDigests(a.Digest, b.Digest) })
+	return suspects
+}
--- a/core/kwquarantine/registry.go
+++ b/core/kwquarantine/registry.go
@@ -11,38 +11,46 @@
 
 // Config configures a Registry.
 type Config struct {
-	// MinCrashes is how many processes have to crash under a part, and MinRequests in how many requests.
-	MinCrashes  int
-	MinRequests int
+	// MinCrashes is how many processes have to crash under a part or a request.
+	MinCrashes int
+	// MinOtherCrashes is how many processes have to crash under a part without a request that crashes servers by itself.
+	MinOtherCrashes int
 	// MinSpread is the least time between the first and the last of the crashes that a decision needs. Servers that crash together
 	// for another reason end many requests at one moment, and rare parts of them are not served again soon.
 	MinSpread time.Duration
 	// Settle is the time before a decision in which entries report sound requests. It begins with the report of the first one of any
 	// kind after the last crash that the decision needs.
 	Settle time.Duration
+	// RequestSettle is the time after the last crash that the decision on a request needs, in which entries report crashes.
+	RequestSettle time.Duration
 	// Memory is how long crashes and sound requests count.
 	Memory time.Duration
-	// FirstTerm is the term of a first quarantine; failed trials double it up to MaxTerm.
-	FirstTerm time.Duration
-	MaxTerm   time.Duration
+	// FirstTerm is the term of a first quarantine of a part, and FirstRequestTerm that of a request; failed trials double them up to
+	// MaxTerm.
+	FirstTerm        time.Duration
+	FirstRequestTerm time.Duration
+	MaxTerm          time.Duration
 	// TrialTimeout is the time after which a trial without a result is repeated.
 	TrialTimeout time.Duration
 	// IdleExpiry is how long a quarantine outlasts its term when no request asks for a trial.
 	IdleExpiry time.Duration
 }
 
-// DefaultConfig quarantines a part after 3 crashes under 2 requests, for 30 s at first and for at most 1 h.
+// DefaultConfig quarantines a part after 3 crashes that no single request explains, for 30 s at first, and holds a request after 3
+// crashes, for 1 min at first; both for at most 1 h.
 func DefaultConfig() Config {
 	return Config{
-		MinCrashes:   3,
-		MinRequests:  2,
-		MinSpread:    200 * time.Millisecond,
-		Settle:       700 * time.Millisecond,
-		Memory:       time.Minute,
-		FirstTerm:    30 * time.Second,
-		MaxTerm:      time.Hour,
-		TrialTimeout: 30 * time.Second,
-		IdleExpiry:   time.Hour,
+		MinCrashes:       3,
+		MinOtherCrashes:  2,
+		MinSpread:        200 * time.Millisecond,
+		Settle:           700 * time.Millisecond,
+		RequestSettle:    200 * time.Millisecond,
+		Memory:           time.Minute,
+		FirstTerm:        30 * time.Second,
+		FirstRequestTerm: time.Minute,
+		MaxTerm:          time.Hour,
+		TrialTimeout:     30 * time.Second,
+		IdleExpiry:       time.Hour,
 	}
 }
 
@@ -57,6 +65,16 @@
 	maxPartsPerEvidence = 64
 	// maxPartsPerCrash is the number of parts of all requests that a crash ended; those recorded later are ignored.
 	maxPartsPerCrash = 512
+	// maxDigestsPerPartCrash is the number of requests that a Registry keeps for each crash under a part.
+	maxDigestsPerPartCrash = 8
+	// maxSuspectRequests is the number of requests that a Registry keeps, and maxRequestCrashes the number of crashes under all of
+	// them; beyond either those with the fewest crashes are forgotten.
+	maxSuspectRequests = 16384
+	maxRequestCrashes  = 32768
+	// maxRequestsInView is the number of suspect requests in a view: those with the most crashes.
+	maxRequestsInView = 128
+	// maxHeldRequests is the number of held requests; beyond it the one whose term ends first is released.
+	maxHeldRequests = 128
 	// maxQuarantined is the number of quarantined parts; beyond it the one whose term ends first is released.
 	maxQuarantined = 128
 	// evidenceDelay is the time in which all entries report the requests that a crash has ended. Sound requests from before the
@@ -78,6 +96,15 @@
 	parts       map[kwid.PromptPartID]*partState
 	quarantined map[kwid.PromptPartID]*quarantineState
 	lifted      map[kwid.PromptPartID]liftedState
+	// requests holds the requests under which servers crashed, but for those in heldRequests, and requestCrashes the number of
+	// their crashes.
+	requests         map[kwid.RequestDigest]*requestState
+	requestCrashes   int
+	heldRequests     map[kwid.RequestDigest]*requestState
+	releasedRequests map[kwid.RequestDigest]liftedState
+	// suspectRequests caches the result of SuspectRequests; requestsValid is false after a change.
+	suspectRequests []SuspectRequest
+	requestsValid   bool
 	// servedAt is the latest sound request of any kind.
 	servedAt time.Time
 	// suspects caches the result of Suspects; suspectsValid is false after a change.
@@ -93,14 +120,14 @@
 	sweptAt time.Time
 }
 
-// NewRegistry returns a Registry without crashes and quarantines.
+// NewRegistry returns a Registry without crashes, quarantines and held requests.
 func NewRegistry(cfg Config) *Registry {
 	r := &Registry{cfg: cfg}
 	r.reset()
 	return r
 }
 
-// Reset forgets all crashes and quarantines.
+// Reset forgets all crashes, quarantines and held requests.
 func (r *Registry) Reset() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -108,14 +135,17 @@
 }
 
 func (r *Registry) reset() {
-	r.changed = len(r.quarantined) > 0
+	r.changed = len(r.quarantined) > 0 || len(r.heldRequests) > 0
 	r.crashes = nil
 	r.crashOf = make(map[kwmembership.Process]*crashState)
 	r.parts = make(map[kwid.PromptPartID]*partState)
 	r.quarantined = make(map[kwid.PromptPartID]*quarantineState)
 	r.lifted = make(map[kwid.PromptPartID]liftedState)
+	r.requests, r.requestCrashes = make(map[kwid.RequestDigest]*requestState), 0
+	r.heldRequests = make(map[kwid.RequestDigest]*requestState)
+	r.releasedRequests = make(map[kwid.RequestDigest]liftedState)
 	r.servedAt = time.Time{}
-	r.suspectsValid, r.evaluateLater, r.newEvidence = false, false, false
+	r.suspectsValid, r.requestsValid, r.evaluateLater, r.newEvidence = false, false, false, false
 }
 
 // forget removes what is too old to count.
@@ -128,6 +158,7 @@
 		maps.DeleteFunc(r.parts, func(_ kwid.PromptPartID, p *partState) bool {
 			return len(p.crashes) == 0 && now.Sub(p.soundAt) > r.cfg.Memory
 		})
+		r.forgetRequests(now)
 	}
 	for part, q := range r.quarantined {
 		idleSince := q.until
@@ -139,6 +170,7 @@
 			r.suspectsValid, r.changed = false, true
 		}
 	}
+	r.forgetHeldRequests(now)
 	for part, l := range r.lifted {
 		// A crash counts for Memory, and one within Memory of the end of a quarantine doubles the term.
 		if now.Sub(l.liftedAt) > 2*r.cfg.Memory {
--- a/core/kwquarantine/terms.go
+++ b/core/kwquarantine/terms.go
@@ -72,11 +72,12 @@
 	}
 	delete(r.parts, part)
 	for _, crash := range r.crashes {
-		if _, ok := crash.parts[part]; ok {
+		if _, ok := crash.parts[part]; ok && !crash.explained {
 			crash.explained = true
+			r.removeFromRequests(crash)
 		}
 	}
-	r.removeFromParts(func(c *crashState) bool { return c.explained })
+	r.removeFromParts(func(c partCrash) bool { return c.crash.explained })
 	r.quarantined[part] = q
 	delete(r.lifted, part)
 	r.suspectsValid, r.changed = false, true
