kwquarantine: tell the crashing request from those that ran next to it

Popular requests that ran next to a crashing one on small fleets were held for a term, and took its crashes, so that it went on.

A request that was answered lately goes after those that nobody has seen answered, and waits for the confirmation of its answers. Two requests on the same three crashes wait for the next one; a wrong choice is corrected by the first crash without it. Crashes about which a request was on fewer than a third of all do not count against it: servers that crash together end many requests. Entries report the last sound run of a request with its crash, and unconfirmed answers with their watch.

--- a/core/kwquarantine/crashes.go
+++ b/core/kwquarantine/crashes.go
@@ -16,6 +16,8 @@
 	Request kwid.RequestID
 	// Digest identifies what the request asks for; entries of earlier versions report none.
 	Digest kwid.RequestDigest
+	// SoundAge is how long ago the reporting entry last saw a sound run of the request (Guard.SoundAge), 0 if it has not.
+	SoundAge time.Duration
 	// Parts are the shared parts of the prompt; empty if the request had received more than one event, or has no prompt. Then it
 	// counts for its digest alone.
 	Parts []kwid.PromptPartID
@@ -88,6 +90,9 @@
 		digest = DigestRequest("", "", "", []byte(ev.Request))
 	}
 	r.suspectRequest(now, digest, crash)
+	if ev.SoundAge > 0 {
+		r.recordSoundRequest(now, SoundRequest{Digest: digest, Age: ev.SoundAge})
+	}
 	if crash.heldBy > 0 && r.heldRequests[digest] == nil {
 		return
 	}
@@ -96,6 +101,14 @@
 	}
 }
 
+// explainCrash stops a crash from counting, whatever evidence of it is recorded.
+func (r *Registry) explainCrash(now time.Time, id kwmembership.Process) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.forget(now)
+	r.explain(r.recordCrash(now, id))
+}
+
 // recordCrash returns the state of a crash, which is new if this is the first evidence of it.
 func (r *Registry) recordCrash(now time.Time, id kwmembership.Process) *crashState {
 	if crash, ok := r.crashOf[id]; ok {
--- a/core/kwquarantine/decide_parts.go
+++ b/core/kwquarantine/decide_parts.go
@@ -19,9 +19,10 @@
 // firstQualifying returns, of the parts that qualify, the one with the oldest last sound request: a part that is in all requests
 // that crash, and in others, has a later one. It passes over parts that yield to another one.
 func (r *Registry) firstQualifying(now time.Time) (kwid.PromptPartID, bool) {
+	repeating := r.repeatingRequests()
 	var candidates []candidate
 	for part, p := range r.parts {
-		if r.implicated(p) {
+		if r.implicated(p, repeating) {
 			candidates = append(candidates, candidate{part: part, state: p, complete: p.crashesBefore(now.Add(-evidenceDelay))})
 		}
 	}
@@ -61,29 +62,21 @@
 	})
 }
 
-// implicated reports whether enough servers crashed under a part, not all at one moment, and not under one request: a request that
-// crashes servers by itself comes again with all its parts. A part with several such requests is implicated by their crashes.
-func (r *Registry) implicated(p *partState) bool {
+// implicated reports whether enough servers crashed under a part, not all at one moment, and not under one of the requests that crash
+// servers by themselves: such a request comes again with all its parts. The crashes of several of them implicate a part.
+func (r *Registry) implicated(p *partState, repeating []kwid.RequestDigest) bool {
 	if _, ok := r.decisiveCrash(p); !ok {
 		return false
 	}
-	for digest, crashes := range r.crashesUnder(p) {
-		if len(p.crashes)-crashes < r.cfg.MinOtherCrashes && r.repeats(digest) {
-			return false
-		}
-	}
-	return true
-}
-
-// crashesUnder returns how many of the crashes under a part each request was on.
-func (r *Registry) crashesUnder(p *partState) map[kwid.RequestDigest]int {
-	crashes := make(map[kwid.RequestDigest]int)
-	for _, c := range p.crashes {
-		for digest := range c.crash.digests {
-			crashes[digest]++
+	return !slices.ContainsFunc(repeating, func(digest kwid.RequestDigest) bool {
+		others := 0
+		for _, c := range p.crashes {
+			if _, ok := c.crash.digests[digest]; !ok {
+				others++
+			}
 		}
-	}
-	return crashes
+		return others < r.cfg.MinOtherCrashes
+	})
 }
 
 // settledAt returns when entries have had the time to report sound requests of an implicated part, if servers have served anything
@@ -109,8 +102,9 @@
 
 // scheduleParts sets when the next of the implicated parts may be decided on without further evidence.
 func (r *Registry) scheduleParts(now time.Time) {
+	repeating := r.repeatingRequests()
 	for _, p := range r.parts {
-		if !r.implicated(p) {
+		if !r.implicated(p, repeating) {
 			continue
 		}
 		settledAt, ok := r.settledAt(p)
--- a/core/kwquarantine/decide_requests.go
+++ b/core/kwquarantine/decide_requests.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -12,15 +13,18 @@
 type requestCandidate struct {
 	digest kwid.RequestDigest
 	state  *requestState
-	// crashes are its unexplained crashes, and count their number with those of an earlier leader.
+	// crashes are those that count, and count their number with those of an earlier leader.
 	crashes []requestCrash
 	count   int
-	// settledAt is when entries have had the time to report the decisive crash.
+	// answered is set if the request was answered within Memory.
+	answered bool
+	// settledAt is when entries have had the time to report the decisive crash and the answers after it.
 	settledAt time.Time
 }
 
-// decideRequests holds the requests that qualify.
+// decideRequests holds the requests that qualify, and releases those that were held for crashes of another one.
 func (r *Registry) decideRequests(now time.Time) {
+	r.correctRequests(now)
 	for {
 		digest, ok := r.firstRequest(now)
 		if !ok {
@@ -30,54 +34,221 @@
 	}
 }
 
-// firstRequest returns, of the requests that qualify, the one with the most crashes.
+// firstRequest returns, of the requests that qualify, the first that yields to no other.
 func (r *Registry) firstRequest(now time.Time) (kwid.RequestDigest, bool) {
-	for _, c := range r.requestCandidates() {
-		if !now.Before(c.settledAt) {
+	candidates := r.requestCandidates()
+	for _, c := range candidates {
+		if now.Before(c.settledAt) {
+			continue
+		}
+		if !slices.ContainsFunc(candidates, func(other requestCandidate) bool { return r.yieldsRequest(c, other) }) {
 			return c.digest, true
 		}
 	}
 	return kwid.RequestDigest{}, false
 }
 
-// requestCandidates returns the requests under which enough servers crashed, not all at one moment. Those with the most crashes go
-// first: what they explain counts against no other. Of several with as many, the one with the oldest sound run goes first.
+// yieldsRequest reports whether a candidate leaves the decision to another one that explains its crashes: to one that goes first, and,
+// if nothing but MinCrashes common crashes are known of both, to the next crash. It answers innocent requests that ran next to a
+// crashing one each time.
+func (r *Registry) yieldsRequest(c, other requestCandidate) bool {
+	if c.digest == other.digest || r.count(c, other) >= r.cfg.MinCrashes {
+		return false
+	}
+	order := compareRequestCandidates(other, c)
+	return order < 0 || order == 0 && (c.count == r.cfg.MinCrashes || compareDigests(other.digest, c.digest) < 0)
+}
+
+// count returns the number of crashes under a candidate that another one does not explain.
+func (r *Registry) count(c, other requestCandidate) int {
+	n := c.state.adopted
+	for _, own := range c.crashes {
+		if _, ok := own.crash.digests[other.digest]; !ok {
+			n++
+		}
+	}
+	return n
+}
+
+// firmlyExplained reports whether a crash is under a held request that was not contested.
+func (r *Registry) firmlyExplained(crash *crashState) bool {
+	for digest := range crash.digests {
+		if h := r.heldRequests[digest]; h != nil && !h.contested {
+			return true
+		}
+	}
+	return false
+}
+
+// contested reports whether another request was on all crashes of one, or on all but one.
+func (r *Registry) contested(q *requestState) bool {
+	shared := make(map[kwid.RequestDigest]int)
+	for _, c := range q.crashes {
+		for digest := range c.crash.digests {
+			if shared[digest]++; shared[digest] > 1 && shared[digest] >= len(q.crashes)-1 && r.requests[digest] != nil && r.requests[digest] != q {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// correctRequests releases the requests that were held for the crashes of others, once those explain all of them and have crashed a
+// server since.
+func (r *Registry) correctRequests(now time.Time) {
+	for digest, q := range r.requests {
+		last := len(q.crashes) - 1
+		if last < r.cfg.MinCrashes || q.crashes[last].crash.heldBy > 0 || now.Before(q.lastAt().Add(r.cfg.RequestSettle)) {
+			continue
+		}
+		for _, held := range slices.SortedFunc(maps.Keys(r.heldRequests), compareDigests) {
+			h := r.heldRequests[held]
+			if len(h.crashes) < r.cfg.MinCrashes || !h.held.trialAt.IsZero() || !q.lastAt().After(h.heldAt) {
+				continue
+			}
+			if !slices.ContainsFunc(h.crashes, func(c requestCrash) bool { _, ok := c.crash.digests[digest]; return !ok }) {
+				r.exonerate(now, held)
+			}
+		}
+	}
+	for _, held := range slices.SortedFunc(maps.Keys(r.heldRequests), compareDigests) {
+		h := r.heldRequests[held]
+		if len(h.crashes) >= r.cfg.MinCrashes && h.held.trialAt.IsZero() && r.explainedByLater(h) {
+			r.exonerate(now, held)
+		}
+	}
+}
+
+// explainedByLater reports whether each crash under a held request was under one that is held since.
+func (r *Registry) explainedByLater(h *requestState) bool {
+	return !slices.ContainsFunc(h.crashes, func(c requestCrash) bool {
+		for digest := range c.crash.digests {
+			if other := r.heldRequests[digest]; other != nil && other.heldAt.After(h.heldAt) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// requestCandidates returns the requests under which enough servers crashed, not all at one moment, in the order of the decision. What
+// a held request explains does not count, unless that was contested and a server has crashed without it since.
 func (r *Registry) requestCandidates() []requestCandidate {
 	var candidates []requestCandidate
 	for digest, q := range r.requests {
 		if len(q.crashes)+q.adopted < r.cfg.MinCrashes {
 			continue
 		}
-		crashes := q.unexplained()
-		at, ok := r.decisiveRequestCrash(crashes, q.adopted)
+		since, ok := q.unexplainedSince()
+		if !ok {
+			continue
+		}
+		c := requestCandidate{digest: digest, state: q, answered: !q.answeredAt.IsZero()}
+		for _, crash := range q.crashes {
+			if r.share(digest, crash.crash) && (crash.crash.heldBy == 0 || !c.answered && !r.firmlyExplained(crash.crash)) {
+				c.crashes = append(c.crashes, crash)
+			}
+		}
+		c.count = len(c.crashes) + q.adopted
+		settle := r.cfg.RequestSettle
+		if c.answered || r.contested(q) {
+			settle = r.cfg.DoubtSettle
+		}
+		at, ok := r.decisiveRequestCrash(c, settle)
 		if !ok {
 			continue
 		}
-		candidates = append(candidates, requestCandidate{
-			digest: digest, state: q, crashes: crashes, count: len(crashes) + q.adopted, settledAt: at.Add(r.cfg.RequestSettle),
-		})
+		if c.settledAt = since.Add(r.cfg.RequestSettle); at.After(c.settledAt) {
+			c.settledAt = at
+		}
+		if confirmed := q.answeredAt.Add(confirmTime); r.countSince(c, q.answeredAt) < r.cfg.MinCrashes && confirmed.After(c.settledAt) {
+			c.settledAt = confirmed
+		}
+		candidates = append(candidates, c)
 	}
 	slices.SortFunc(candidates, func(a, b requestCandidate) int {
-		return cmp.Or(
-			cmp.Compare(b.count, a.count),
-			a.state.soundAt.Compare(b.state.soundAt),
-			compareDigests(a.digest, b.digest),
-		)
+		return cmp.Or(compareRequestCandidates(a, b), compareDigests(a.digest, b.digest))
 	})
 	return candidates
 }
 
-// decisiveRequestCrash returns when the crash was recorded that makes crashes enough to hold their request: there are MinCrashes up to
-// it, over MinSpread. One of them has to be of this leader's sight.
-func (r *Registry) decisiveRequestCrash(crashes []requestCrash, adopted int) (time.Time, bool) {
-	for i := max(r.cfg.MinCrashes-adopted-1, 0); i < len(crashes); i++ {
-		if adopted > 0 || crashes[i].recordedAt.Sub(crashes[0].recordedAt) >= r.cfg.MinSpread {
-			return crashes[i].recordedAt, true
+// countSince returns the number of crashes under a candidate after an answer.
+func (r *Registry) countSince(c requestCandidate, answeredAt time.Time) int {
+	n := c.state.adopted
+	for _, own := range c.crashes {
+		if own.crash.recordedAt.After(answeredAt) {
+			n++
+		}
+	}
+	return n
+}
+
+// compareRequestCandidates orders candidates: what the first explains counts against no other. Requests that nobody has seen answered
+// go first, of these the one with the most crashes, and of several with as many the one with the oldest sound run.
+func compareRequestCandidates(a, b requestCandidate) int {
+	answered := func(c requestCandidate) int {
+		if c.answered {
+			return 1
+		}
+		return 0
+	}
+	return cmp.Or(
+		cmp.Compare(answered(a), answered(b)),
+		cmp.Compare(b.count, a.count),
+		a.state.soundAt.Compare(b.state.soundAt),
+	)
+}
+
+// decisiveRequestCrash returns when the crashes under a request are enough to hold it: settle after MinCrashes of them, if they span
+// RequestSpread. If the request was answered within Memory, each of them has to be MinSpread after another. One of the crashes has to
+// be of this leader's sight.
+func (r *Registry) decisiveRequestCrash(c requestCandidate, settle time.Duration) (time.Time, bool) {
+	n := c.state.adopted
+	var first, last, enough time.Time
+	for i, crash := range c.crashes {
+		at := crash.crash.recordedAt
+		if i == 0 {
+			first = at
+		}
+		if i == 0 || !c.answered || at.Sub(last) >= r.cfg.MinSpread {
+			n, last = n+1, at
+		}
+		if n >= r.cfg.MinCrashes && enough.IsZero() {
+			enough = crash.recordedAt.Add(settle)
+		}
+		if n >= r.cfg.MinCrashes && (c.state.adopted > 0 || at.Sub(first) >= r.cfg.RequestSpread) {
+			if crash.recordedAt.After(enough) {
+				return crash.recordedAt, true
+			}
+			return enough, true
 		}
 	}
 	return time.Time{}, false
 }
 
+// share reports whether a request was on a fair share of the crashes about the time of one: servers that crash together for another
+// reason end many requests, each on a few of them.
+func (r *Registry) share(digest kwid.RequestDigest, crash *crashState) bool {
+	on, all := 0, 0
+	from, _ := slices.BinarySearchFunc(r.crashes, crash.recordedAt.Add(-shareTime), func(c *crashState, at time.Time) int {
+		return c.recordedAt.Compare(at)
+	})
+	for _, c := range r.crashes[from:] {
+		if c.recordedAt.Sub(crash.recordedAt) > shareTime {
+			break
+		}
+		_, ok := c.digests[digest]
+		switch {
+		case ok:
+			on++
+			all++
+		case !c.explained && c.heldBy == 0:
+			all++
+		}
+	}
+	return minShare*on >= all
+}
+
 // scheduleRequests sets when the next request may be held without further evidence.
 func (r *Registry) scheduleRequests(now time.Time) {
 	for _, c := range r.requestCandidates() {
@@ -85,4 +256,9 @@
 			r.evaluateBy(c.settledAt)
 		}
 	}
+	for _, q := range r.requests {
+		if at := q.lastAt().Add(r.cfg.RequestSettle); len(q.crashes) > r.cfg.MinCrashes && now.Before(at) && len(r.heldRequests) > 0 {
+			r.evaluateBy(at)
+		}
+	}
 }
--- a/core/kwquarantine/guard_requests.go
+++ b/core/kwquarantine/guard_requests.go
@@ -25,6 +25,10 @@
 	maxSoundRequests = 4096
 	// suspectCrashes is the number of crashes from which on a request is suspected: one more and it is held.
 	suspectCrashes = 2
+	// sameAnswer is the time between two records of an answer by the processes of one chain.
+	sameAnswer = 100 * time.Millisecond
+	// refreshInterval is the time between two times that a cut-off entry tells its own record of sound runs.
+	refreshInterval = 250 * time.Millisecond
 	// cutOffAfter is the time since the last view after which an entry relies on what it saw itself. Views come every second.
 	cutOffAfter = 2 * time.Second
 )
@@ -61,8 +65,10 @@
 	held     map[kwid.RequestDigest]heldUntil
 	// appliedAt is when the last view was applied.
 	appliedAt time.Time
-	// own decides on what this entry saw itself.
+	// own counts what this entry saw itself; it decides only while the entry is cut off.
 	own *Registry
+	// refreshedAt is when own was last told of sound runs.
+	refreshedAt time.Time
 }
 
 func newRequestGuard() requestGuard {
@@ -103,24 +109,40 @@
 	}
 }
 
-// CheckRequest returns the hold that keeps a request from servers. A trial is due when Remaining is 0: the leader allows it. While the
-// entry is cut off from control it holds what crashed servers in its own sight, and lets a trial pass itself.
+// CheckRequest returns the hold that keeps a request from servers. A trial is due when Remaining is 0: the leader allows it. An entry
+// that is cut off from control holds what crashed servers in its own sight, and lets one request pass itself when a term is over.
 func (g *Guard) CheckRequest(now time.Time, digest kwid.RequestDigest) (HeldRequest, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	q := &g.requests
+	cutOff := q.cutOff(now)
 	if h, ok := q.held[digest]; ok {
-		return HeldRequest{Digest: digest, Remaining: max(h.until.Sub(now), 0), Term: h.term}, true
+		held := HeldRequest{Digest: digest, Remaining: max(h.until.Sub(now), 0), Term: h.term}
+		if !cutOff || held.Remaining > 0 {
+			return held, true
+		}
+		// Nobody else allows a trial.
+		q.own.AdoptRequests(now, []HeldRequest{held}, nil)
+		delete(q.held, digest)
 	}
-	if !q.cutOff(now) {
-		return HeldRequest{}, false
+	if cutOff {
+		if now.Sub(q.refreshedAt) >= refreshInterval {
+			q.refresh(now, g.cfg.Memory)
+		}
+		q.own.Decide(now)
 	}
-	q.own.Decide(now)
 	h, ok := q.own.heldRequest(now, digest)
-	if ok && h.Remaining == 0 && q.own.StartRequestTrial(now, digest) {
+	if !ok || h.Remaining > 0 {
+		return h, ok
+	}
+	if !cutOff {
+		q.own.dropHeldRequest(digest)
+		return HeldRequest{}, false
+	}
+	if q.own.StartRequestTrial(now, digest) {
 		return HeldRequest{}, false
 	}
-	return h, ok
+	return h, true
 }
 
 // cutOff reports whether no view has come for so long that the entry relies on what it saw itself.
@@ -188,6 +210,19 @@
 	q.soundOf[a.digest] = q.sounds.PushFront(&a)
 }
 
+// refresh makes answers sound of whose processes nothing else was heard, and tells own of the sound runs of its requests.
+func (q *requestGuard) refresh(now time.Time, memory time.Duration) {
+	q.refreshedAt = now
+	for e := q.answerLogs.Back(); e != nil; {
+		log, previous := e.Value.(*answerLog), e.Prev()
+		if q.confirm(log, now.Add(-quietSound)); len(log.answers) == 0 {
+			q.forgetLog(e)
+		}
+		e = previous
+	}
+	q.own.RecordSoundRequests(now, q.soundsOf(now, memory, q.own.suspectDigests(now)))
+}
+
 // RecordCrashed records that a process crashed with these requests under way, and returns the requests that it had answered shortly
 // before it was last heard of. It is to be called for each crash that the entry learns of, also with no request under way: the answers
 // of a process of which nothing is heard become sound. Further calls for a process add requests.
@@ -199,46 +234,88 @@
 	if e, ok := q.logOf[process]; ok {
 		log := e.Value.(*answerLog)
 		q.confirm(log, log.lastAt.Add(-outlive))
+		q.forgetLog(e)
 		for _, a := range log.answers {
+			q.removeAnswer(a)
 			if !slices.Contains(inFlight, a.digest) && !slices.Contains(answeredBefore, a.digest) {
 				answeredBefore = append(answeredBefore, a.digest)
 			}
 		}
-		q.forgetLog(e)
 	}
-	for _, digest := range slices.Concat(inFlight, answeredBefore) {
+	digests := slices.Concat(inFlight, answeredBefore)
+	if slices.ContainsFunc(digests, func(d kwid.RequestDigest) bool { _, ok := q.held[d]; return ok }) {
+		q.own.explainCrash(now, process)
+		return answeredBefore
+	}
+	for _, digest := range digests {
 		q.own.RecordCrash(now, Evidence{Crash: process, Digest: digest})
 	}
 	return answeredBefore
 }
 
-// SoundRequests returns the last sound runs of the suspect and held requests within Memory, sorted.
+// removeAnswer removes the answer of a process that crashed from those of the other processes of its chain.
+func (q *requestGuard) removeAnswer(crashed answer) {
+	for e := q.answerLogs.Front(); e != nil; e = e.Next() {
+		log := e.Value.(*answerLog)
+		log.answers = slices.DeleteFunc(log.answers, func(a answer) bool {
+			return a.digest == crashed.digest && a.at.Sub(crashed.at).Abs() <= sameAnswer
+		})
+	}
+}
+
+// SoundRequests returns the last sound runs of the suspect and held requests within Memory, sorted, with later answers that are not
+// confirmed.
 func (g *Guard) SoundRequests(now time.Time) []SoundRequest {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	q := &g.requests
-	for e := q.answerLogs.Back(); e != nil; {
-		log, previous := e.Value.(*answerLog), e.Prev()
-		if q.confirm(log, now.Add(-quietSound)); len(log.answers) == 0 {
-			q.forgetLog(e)
-		}
-		e = previous
-	}
-	q.own.RecordSoundRequests(now, q.soundsOf(now, g.cfg.Memory, q.own.suspectDigests(now)))
-	digests := make(map[kwid.RequestDigest]struct{}, len(q.suspects)+len(q.held))
+	q.refresh(now, g.cfg.Memory)
+	own := q.own.suspectDigests(now)
+	digests := make(map[kwid.RequestDigest]struct{}, len(own)+len(q.suspects)+len(q.held))
 	for digest := range q.suspects {
 		digests[digest] = struct{}{}
 	}
 	for digest := range q.held {
 		digests[digest] = struct{}{}
 	}
+	for _, digest := range own {
+		digests[digest] = struct{}{}
+	}
 	return q.soundsOf(now, g.cfg.Memory, slices.SortedFunc(maps.Keys(digests), compareDigests))
 }
 
-// soundsOf returns the last sound runs of requests within a time.
+// SoundAge returns how long ago this entry last saw a sound run of a request, for the report of a crash under it; 0 if not within Memory.
+func (g *Guard) SoundAge(now time.Time, digest kwid.RequestDigest) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	e, ok := g.requests.soundOf[digest]
+	if !ok {
+		return 0
+	}
+	if age := now.Sub(e.Value.(*answer).at); age <= g.cfg.Memory {
+		return max(age, 1)
+	}
+	return 0
+}
+
+// soundsOf returns the last sound runs of requests within a time, and their last answers that are not confirmed.
 func (q *requestGuard) soundsOf(now time.Time, memory time.Duration, digests []kwid.RequestDigest) []SoundRequest {
+	if len(digests) == 0 {
+		return nil
+	}
+	unconfirmed := make(map[kwid.RequestDigest]time.Time)
+	for e := q.answerLogs.Front(); e != nil; e = e.Next() {
+		for _, a := range e.Value.(*answerLog).answers {
+			if a.at.After(unconfirmed[a.digest]) {
+				unconfirmed[a.digest] = a.at
+			}
+		}
+	}
 	var sounds []SoundRequest
 	for _, digest := range digests {
+		if at, ok := unconfirmed[digest]; ok {
+			sounds = append(sounds, SoundRequest{Digest: digest, Age: max(now.Sub(at), 0), Unconfirmed: true})
+		}
 		e, ok := q.soundOf[digest]
 		if !ok {
 			continue
@@ -250,11 +327,18 @@
 	return sounds
 }
 
-// HeldRequests returns the requests that the leader's view holds, sorted, for a new leader to adopt.
+// HeldRequests returns the held requests of the leader's view, sorted, for a new leader to adopt; an entry that is cut off adds those
+// that it holds itself.
 func (g *Guard) HeldRequests(now time.Time) []HeldRequest {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	held := make([]HeldRequest, 0, len(g.requests.held))
+	var held []HeldRequest
+	if g.requests.cutOff(now) {
+		held = slices.DeleteFunc(g.requests.own.HeldRequests(now), func(h HeldRequest) bool {
+			_, ok := g.requests.held[h.Digest]
+			return ok
+		})
+	}
 	for digest, h := range g.requests.held {
 		held = append(held, HeldRequest{Digest: digest, Remaining: max(h.until.Sub(now), 0), Term: h.term})
 	}
@@ -262,13 +346,19 @@
 	return held
 }
 
-// SuspectRequests returns the suspects of the leader's view, sorted, for a new leader to adopt.
+// SuspectRequests returns the suspects of the leader's view, sorted, for a new leader to adopt; an entry that is cut off adds its own.
 func (g *Guard) SuspectRequests(now time.Time) []SuspectRequest {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	suspects := make([]SuspectRequest, 0, len(g.requests.suspects))
-	for digest, crashes := range g.requests.suspects {
-		suspects = append(suspects, SuspectRequest{Digest: digest, Crashes: crashes})
+	crashes := maps.Clone(g.requests.suspects)
+	if g.requests.cutOff(now) {
+		for _, s := range g.requests.own.SuspectRequests(now) {
+			crashes[s.Digest] = max(crashes[s.Digest], s.Crashes)
+		}
+	}
+	suspects := make([]SuspectRequest, 0, len(crashes))
+	for digest, n := range crashes {
+		suspects = append(suspects, SuspectRequest{Digest: digest, Crashes: n})
 	}
 	slices.SortFunc(suspects, func(a, b SuspectRequest) int { return compareDigests(a.Digest, b.Digest) })
 	return suspects
--- a/core/kwquarantine/registry.go
+++ b/core/kwquarantine/registry.go
@@ -23,6 +23,11 @@
 	Settle time.Duration
 	// RequestSettle is the time after the last crash that the decision on a request needs, in which entries report crashes.
 	RequestSettle time.Duration
+	// RequestSpread stands for MinSpread in decisions on requests.
+	RequestSpread time.Duration
+	// DoubtSettle stands for RequestSettle if the request was answered within Memory, or if another one was on all of its crashes but
+	// one: it may have been on the servers by chance, and its last sound run is still to be reported.
+	DoubtSettle time.Duration
 	// Memory is how long crashes and sound requests count.
 	Memory time.Duration
 	// FirstTerm is the term of a first quarantine of a part, and FirstRequestTerm that of a request; failed trials double them up to
@@ -45,6 +50,8 @@
 		MinSpread:        200 * time.Millisecond,
 		Settle:           700 * time.Millisecond,
 		RequestSettle:    200 * time.Millisecond,
+		RequestSpread:    400 * time.Millisecond,
+		DoubtSettle:      time.Second,
 		Memory:           time.Minute,
 		FirstTerm:        30 * time.Second,
 		FirstRequestTerm: time.Minute,
@@ -73,6 +80,11 @@
 	maxRequestCrashes  = 32768
 	// maxRequestsInView is the number of suspect requests in a view: those with the most crashes.
 	maxRequestsInView = 128
+	// shareTime is the time about a crash in which a request has to be on one in minShare crashes, for the crash to count against it.
+	shareTime = 300 * time.Millisecond
+	minShare  = 3
+	// confirmTime is the time after an answer in which it is confirmed, by the next answer of its server.
+	confirmTime = 1500 * time.Millisecond
 	// maxHeldRequests is the number of held requests; beyond it the one whose term ends first is released.
 	maxHeldRequests = 128
 	// maxQuarantined is the number of quarantined parts; beyond it the one whose term ends first is released.
--- a/core/kwquarantine/request_crashes.go
+++ b/core/kwquarantine/request_crashes.go
@@ -19,6 +19,8 @@
 type SoundRequest struct {
 	Digest kwid.RequestDigest `cbor:"1,keyasint"`
 	Age    time.Duration      `cbor:"2,keyasint,omitempty"`
+	// Unconfirmed is set while the server may still crash under the answer.
+	Unconfirmed bool `cbor:"3,keyasint,omitempty"`
 }
 
 // requestCrash is a crash under a request.
@@ -32,23 +34,26 @@
 type requestState struct {
 	crashes []requestCrash
 	soundAt time.Time
+	// answeredAt is the last answer, sound or not yet confirmed.
+	answeredAt time.Time
 	// adopted is the number of crashes that an earlier leader counted; it was taken over at adoptedAt.
 	adopted   int
 	adoptedAt time.Time
 	// held is nil unless the request is held, since heldAt.
 	held   *quarantineState
 	heldAt time.Time
+	// contested is set if another one may have caused the crashes.
+	contested bool
 }
 
-// unexplained returns the crashes under a request that are not under a held one too.
-func (q *requestState) unexplained() []requestCrash {
-	var crashes []requestCrash
+// unexplainedSince returns when the first crash under a request that is not under a held one too was recorded.
+func (q *requestState) unexplainedSince() (time.Time, bool) {
 	for _, c := range q.crashes {
 		if c.crash.heldBy == 0 {
-			crashes = append(crashes, c)
+			return c.recordedAt, true
 		}
 	}
-	return crashes
+	return time.Time{}, false
 }
 
 // count returns the number of unexplained crashes with those of an earlier leader.
@@ -83,10 +88,15 @@
 	return r.requests[digest]
 }
 
-// repeats reports whether a request crashes servers by itself, as far as is known.
-func (r *Registry) repeats(digest kwid.RequestDigest) bool {
-	q := r.request(digest)
-	return q != nil && (q.held != nil || len(q.crashes)+q.adopted >= r.cfg.MinCrashes)
+// repeatingRequests returns the requests that crash servers by themselves, as far as is known.
+func (r *Registry) repeatingRequests() []kwid.RequestDigest {
+	digests := slices.Collect(maps.Keys(r.heldRequests))
+	for digest, q := range r.requests {
+		if len(q.crashes) >= r.cfg.MinCrashes {
+			digests = append(digests, digest)
+		}
+	}
+	return digests
 }
 
 // suspectRequest counts a crash against a request, unless that had a sound run after it.
@@ -102,6 +112,8 @@
 	}
 	q.crashes = append(q.crashes, requestCrash{crash: crash, recordedAt: now})
 	crash.digests[digest] = struct{}{}
+	// The answer may be the one that the server did not outlive.
+	q.answeredAt = q.soundAt
 	r.requestCrashes++
 	r.newEvidence, r.requestsValid = true, false
 	if q.held == nil {
@@ -195,23 +207,37 @@
 	defer r.mu.Unlock()
 	r.forget(now)
 	for _, s := range sounds {
-		q := r.request(s.Digest)
-		at := now.Add(-max(s.Age, 0))
-		if q == nil || s.Age >= r.cfg.Memory || !at.After(q.soundAt) {
-			continue
-		}
-		if q.held != nil {
-			if sound := q.held.trialAt; !sound.IsZero() && at.After(sound) || sound.IsZero() && len(q.crashes) > 0 && at.After(q.lastAt()) {
-				r.releaseRequest(now, s.Digest, at)
-			}
-			continue
+		r.recordSoundRequest(now, s)
+	}
+}
+
+func (r *Registry) recordSoundRequest(now time.Time, s SoundRequest) {
+	q, at := r.request(s.Digest), now.Add(-max(s.Age, 0))
+	if q == nil || s.Age >= r.cfg.Memory || !at.After(q.soundAt) {
+		return
+	}
+	if s.Unconfirmed {
+		if at.After(q.answeredAt) {
+			q.answeredAt = at
+			r.newEvidence = true
 		}
-		q.soundAt = at
-		if q.adopted > 0 && at.After(q.adoptedAt) {
-			q.adopted = 0
+		return
+	}
+	if h := q.held; h != nil {
+		if !h.trialAt.IsZero() && at.After(h.trialAt) || h.trialAt.IsZero() && len(q.crashes) > 0 && at.After(q.lastAt()) {
+			r.releaseRequest(now, s.Digest, at)
 		}
-		r.removeCrashes(s.Digest, q, func(c *crashState) bool { return !c.recordedAt.After(at) })
+		return
+	}
+	q.soundAt = at
+	if at.After(q.answeredAt) {
+		q.answeredAt = at
+	}
+	r.newEvidence = true
+	if q.adopted > 0 && at.After(q.adoptedAt) {
+		q.adopted = 0
 	}
+	r.removeCrashes(s.Digest, q, func(c *crashState) bool { return !c.recordedAt.After(at) })
 }
 
 // SuspectRequests returns the held requests and those with unexplained crashes since their last sound run, the ones with the most
--- a/core/kwquarantine/request_terms.go
+++ b/core/kwquarantine/request_terms.go
@@ -68,6 +68,7 @@
 	if !ok {
 		q = &requestState{}
 	}
+	q.contested = r.contested(q)
 	delete(r.requests, digest)
 	q.held, q.heldAt, q.adopted = held, now, 0
 	r.heldRequests[digest] = q
@@ -89,19 +90,37 @@
 func (r *Registry) releaseRequest(now time.Time, digest kwid.RequestDigest, soundAt time.Time) {
 	held := r.heldRequests[digest].held
 	r.removeHeldRequest(digest)
+	released := liftedState{liftedAt: now}
+	if !held.trialAt.IsZero() {
+		released.term = held.term
+	}
+	r.noteRelease(digest, released)
+	r.makeRoomForRequest()
+	r.requests[digest] = &requestState{soundAt: soundAt, answeredAt: soundAt}
+}
+
+// exonerate ends the hold of a request whose crashes another one explains; they count again.
+func (r *Registry) exonerate(now time.Time, digest kwid.RequestDigest) {
+	q := r.heldRequests[digest]
+	delete(r.heldRequests, digest)
+	q.held = nil
+	for _, c := range q.crashes {
+		c.crash.heldBy--
+	}
+	r.requests[digest] = q
+	r.noteRelease(digest, liftedState{liftedAt: now})
+	r.requestsValid, r.changed = false, true
+}
+
+// noteRelease remembers a release, so that no entry's view of an earlier leader undoes it.
+func (r *Registry) noteRelease(digest kwid.RequestDigest, released liftedState) {
 	if len(r.releasedRequests) >= maxHeldRequests {
 		oldest := slices.MinFunc(slices.Collect(maps.Keys(r.releasedRequests)), func(a, b kwid.RequestDigest) int {
 			return cmp.Or(r.releasedRequests[a].liftedAt.Compare(r.releasedRequests[b].liftedAt), compareDigests(a, b))
 		})
 		delete(r.releasedRequests, oldest)
 	}
-	released := liftedState{liftedAt: now}
-	if !held.trialAt.IsZero() {
-		released.term = held.term
-	}
 	r.releasedRequests[digest] = released
-	r.makeRoomForRequest()
-	r.requests[digest] = &requestState{soundAt: soundAt}
 }
 
 // forgetHeldRequests forgets held requests that nobody asks for, and releases that are too old to matter.
@@ -129,3 +148,12 @@
 	}
 	return HeldRequest{Digest: digest, Remaining: max(q.held.trialDueAt(r.cfg).Sub(now), 0), Term: q.held.term}, true
 }
+
+// dropHeldRequest forgets the hold of a request.
+func (r *Registry) dropHeldRequest(digest kwid.RequestDigest) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.heldRequests[digest] != nil {
+		r.removeHeldRequest(digest)
+	}
+}
