--- /dev/null
+++ b/core/kwquarantine/decide_parts.go
@@ -0,0 +1,130 @@
+package kwquarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"knapweedproxy/core/kwid"
+)
+
+// candidate is a part that qualifies for a quarantine, now or once it is settled.
+type candidate struct {
+	part  kwid.PromptPartID
+	state *partState
+	// complete is the number of its crashes of which all entries have reported their requests.
+	complete int
+}
+
+// firstQualifying returns, of the parts that qualify, the one with the oldest last sound request: a part that is in all requests
+// that crash, and in others, has a later one. It passes over parts that yield to another one.
+func (r *Registry) firstQualifying(now time.Time) (kwid.PromptPartID, bool) {
+	var candidates []candidate
+	for part, p := range r.parts {
+		if r.implicated(p) {
+			candidates = append(candidates, candidate{part: part, state: p, complete: p.crashesBefore(now.Add(-evidenceDelay))})
+		}
+	}
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(
+			a.state.soundAt.Compare(b.state.soundAt),
+			cmp.Compare(len(b.state.crashes), len(a.state.crashes)),
+			cmp.Compare(a.part, b.part),
+		)
+	})
+	for _, c := range candidates {
+		if at, ok := r.settledAt(c.state); !ok || now.Before(at) {
+			continue
+		}
+		if !slices.ContainsFunc(candidates, func(other candidate) bool { return r.yields(now, c, other) }) {
+			return c.part, true
+		}
+	}
+	return "", false
+}
+
+// yields reports whether a candidate leaves the decision to another one, which has more crashes and was in a request of each
+// settled crash of the candidate. With as many crashes, it does so for another Settle, in which further crashes may tell the two
+// apart. It answers rare parts, such as those of one session, that come with the crashing part and were never served.
+func (r *Registry) yields(now time.Time, c, other candidate) bool {
+	if c.part == other.part {
+		return false
+	}
+	more := other.complete - c.complete
+	settledAt, _ := r.settledAt(c.state)
+	if more < 0 || more == 0 && !now.Before(settledAt.Add(r.cfg.Settle)) {
+		return false
+	}
+	return !slices.ContainsFunc(c.state.crashes, func(own partCrash) bool {
+		_, shared := own.crash.parts[other.part]
+		return !shared && now.Sub(own.recordedAt) >= r.cfg.Settle
+	})
+}
+
+// implicated reports whether enough servers crashed under a part, not all at one moment, and not under one request: a request that
+// crashes servers by itself comes again with all its parts. A part with several such requests is implicated by their crashes.
+func (r *Registry) implicated(p *partState) bool {
+	if _, ok := r.decisiveCrash(p); !ok {
+		return false
+	}
+	for digest, crashes := range r.crashesUnder(p) {
+		if len(p.crashes)-crashes < r.cfg.MinOtherCrashes && r.repeats(digest) {
+			return false
+		}
+	}
+	return true
+}
+
+// crashesUnder returns how many of the crashes under a part each request was on.
+func (r *Registry) crashesUnder(p *partState) map[kwid.RequestDigest]int {
+	crashes := make(map[kwid.RequestDigest]int)
+	for _, c := range p.crashes {
+		for digest := range c.crash.digests {
+			crashes[digest]++
+		}
+	}
+	return crashes
+}
+
+// settledAt returns when entries have had the time to report sound requests of an implicated part, if servers have served anything
+// since its decisive crash. After an outage, in which nothing was served for minOutage, a server has to crash under the part again:
+// the requests that an outage ends crash nothing once service is back.
+func (r *Registry) settledAt(p *partState) (time.Time, bool) {
+	i, ok := r.decisiveCrash(p)
+	if !ok || !p.crashes[i].precedes(p.served.servedAt) {
+		return time.Time{}, false
+	}
+	from := p.served.reportedAt
+	if p.served.servedAt.Sub(p.crashes[i].recordedAt) > minOutage {
+		again := slices.IndexFunc(p.crashes, func(c partCrash) bool { return c.crash.recordedAt.After(p.served.servedAt) })
+		if again < 0 {
+			return time.Time{}, false
+		}
+		if at := p.crashes[again].recordedAt; at.After(from) {
+			from = at
+		}
+	}
+	return from.Add(r.cfg.Settle), true
+}
+
+// scheduleParts sets when the next of the implicated parts may be decided on without further evidence.
+func (r *Registry) scheduleParts(now time.Time) {
+	for _, p := range r.parts {
+		if !r.implicated(p) {
+			continue
+		}
+		settledAt, ok := r.settledAt(p)
+		if !ok {
+			continue
+		}
+		at := settledAt
+		if !now.Before(at) {
+			// The part yields to another one: for Settle at most, or until that is cleared.
+			at = now.Add(evidenceDelay)
+			if end := settledAt.Add(r.cfg.Settle); now.Before(end) && end.Before(at) {
+				at = end
+			}
+		}
+		r.evaluateBy(at)
+	}
+}
