kwdirectentry: log each request whose server crashed, with its digest

It is now written for calls of plain services too and for streams at any time, with the digest of host, target, caller and body, and without the body.

TestCrashIsLoggedWithTheDigest failed before in all three cases: no event, or one without a digest.

--- a/io/kwdirectentry/quarantine.go
+++ b/io/kwdirectentry/quarantine.go
@@ -83,10 +83,9 @@
 }
 
 // checkForCrash probes an endpoint that was to answer a request and broke it off. If it has crashed, the request is reported to
-// the leader as evidence against the parts of its prompt.
-func (g *Gateway) checkForCrash(q *request, id kwid.EndpointID, address string) {
-	parts := q.guardedParts()
-	if len(parts) == 0 || q.stopped() {
+// the leader as evidence against these parts of its prompt.
+func (g *Gateway) checkForCrash(q *request, id kwid.EndpointID, address string, parts []kwid.PromptPartID) {
+	if q.stopped() {
 		return
 	}
 	process := g.processOf(q, id)
@@ -94,11 +93,15 @@
 	if !g.crashLog.crashed(process, refuses) {
 		return
 	}
+	g.deps.Events.Emit(kwevent.RequestCrashed, q.meta.ID, kwevent.F("endpoint", id), kwevent.F("address", address),
+		kwevent.F("born", process.StartedMillis), kwevent.F("digest", q.digest.String()), kwevent.F("parts", parts))
+	if len(parts) == 0 {
+		return
+	}
 	q.crashes++
 	req := kwdirectproto.EndpointCrashed{
 		Entry: g.cfg.Node, Endpoint: id, StartedMillis: process.StartedMillis, Request: q.meta.ID, Parts: parts,
 	}
-	g.deps.Events.Emit(kwevent.RequestCrashed, q.meta.ID, kwevent.F("endpoint", id), kwevent.F("address", address), kwevent.F("parts", req.Parts))
 	g.goBackground(func() {
 		ctx, cancel := context.WithTimeout(g.ctx, faultReportTimeout)
 		defer cancel()
--- a/io/kwdirectentry/quarantine_test.go
+++ b/io/kwdirectentry/quarantine_test.go
@@ -295,3 +295,103 @@
 		})
 	}
 }
+
+// TestCrashIsLoggedWithTheDigest checks that each request whose server crashes is logged with the same digest if it comes again, and
+// without its body: a call of a plain service, and a stream after some events.
+func TestCrashIsLoggedWithTheDigest(t *testing.T) {
+	cases := []struct {
+		name, path string
+		events     int
+	}{
+		{"lookup", "/lookups/x", 0},
+		{"stream before its first event", "/notes/x", 0},
+		{"stream after three events", "/notes/x", 3},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			digests := make(map[string]int)
+			for _, id := range []string{"first", "again"} {
+				address := serveCrash(t, c.events)
+				g := newTestGateway(t, address, address)
+				g.deps.Dialect = partsDialect{}
+				if status, body := postBody(t, g, c.path, id, "secret"); status == http.StatusOK {
+					t.Fatalf("got status 200, %s, want an error", body)
+				}
+				for _, r := range g.deps.Events.Records() {
+					if strings.Contains(fmt.Sprint(r), "secret") {
+						t.Errorf("event %s holds the body: %v", r.Name, r)
+					}
+					if r.Name != "request-crashed" {
+						continue
+					}
+					for _, f := range r.Fields {
+						if f.Key == "digest" {
+							digests[fmt.Sprint(f.Value)]++
+						}
+					}
+				}
+			}
+			if len(digests) != 1 {
+				t.Fatalf("got digests %v, want one", digests)
+			}
+			for digest, n := range digests {
+				if n != 2 || len(digest) != 32 {
+					t.Errorf("got digest %q in %d events, want 32 hexadecimal digits in 2", digest, n)
+				}
+			}
+		})
+	}
+}
+
+// serveCrash runs a server that sends some events, at least the head of a stream if there are any, and then refuses connections.
+func serveCrash(t *testing.T, events int) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		defer func() { _ = l.Close() }()
+		req, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		if events > 0 {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n", req.Header.Get("Id"))
+		}
+		for event := range events {
+			writeEvent(c, event+1)
+			time.Sleep(5 * time.Millisecond)
+		}
+	}()
+	return l.Addr().String()
+}
+
+// postBody sends a request with a body, and returns the status and the body of the answer, or the error in its place.
+func postBody(t *testing.T, g *Gateway, path, id, body string) (int, string) {
+	t.Helper()
+	address, _ := g.Addresses()
+	req, err := http.NewRequest(http.MethodPost, "http://"+address+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h"
+	req.Header.Set("Id", id)
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = resp.Body.Close() }()
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return resp.StatusCode, string(answer)
+}
--- a/io/kwdirectentry/request.go
+++ b/io/kwdirectentry/request.go
@@ -39,6 +39,8 @@
 	suspect bool
 	// trial means that the leader lets the request pass although a part of its prompt is quarantined.
 	trial bool
+	// digest identifies what the request asks for, also when it comes again under another ID.
+	digest kwid.RequestDigest
 	// broken means that the caller has received part of a stream that has broken off.
 	broken bool
 	// waited is the time spent waiting for a view and in the queue, firstEvent the time from arrival to the first event.
@@ -123,6 +125,7 @@
 		g.reject(q, err)
 		return
 	}
+	q.setDigest()
 	if g.drained.Err() != nil {
 		g.reject(q, stoppingError("the entry has stopped"))
 		return
--- a/io/kwdirectentry/stream_failure.go
+++ b/io/kwdirectentry/stream_failure.go
@@ -33,11 +33,14 @@
 	return resultBroken
 }
 
-// checkStreamForCrash checks whether an endpoint that was to begin the answer to a stream has crashed.
+// checkStreamForCrash checks whether an endpoint that was to answer a stream has crashed. A stream that has been sound before is evidence
+// against itself alone, not against the parts of its prompt.
 func (g *Gateway) checkStreamForCrash(s *streamState, id kwid.EndpointID, address string) {
+	var parts []kwid.PromptPartID
 	if !s.sound {
-		g.checkForCrash(s.q, id, address)
+		parts = s.q.guardedParts()
 	}
+	g.checkForCrash(s.q, id, address, parts)
 }
 
 // handleErrorResponse handles a response with a status other than 200; complete means that its body was read to the
@@ -99,7 +102,7 @@
 // connectionDropped reports whether the first endpoint of a chain closed the connection, rather than being silent for
 // too long.
 func connectionDropped(err error) bool {
-	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
+	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
 }
 
 // recordStreamReset records that the first endpoint of a chain broke off a stream. Stall reports and probes do not show
--- a/io/kwdirectentry/unary.go
+++ b/io/kwdirectentry/unary.go
@@ -82,7 +82,9 @@
 	case res.Err != nil:
 		if res.Sent {
 			attempts.mayHaveRun++
-			g.checkForCrash(q, endpoint.ID, endpoint.Address)
+			if connectionDropped(res.Err) {
+				g.checkForCrash(q, endpoint.ID, endpoint.Address, q.guardedParts())
+			}
 		}
 		attempts.lastErr = kwcode.New(kwcode.OutcomeUnknown, "endpoint %s: %v", endpoint.ID, res.Err)
 		if !q.stopped() {
--- a/io/kwevent/catalogue.go
+++ b/io/kwevent/catalogue.go
@@ -118,7 +118,7 @@
 	{CallerGone, "caller-gone", levelInfo, "A caller left before its answer was complete; the work was cancelled."},
 	{RefusalUnreported, "refusal-unreported", levelInfo, "An entry could not tell control that an endpoint refuses connections or is unresponsive."},
 	{RetryDenied, "retry-denied", levelInfo, "A request is not tried again, since the retry budget is spent."},
-	{RequestCrashed, "request-crashed", levelInfo, "A model server crashed when it was to begin the answer to a request."},
+	{RequestCrashed, "request-crashed", levelInfo, "A server crashed when it was to answer a request."},
 	{CrashUnreported, "crash-unreported", levelInfo, "An entry could not tell control under which request a model server crashed."},
 	{LeavingSeen, "leaving-seen", levelInfo, "An endpoint said in an answer that it leaves; the entry gives it nothing new."},
 	{LeavingUnreported, "leaving-unreported", levelInfo, "An entry could not yet tell control that an endpoint leaves; it tries again."},
