kwdirectentry, kwdirectcontrol: keep requests that crash servers from them

Callers saw a request that crashes each server that begins to run it take down 5 to 25 servers of a fleet in 40 s, as long as it came again: under a new ID, at any entry, twice at each.

Cause: crashes were looked for under streams with shared parts alone, and what was learned were those parts. They are served soundly in other prompts all the time; a call of a plain service has none.

Now each crash is reported with the digests of the requests that were on the process, also of calls and of streams after some events, and of those that it answered in its last second; one report for each crash and entry, of bounded size. The leader's registry, which decides on parts too, holds a request after its third crash; views carry held and suspect requests, watches their sound runs. Entries check at arrival, after the queue (a hold ends the wait) and before each further attempt, and do not send a suspect again that has crashed a server. The answer is 1023 (503, not run) with the rest of the term, or the truthful 502 if the request has run. One trial in the whole fleet ends it. A new leader adopts holds and suspects; entries that are cut off from control rely on what they saw.

--- a/core/kwcode/code.go
+++ b/core/kwcode/code.go
@@ -49,6 +49,7 @@
 	WrongSite          Code = 1020
 	WorkspaceMoving    Code = 1021
 	PromptQuarantined  Code = 1022
+	RequestQuarantined Code = 1023
 	StreamCut          Code = 2001
 	LookupFailed       Code = 2002
 	OutcomeUnknown     Code = 3001
@@ -124,6 +125,7 @@
 	{WrongSite, "wrong-site", http.StatusServiceUnavailable, NotRun, "The workspace's writes belong to another site."},
 	{WorkspaceMoving, "workspace-moving", http.StatusServiceUnavailable, NotRun, "The workspace's writes are moving between sites."},
 	{PromptQuarantined, "prompt-quarantined", http.StatusServiceUnavailable, NotRun, "Model servers crash under a part of the prompt, so it is kept from them."},
+	{RequestQuarantined, "request-quarantined", http.StatusServiceUnavailable, NotRun, "Servers crash under this request whenever it comes, so it is kept from them."},
 	{StreamCut, "stream-cut", http.StatusBadGateway, Ran, "The stream ended with an error after part of the answer was produced."},
 	{LookupFailed, "lookup-failed", http.StatusBadGateway, Ran, "The idempotent call failed on every endpoint that was tried."},
 	{OutcomeUnknown, "outcome-unknown", http.StatusBadGateway, Unknown, "The call may have run; it will not run again until an operator settles it."},
--- a/io/kwdirectcontrol/prompt_parts.go
+++ b/io/kwdirectcontrol/prompt_parts.go
@@ -6,7 +6,6 @@
 
 	"knapweedproxy/core/kwcode"
 	"knapweedproxy/core/kwid"
-	"knapweedproxy/core/kwmembership"
 	"knapweedproxy/core/kwquarantine"
 	"knapweedproxy/core/kwreconcile"
 	"knapweedproxy/io/kwdirectproto"
@@ -20,8 +19,9 @@
 	events   *kwevent.Emitter
 	// epoch is that of the records; a new leader begins without any.
 	epoch uint64
-	// quarantined are the parts that were last logged as such.
+	// quarantined are the parts that were last logged as such, and held the requests.
 	quarantined map[kwid.PromptPartID]bool
+	held        map[kwid.RequestDigest]bool
 }
 
 func newPromptParts(events *kwevent.Emitter) *promptParts {
@@ -31,7 +31,7 @@
 // at returns the registry of an epoch.
 func (p *promptParts) at(epoch uint64) *kwquarantine.Registry {
 	if epoch != p.epoch {
-		p.epoch, p.quarantined = epoch, nil
+		p.epoch, p.quarantined, p.held = epoch, nil, nil
 		p.registry.Reset()
 	}
 	return p.registry
@@ -44,6 +44,7 @@
 	if req.Epoch != epoch {
 		r.Adopt(now, req.QuarantinedParts)
 	}
+	p.recordRequests(now, r, epoch, req)
 	r.RecordSound(now, req.SoundParts)
 	if req.LastSoundAge != nil {
 		r.RecordServed(now, *req.LastSoundAge)
@@ -55,8 +56,10 @@
 	r := p.at(v.Epoch)
 	changed := r.Decide(now)
 	v.SuspectParts, v.QuarantinedParts = r.Suspects(now), r.Quarantined(now)
+	v.SuspectRequests, v.HeldRequests = r.SuspectRequests(now), r.HeldRequests(now)
 	if changed {
 		p.logChanges(v.QuarantinedParts)
+		p.logHeldChanges(v.HeldRequests)
 	}
 }
 
@@ -79,22 +82,22 @@
 	p.quarantined = quarantined
 }
 
-// handleEndpointCrashed records under which request an endpoint crashed.
+// handleEndpointCrashed records under which requests an endpoint crashed.
 func (s *Server) handleEndpointCrashed(ctx context.Context, body kwtcprpc.Body) (any, error) {
 	var req kwdirectproto.EndpointCrashed
 	if err := body.Decode(&req); err != nil {
 		return nil, err
 	}
+	evidence := crashEvidence(req)
 	return nil, s.runAsLeader(ctx, func(now time.Time, t *kwreconcile.Tables) {
-		s.promptParts.at(t.Epoch).RecordCrash(now, kwquarantine.Evidence{
-			Crash:   kwmembership.Process{Endpoint: req.Endpoint, StartedMillis: req.StartedMillis},
-			Request: req.Request,
-			Parts:   req.Parts,
-		})
+		for _, ev := range evidence {
+			s.promptParts.at(t.Epoch).RecordCrash(now, ev)
+		}
 	})
 }
 
-// handleQuarantineTrial allows an entry to send one request with a quarantined part, or returns an error if no trial is due.
+// handleQuarantineTrial allows an entry to send one request that is held or has a quarantined part, or returns an error if no trial is
+// due.
 func (s *Server) handleQuarantineTrial(ctx context.Context, body kwtcprpc.Body) (any, error) {
 	var req kwdirectproto.QuarantineTrial
 	if err := body.Decode(&req); err != nil {
@@ -102,8 +105,15 @@
 	}
 	allowed := false
 	err := s.runAsLeader(ctx, func(now time.Time, t *kwreconcile.Tables) {
+		if req.Digest != nil {
+			allowed = s.promptParts.at(t.Epoch).StartRequestTrial(now, *req.Digest)
+			return
+		}
 		allowed = s.promptParts.at(t.Epoch).StartTrial(now, req.Part)
 	})
+	if err == nil && !allowed && req.Digest != nil {
+		err = kwcode.New(kwcode.RequestQuarantined, "no trial of request %s is due", req.Digest)
+	}
 	if err == nil && !allowed {
 		err = kwcode.New(kwcode.PromptQuarantined, "no trial of part %s is due", req.Part)
 	}
--- a/io/kwdirectcontrol/watch.go
+++ b/io/kwdirectcontrol/watch.go
@@ -66,7 +66,7 @@
 		}
 	}
 	s.watchers.record(time.Now(), req.Entry, loads, req.Requests)
-	if len(req.SoundParts) == 0 && len(req.QuarantinedParts) == 0 && req.LastSoundAge == nil {
+	if len(req.SoundParts) == 0 && len(req.QuarantinedParts) == 0 && req.LastSoundAge == nil && !reportsRequests(req) {
 		return nil
 	}
 	return s.runAsLeader(ctx, func(now time.Time, t *kwreconcile.Tables) { s.promptParts.recordWatch(now, t.Epoch, req) })
--- /dev/null
+++ b/io/kwdirectentry/crash_reports.go
@@ -0,0 +1,142 @@
+package kwdirectentry
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"syscall"
+	"time"
+
+	"knapweedproxy/core/kwchainsearch"
+	"knapweedproxy/core/kwid"
+	"knapweedproxy/core/kwmembership"
+	"knapweedproxy/io/kwdirectproto"
+	"knapweedproxy/io/kwevent"
+	"knapweedproxy/io/kwtime"
+	"knapweedproxy/io/kwupstream"
+)
+
+const (
+	// crashReportDelay is how long an entry collects the requests that a crash has ended before it reports them.
+	crashReportDelay = 30 * time.Millisecond
+	// maxReportedRequests bounds the requests under way in one report, and those that were answered before.
+	maxReportedRequests = 256
+	// crashReportAttempts is how often a report is sent at most, crashReportRetryDelay apart.
+	crashReportAttempts   = 3
+	crashReportRetryDelay = 300 * time.Millisecond
+)
+
+// crashReports collects the requests that the crash of a process has ended, for one report of each crash. It is safe for concurrent use.
+type crashReports struct {
+	mu      sync.Mutex
+	pending map[kwmembership.Process][]kwdirectproto.CrashedRequest
+}
+
+// add adds requests to the report of a crash, and reports whether that is a new one.
+func (c *crashReports) add(process kwmembership.Process, requests []kwdirectproto.CrashedRequest) (isNew bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pending == nil {
+		c.pending = make(map[kwmembership.Process][]kwdirectproto.CrashedRequest)
+	}
+	pending, ok := c.pending[process]
+	c.pending[process] = append(pending, requests[:min(len(requests), maxReportedRequests-len(pending))]...)
+	return !ok
+}
+
+// take ends the collection for a process.
+func (c *crashReports) take(process kwmembership.Process) []kwdirectproto.CrashedRequest {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	requests := c.pending[process]
+	delete(c.pending, process)
+	return requests
+}
+
+// reportCrash adds requests that a crash has ended, if any, to the report of the crash.
+func (g *Gateway) reportCrash(process kwmembership.Process, requests ...kwdirectproto.CrashedRequest) {
+	if g.crashReports.add(process, requests) {
+		g.goBackground(func() {
+			kwtime.Sleep(g.ctx, crashReportDelay)
+			g.sendCrashReport(process, g.crashReports.take(process))
+		})
+	}
+}
+
+// sendCrashReport reports the requests of a crash to the leader, together with those that the process answered just before it.
+func (g *Gateway) sendCrashReport(process kwmembership.Process, requests []kwdirectproto.CrashedRequest) {
+	requests = append(requests, g.answeredBeforeCrash(process, requests)...)
+	if len(requests) == 0 {
+		return
+	}
+	req := kwdirectproto.EndpointCrashed{
+		Entry: g.cfg.Node, Endpoint: process.Endpoint, StartedMillis: process.StartedMillis, Requests: requests,
+	}
+	// A leader of an older version reads one request only.
+	req.Request, req.Parts = req.Requests[0].Request, req.Requests[0].Parts
+	for _, r := range req.Requests {
+		if len(r.Parts) > 0 {
+			req.Request, req.Parts = r.Request, r.Parts
+			break
+		}
+	}
+	var err error
+	for attempt := range crashReportAttempts {
+		if attempt > 0 {
+			kwtime.Sleep(g.ctx, crashReportRetryDelay)
+		}
+		ctx, cancel := context.WithTimeout(g.ctx, faultReportTimeout)
+		err = g.leader.Call(ctx, kwdirectproto.KindEndpointCrashed, req, nil, 0)
+		cancel()
+		if err == nil || g.ctx.Err() != nil {
+			break
+		}
+	}
+	if err != nil {
+		g.deps.Events.Emit(kwevent.CrashUnreported, req.Request, kwevent.F("endpoint", process.Endpoint),
+			kwevent.F("requests", len(req.Requests)), kwevent.F("error", err.Error()))
+	}
+}
+
+// answeredBeforeCrash returns the requests that a process answered just before its crash; one that leaves may have stopped instead, and
+// its answers are sound.
+func (g *Gateway) answeredBeforeCrash(process kwmembership.Process, requests []kwdirectproto.CrashedRequest) []kwdirectproto.CrashedRequest {
+	digests := make([]kwid.RequestDigest, 0, len(requests))
+	for _, r := range requests {
+		digests = append(digests, r.Digest)
+	}
+	answered := g.partGuard.RecordCrashed(time.Now(), process, digests)
+	if g.leaves(process) {
+		return nil
+	}
+	var crashed []kwdirectproto.CrashedRequest
+	for _, digest := range answered[:min(len(answered), maxReportedRequests)] {
+		crashed = append(crashed, kwdirectproto.CrashedRequest{Digest: digest})
+		g.deps.Events.Emit(kwevent.RequestCrashed, "", kwevent.F("endpoint", process.Endpoint), kwevent.F("born", process.StartedMillis),
+			kwevent.F("digest", digest.String()), kwevent.F("answered", true))
+	}
+	return crashed
+}
+
+// noteRefusal records that an endpoint refuses connections, so that it has crashed since its last answers.
+func (g *Gateway) noteRefusal(id kwid.EndpointID, err error) {
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		return
+	}
+	if row, known := g.view.Load().endpoints[id]; known {
+		g.reportCrash(row.Announcement.Process())
+	}
+}
+
+// leaves reports whether a process drains before a planned stop.
+func (g *Gateway) leaves(process kwmembership.Process) bool {
+	row, known := g.view.Load().endpoints[process.Endpoint]
+	return g.scheduler.leavers.Leaving(process) || known && row.State == kwmembership.Leaving
+}
+
+// checkLostEndpoint probes an endpoint that the leader takes for lost: only one that refuses connections has crashed.
+func (g *Gateway) checkLostEndpoint(endpoint kwmembership.Announcement) {
+	if kwupstream.Probe(g.ctx, endpoint.Address) == kwchainsearch.Refused {
+		g.reportCrash(endpoint.Process())
+	}
+}
--- a/io/kwdirectentry/fault_detection.go
+++ b/io/kwdirectentry/fault_detection.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"syscall"
 	"time"
 
 	"knapweedproxy/core/kwchainsearch"
@@ -100,6 +101,9 @@
 func (g *Gateway) ejectFaulty(stage kwchainsearch.Stage, result kwchainsearch.ConnectResult) {
 	lost := result == kwchainsearch.Refused
 	g.eject("", stage.Endpoint, stage.Address, "failed a probe of a silent chain", kwevent.F("refused", lost))
+	if lost {
+		g.noteRefusal(stage.Endpoint, syscall.ECONNREFUSED)
+	}
 	g.activeStreams.abortAll(stage.Endpoint, lost)
 	g.reportFaulty(stage.Endpoint, lost)
 }
--- a/io/kwdirectentry/metrics.go
+++ b/io/kwdirectentry/metrics.go
@@ -17,6 +17,7 @@
 	queueWait    metrics.Timer
 	viewRefused  metrics.Counter
 	quarantined  metrics.Counter
+	held         metrics.Counter
 }
 
 func newGatewayMetrics(r metrics.Registry) gatewayMetrics {
@@ -34,5 +35,6 @@
 		queueWait:    metrics.GetOrRegisterTimer("admission.wait", r),
 		viewRefused:  metrics.GetOrRegisterCounter("view.refused", r),
 		quarantined:  metrics.GetOrRegisterCounter("requests.quarantined", r),
+		held:         metrics.GetOrRegisterCounter("requests.held", r),
 	}
 }
--- a/io/kwdirectentry/quarantine.go
+++ b/io/kwdirectentry/quarantine.go
@@ -25,9 +25,12 @@
 	minQuarantineRetryAfter = 5 * time.Second
 )
 
-// checkQuarantine returns an error if a part of the request's prompt is kept from model servers. When a trial of the part is
-// due, the leader lets one request of the fleet pass.
+// checkQuarantine returns an error if the request, or a part of its prompt, is kept from servers. When a trial of the part is due, the
+// leader lets one request of the fleet pass.
 func (g *Gateway) checkQuarantine(ctx context.Context, q *request) *kwcode.Error {
+	if err := g.checkHeld(ctx, q); err != nil {
+		return err
+	}
 	held, ok := g.partGuard.Check(time.Now(), q.guardedParts())
 	if !ok || q.trial {
 		if q.sends == 0 {
@@ -83,7 +86,7 @@
 }
 
 // checkForCrash probes an endpoint that was to answer a request and broke it off. If it has crashed, the request is reported to
-// the leader as evidence against these parts of its prompt.
+// the leader as evidence against its repeats, and against these parts of its prompt.
 func (g *Gateway) checkForCrash(q *request, id kwid.EndpointID, address string, parts []kwid.PromptPartID) {
 	if q.stopped() {
 		return
@@ -93,22 +96,13 @@
 	if !g.crashLog.crashed(process, refuses) {
 		return
 	}
+	q.ownCrashes++
+	if len(parts) > 0 {
+		q.crashes++
+	}
 	g.deps.Events.Emit(kwevent.RequestCrashed, q.meta.ID, kwevent.F("endpoint", id), kwevent.F("address", address),
 		kwevent.F("born", process.StartedMillis), kwevent.F("digest", q.digest.String()), kwevent.F("parts", parts))
-	if len(parts) == 0 {
-		return
-	}
-	q.crashes++
-	req := kwdirectproto.EndpointCrashed{
-		Entry: g.cfg.Node, Endpoint: id, StartedMillis: process.StartedMillis, Request: q.meta.ID, Parts: parts,
-	}
-	g.goBackground(func() {
-		ctx, cancel := context.WithTimeout(g.ctx, faultReportTimeout)
-		defer cancel()
-		if err := g.leader.Call(ctx, kwdirectproto.KindEndpointCrashed, req, nil, 0); err != nil {
-			g.deps.Events.Emit(kwevent.CrashUnreported, q.meta.ID, kwevent.F("endpoint", id), kwevent.F("error", err.Error()))
-		}
-	})
+	g.reportCrash(process, kwdirectproto.CrashedRequest{Request: q.meta.ID, Digest: q.digest, Parts: parts})
 }
 
 // processOf returns the process of an endpoint that served a request, also if the endpoint has left the view since.
@@ -120,9 +114,11 @@
 	return kwmembership.Process{Endpoint: id, StartedMillis: row.Announcement.StartedMillis}
 }
 
-// mayCrashAgain reports whether a request is likely to crash the next server too: a server has crashed under it, and one of its
-// parts was a suspect already when it was first sent. Its own crash makes all its parts suspects.
-func (q *request) mayCrashAgain() bool { return q.crashes > 0 && (q.suspect || q.trial) }
+// mayCrashAgain reports whether a request is likely to crash the next server too: a server has crashed under it, and the request or one
+// of its parts was a suspect already when it was first sent. Its own crash makes it and all its parts suspects.
+func (q *request) mayCrashAgain() bool {
+	return q.crashes > 0 && (q.suspect || q.trial) || q.ownCrashes > 0 && (q.suspectRequest || q.requestTrial)
+}
 
 // crashLog remembers which processes of endpoints have crashed. All streams of an endpoint break off together, and one probe
 // serves them all. It is safe for concurrent use.
--- a/io/kwdirectentry/request.go
+++ b/io/kwdirectentry/request.go
@@ -41,6 +41,12 @@
 	trial bool
 	// digest identifies what the request asks for, also when it comes again under another ID.
 	digest kwid.RequestDigest
+	// ownCrashes counts the attempts that ended with the crash of an endpoint at any time.
+	ownCrashes int
+	// suspectRequest means that the request was a suspect when it was last checked before it was first sent.
+	suspectRequest bool
+	// requestTrial means that the leader lets the request pass although it is kept from servers.
+	requestTrial bool
 	// broken means that the caller has received part of a stream that has broken off.
 	broken bool
 	// waited is the time spent waiting for a view and in the queue, firstEvent the time from arrival to the first event.
--- a/io/kwdirectentry/stream.go
+++ b/io/kwdirectentry/stream.go
@@ -61,12 +61,18 @@
 			s.recordNoChain(err)
 			break
 		}
-		chain, waited, err := g.scheduler.acquireChain(ctx, s.chainRequest(g))
+		queueCtx, leaveQueue := g.queuedRequests.enter(ctx, q)
+		chain, waited, err := g.scheduler.acquireChain(queueCtx, s.chainRequest(g))
+		heldInQueue := errors.Is(context.Cause(queueCtx), errHeld)
+		leaveQueue()
 		q.waited += waited
 		g.metrics.queueWait.Update(waited)
 		if q.callerLeft() {
 			g.abortCallerGone(q)
 		}
+		if err != nil && heldInQueue {
+			continue
+		}
 		if err != nil {
 			s.recordNoChain(err)
 			break
@@ -291,6 +297,7 @@
 // finishComplete ends a stream that the caller has received in full.
 func (g *Gateway) finishComplete(s *streamState, chain kwchainsearch.Chain) {
 	g.recordSoundStream(s)
+	g.recordAnswered(s.q, chain.First().Endpoint)
 	g.scheduler.recordSuccess(chain)
 	g.metrics.served.Inc(1)
 	g.metrics.longestPause.Update(s.q.longestPause)
--- a/io/kwdirectentry/stream_failure.go
+++ b/io/kwdirectentry/stream_failure.go
@@ -26,6 +26,7 @@
 		g.probeChain(chain)
 	}
 	if !sent {
+		g.noteRefusal(first.Endpoint, err)
 		return resultNotRun
 	}
 	s.attempts.mayHaveRun++
--- a/io/kwdirectentry/unary.go
+++ b/io/kwdirectentry/unary.go
@@ -78,6 +78,9 @@
 // recordAttempt records the outcome of an attempt; it returns true if the request has its final response.
 func (g *Gateway) recordAttempt(q *request, attempts *attemptState, endpoint kwmembership.Announcement, res kwupstream.Result) bool {
 	attempts.exclude[endpoint.ID] = true
+	if res.Err == nil && answeredInFull(res.Response.StatusCode, res.Meta.NotRun) {
+		g.partGuard.RecordAnswered(time.Now(), endpoint.Process(), q.digest)
+	}
 	switch {
 	case res.Err != nil:
 		if res.Sent {
@@ -85,6 +88,8 @@
 			if connectionDropped(res.Err) {
 				g.checkForCrash(q, endpoint.ID, endpoint.Address, q.guardedParts())
 			}
+		} else {
+			g.noteRefusal(endpoint.ID, res.Err)
 		}
 		attempts.lastErr = kwcode.New(kwcode.OutcomeUnknown, "endpoint %s: %v", endpoint.ID, res.Err)
 		if !q.stopped() {
--- a/io/kwdirectentry/view.go
+++ b/io/kwdirectentry/view.go
@@ -86,6 +86,8 @@
 		SoundParts:         g.partGuard.Sounds(time.Now()),
 		QuarantinedParts:   g.partGuard.Held(time.Now()),
 	}
+	req.SoundRequests, req.HeldRequests = g.partGuard.SoundRequests(time.Now()), g.partGuard.HeldRequests(time.Now())
+	req.SuspectRequests = g.partGuard.SuspectRequests(time.Now())
 	if age, ok := g.partGuard.LastSound(time.Now()); ok {
 		req.LastSoundAge = &age
 	}
@@ -111,6 +113,7 @@
 	}
 	next.confirmedAt = sentAt
 	g.partGuard.Apply(time.Now(), reply.SuspectParts, reply.QuarantinedParts, reply.Gathering)
+	g.applyHeldRequests(reply)
 	g.view.Store(next)
 	g.scheduler.applyView(next, loads)
 	g.crashLog.retain(func(process kwmembership.Process) bool {
--- a/io/kwdirectproto/messages.go
+++ b/io/kwdirectproto/messages.go
@@ -77,19 +77,30 @@
 	StartedMillis kwmembership.StartMillis `cbor:"3,keyasint,omitempty"`
 }
 
-// EndpointCrashed reports a request that an endpoint was to answer when it crashed, and the parts that its prompt shares with others.
+// CrashedRequest is a request that an endpoint was to answer when it crashed, or had answered just before.
+type CrashedRequest struct {
+	Request kwid.RequestID     `cbor:"1,keyasint,omitempty"`
+	Digest  kwid.RequestDigest `cbor:"2,keyasint"`
+	// Parts are the parts that its prompt shares with others, empty unless the endpoint was to begin the answer.
+	Parts []kwid.PromptPartID `cbor:"3,keyasint,omitempty"`
+}
+
+// EndpointCrashed reports the requests that an endpoint was to answer when it crashed. Request and Parts are those of one of them, for
+// leaders of older versions.
 type EndpointCrashed struct {
 	Entry         kwid.NodeID              `cbor:"1,keyasint"`
 	Endpoint      kwid.EndpointID          `cbor:"2,keyasint"`
 	StartedMillis kwmembership.StartMillis `cbor:"3,keyasint,omitempty"`
 	Request       kwid.RequestID           `cbor:"4,keyasint"`
 	Parts         []kwid.PromptPartID      `cbor:"5,keyasint"`
+	Requests      []CrashedRequest         `cbor:"6,keyasint,omitempty"`
 }
 
-// QuarantineTrial asks for the permission to send one request with a quarantined part.
+// QuarantineTrial asks for the permission to send one request with a quarantined part, or one that is held if Digest is set.
 type QuarantineTrial struct {
-	Entry kwid.NodeID       `cbor:"1,keyasint"`
-	Part  kwid.PromptPartID `cbor:"2,keyasint"`
+	Entry  kwid.NodeID         `cbor:"1,keyasint"`
+	Part   kwid.PromptPartID   `cbor:"2,keyasint"`
+	Digest *kwid.RequestDigest `cbor:"3,keyasint,omitempty"`
 }
 
 // RetryLoan asks for one retry beyond the entry's own share of the retry budget.
@@ -141,6 +152,11 @@
 	QuarantinedParts []kwquarantine.Quarantine `cbor:"12,keyasint,omitempty"`
 	// LastSoundAge is the age of the entry's last sound request of any kind, if the entry's view holds suspect parts.
 	LastSoundAge *time.Duration `cbor:"13,keyasint,omitempty"`
+	// SoundRequests are the last sound runs of the suspect and held requests of the entry's view.
+	SoundRequests []kwquarantine.SoundRequest `cbor:"14,keyasint,omitempty"`
+	// HeldRequests and SuspectRequests are those of the entry's view, which a new leader takes over.
+	HeldRequests    []kwquarantine.HeldRequest    `cbor:"15,keyasint,omitempty"`
+	SuspectRequests []kwquarantine.SuspectRequest `cbor:"16,keyasint,omitempty"`
 }
 
 // View is what an entry serves requests by. The leader replies under its lease, so no newer declaration or endpoint
@@ -171,4 +187,8 @@
 	SuspectParts []kwid.PromptPartID `cbor:"13,keyasint,omitempty"`
 	// QuarantinedParts are the parts of prompts that are kept from model servers.
 	QuarantinedParts []kwquarantine.Quarantine `cbor:"14,keyasint,omitempty"`
+	// SuspectRequests are the requests whose sound runs the leader wants to know.
+	SuspectRequests []kwquarantine.SuspectRequest `cbor:"15,keyasint,omitempty"`
+	// HeldRequests are the requests that are kept from servers.
+	HeldRequests []kwquarantine.HeldRequest `cbor:"16,keyasint,omitempty"`
 }
--- a/io/kwevent/catalogue.go
+++ b/io/kwevent/catalogue.go
@@ -34,6 +34,7 @@
 	LeavingUnreported   ID = 222
 	EndpointPaused      ID = 223
 	RetryAfterOdd       ID = 224
+	RequestHeld         ID = 225
 	SessionStarted      ID = 301
 	SessionEnded        ID = 302
 	StageStarted        ID = 303
@@ -76,6 +77,8 @@
 	PartsQuarantined    ID = 427
 	PartsReleased       ID = 428
 	LeavingReported     ID = 429
+	RequestsHeld        ID = 430
+	RequestsReleased    ID = 431
 	PeerRefused         ID = 501
 	KeyExpires          ID = 502
 )
@@ -118,12 +121,13 @@
 	{CallerGone, "caller-gone", levelInfo, "A caller left before its answer was complete; the work was cancelled."},
 	{RefusalUnreported, "refusal-unreported", levelInfo, "An entry could not tell control that an endpoint refuses connections or is unresponsive."},
 	{RetryDenied, "retry-denied", levelInfo, "A request is not tried again, since the retry budget is spent."},
-	{RequestCrashed, "request-crashed", levelInfo, "A server crashed when it was to answer a request."},
-	{CrashUnreported, "crash-unreported", levelInfo, "An entry could not tell control under which request a model server crashed."},
+	{RequestCrashed, "request-crashed", levelInfo, "A server crashed when it was to answer a request, or just after it had."},
+	{CrashUnreported, "crash-unreported", levelInfo, "An entry could not tell control under which requests a server crashed."},
 	{LeavingSeen, "leaving-seen", levelInfo, "An endpoint said in an answer that it leaves; the entry gives it nothing new."},
 	{LeavingUnreported, "leaving-unreported", levelInfo, "An entry could not yet tell control that an endpoint leaves; it tries again."},
 	{EndpointPaused, "endpoint-paused", levelInfo, "An endpoint turned a request away and wants none for a while; the entry sends it none."},
 	{RetryAfterOdd, "retry-after-odd", levelInfo, "The Retry-After time of an endpoint was ignored or bounded."},
+	{RequestHeld, "request-held", levelInfo, "A request was not sent, or not sent again, since servers crash under it."},
 	{SessionStarted, "session-started", levelDetail, "The first stage of a chain began an attempt."},
 	{SessionEnded, "session-ended", levelDetail, "The first stage of a chain ended an attempt."},
 	{StageStarted, "stage-started", levelDetail, "A later stage of a chain began an attempt."},
@@ -166,6 +170,8 @@
 	{PartsQuarantined, "parts-quarantined", levelInfo, "The leader keeps parts of prompts from model servers, since servers crash under them."},
 	{PartsReleased, "parts-released", levelInfo, "The leader lets parts of prompts reach model servers again."},
 	{LeavingReported, "leaving-reported", levelInfo, "An endpoint is draining, since it says so in its answers to an entry."},
+	{RequestsHeld, "requests-held", levelInfo, "The leader keeps a request and its repeats from servers, since servers crash under it."},
+	{RequestsReleased, "requests-released", levelInfo, "The leader lets a request and its repeats reach servers again."},
 	{PeerRefused, "peer-refused", levelInfo, "A connection or frame from a peer was refused."},
 	{KeyExpires, "key-expires", levelInfo, "The process's certificate expires soon."},
 }
--- a/io/kwevent/explain.go
+++ b/io/kwevent/explain.go
@@ -53,8 +53,11 @@
 // ejections take seconds to show.
 const requestMargin = 5 * time.Second
 
+// crashMargin is how long before a held request Explain includes the crashes that are the reason.
+const crashMargin = 5 * time.Minute
+
 // Explain returns the log lines of a request in order of time, together with the lines about its endpoints that are
-// within requestMargin of it.
+// within requestMargin of it and, if it was held, with the crashes under its repeats that are the reason.
 func Explain(lines []LogLine, id kwid.RequestID) []LogLine {
 	var own []LogLine
 	endpoints := make(map[string]bool)
@@ -82,10 +85,31 @@
 			out = append(out, l)
 		}
 	}
+	out = append(out, reasonsToHold(lines, own)...)
 	slices.SortStableFunc(out, byTime)
 	return out
 }
 
+// reasonsToHold returns the crashes under the repeats of a held request, and the decision of the leader.
+func reasonsToHold(lines, own []LogLine) []LogLine {
+	i := slices.IndexFunc(own, func(l LogLine) bool { return l.Event == RequestHeld })
+	if i < 0 {
+		return nil
+	}
+	held := own[i]
+	var out []LogLine
+	for _, l := range lines {
+		if l.Request == held.Request || l.Fields["digest"] == nil || l.Fields["digest"] != held.Fields["digest"] {
+			continue
+		}
+		age := held.UnixMillis - l.UnixMillis
+		if (l.Event == RequestCrashed || l.Event == RequestsHeld) && age >= 0 && age <= float64(crashMargin.Milliseconds()) {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
 func byTime(a, b LogLine) int { return cmp.Compare(a.UnixMillis, b.UnixMillis) }
 
 // String formats a line with its fields sorted by name.
--- a/io/kwevent/explain_test.go
+++ b/io/kwevent/explain_test.go
@@ -33,3 +33,28 @@
 		t.Errorf("got %q, want the event name and the fields sorted by name", text)
 	}
 }
+
+const heldLog = `{"level":"info","ts":1000000,"msg":"request-crashed","event":219,"node":"edge-a","request":"q1","endpoint":"e1","digest":"d1"}
+{"level":"info","ts":1000100,"msg":"request-crashed","event":219,"node":"edge-b","request":"other","endpoint":"e1","digest":"d2"}
+{"level":"info","ts":1001000,"msg":"request-crashed","event":219,"node":"edge-b","request":"q2","endpoint":"e2","digest":"d1"}
+{"level":"info","ts":1002000,"msg":"requests-held","event":430,"node":"control-a","digest":"d1","term-ms":60000}
+{"level":"info","ts":1003000,"msg":"request-held","event":225,"node":"edge-c","request":"q3","digest":"d1","sends":0}
+{"level":"info","ts":1003001,"msg":"request-refused","event":202,"node":"edge-c","request":"q3","code":1023}
+{"level":"info","ts":1004000,"msg":"request-crashed","event":219,"node":"edge-a","request":"q4","endpoint":"e1","digest":"d1"}
+`
+
+// TestExplainSaysWhyARequestIsHeld checks that a held request is shown with the crashes under its repeats before it, and with no others.
+func TestExplainSaysWhyARequestIsHeld(t *testing.T) {
+	lines, err := ReadLines(strings.NewReader(heldLog))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got []string
+	for _, l := range Explain(lines, "q3") {
+		got = append(got, l.Name+"/"+string(l.Request))
+	}
+	want := "request-crashed/q1 request-crashed/q2 requests-held/ request-held/q3 request-refused/q3"
+	if strings.Join(got, " ") != want {
+		t.Errorf("got %q, want %q", strings.Join(got, " "), want)
+	}
+}
