--- a/io/kwdirectentry/bench_test.go
+++ b/io/kwdirectentry/bench_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"net/http"
 	"testing"
 
+	"knapweedproxy/core/kwdeclaration"
 	"knapweedproxy/core/kwid"
 	"knapweedproxy/core/kwmembership"
 	"knapweedproxy/io/kwdirectproto"
@@ -48,3 +50,20 @@
 		fixture.scheduler.release(chain, 900)
 	}
 }
+
+// BenchmarkRequestDigest measures what the digest adds to each request, by the size of its body.
+func BenchmarkRequestDigest(b *testing.B) {
+	for _, size := range []int{0, 800, 16 << 10, 1 << 20} {
+		q := &request{
+			r:    &http.Request{Host: "api.example", RequestURI: "/notes/x?y=1"},
+			body: make([]byte, size), workspace: &kwdeclaration.Workspace{Name: "crews"},
+		}
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			b.ReportAllocs()
+			b.SetBytes(int64(size))
+			for b.Loop() {
+				q.setDigest()
+			}
+		})
+	}
+}
