kwfake: a records server that crashes on a body

The stand-in of 'knapweedproxy standin records' takes the fault die-on-body: it stops when a call with exactly this body comes, as often as it is started again with the fault. So repeats of a crashing call can be played against a fleet with agents.

--- a/io/kwfake/faults.go
+++ b/io/kwfake/faults.go
@@ -16,6 +16,8 @@
 	Hang bool `json:"hang"`
 	// Crash stops the server.
 	Crash bool `json:"die"`
+	// CrashOnBody stops a records server when a call comes with this body.
+	CrashOnBody string `json:"die-on-body"`
 	// ReplyDelayMS delays the reply after the work is done, in milliseconds.
 	ReplyDelayMS int64 `json:"late-ms"`
 	// SwapReplies exchanges the replies of two concurrent requests.
--- a/io/kwfake/records.go
+++ b/io/kwfake/records.go
@@ -180,6 +180,10 @@
 	r.receivedCalls++
 	r.mu.Unlock()
 	f, _ := r.faults.get()
+	if f.CrashOnBody != "" && string(body) == f.CrashOnBody {
+		r.Close()
+		panic(http.ErrAbortHandler)
+	}
 	done := c.Request.Context().Done()
 	if !r.faults.waitWhileHung(done) || !sleepMS(f.StartDelayMS, done) {
 		return
