kwdirectcontrol, kwdirectentry: prompt holds, and the last sound runs in reports

After a decision entries learned of a hold with their next watch, up to a second later, and the leader decided only when it built a view; in plays one or two servers more crashed meanwhile. The leader now decides when a report or the end of a settling time makes a decision due, and replies to all watches at once (TestDecisionWakesWatches).

--- a/io/kwdirectcontrol/crashing_requests.go
+++ b/io/kwdirectcontrol/crashing_requests.go
@@ -1,13 +1,16 @@
 package kwdirectcontrol
 
 import (
+	"sync"
 	"time"
 
 	"knapweedproxy/core/kwid"
 	"knapweedproxy/core/kwmembership"
 	"knapweedproxy/core/kwquarantine"
+	"knapweedproxy/core/kwreconcile"
 	"knapweedproxy/io/kwdirectproto"
 	"knapweedproxy/io/kwevent"
+	"knapweedproxy/io/kwtime"
 )
 
 // maxEvidencePerReport bounds the requests of one report that count.
@@ -21,7 +24,7 @@
 	}
 	var evidence []kwquarantine.Evidence
 	for _, r := range req.Requests[:min(len(req.Requests), maxEvidencePerReport)] {
-		evidence = append(evidence, kwquarantine.Evidence{Crash: process, Request: r.Request, Digest: r.Digest, Parts: r.Parts})
+		evidence = append(evidence, kwquarantine.Evidence{Crash: process, Request: r.Request, Digest: r.Digest, Parts: r.Parts, SoundAge: r.SoundAge})
 	}
 	return evidence
 }
@@ -39,6 +42,51 @@
 	r.RecordSoundRequests(now, req.SoundRequests)
 }
 
+// decisions wakes those that wait for a decision. It is safe for concurrent use.
+type decisions struct {
+	mu sync.Mutex
+	ch chan struct{}
+}
+
+// next returns a channel that is closed by the next decision.
+func (d *decisions) next() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.ch == nil {
+		d.ch = make(chan struct{})
+	}
+	return d.ch
+}
+
+// announce wakes all that wait on a channel from next.
+func (d *decisions) announce() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.ch != nil {
+		close(d.ch)
+		d.ch = nil
+	}
+}
+
+// decideInTime takes the decisions that are due, and has the next one taken as soon as it is: each crash until then costs a server.
+func (s *Server) decideInTime(now time.Time, epoch uint64) {
+	p := s.promptParts
+	p.decide(now, epoch)
+	due, ok := p.at(epoch).DecideAt()
+	if !ok || !due.After(now) || !p.nextDecision.IsZero() && !due.Before(p.nextDecision) {
+		return
+	}
+	p.nextDecision = due
+	s.background(func() {
+		kwtime.Sleep(s.ctx, due.Sub(now))
+		// Without an answer the process no longer leads, and the next leader decides.
+		_ = s.runAsLeader(s.ctx, func(now time.Time, t *kwreconcile.Tables) {
+			p.nextDecision = time.Time{}
+			s.decideInTime(now, t.Epoch)
+		})
+	})
+}
+
 // logHeldChanges logs which requests are held and which no longer are.
 func (p *promptParts) logHeldChanges(current []kwquarantine.HeldRequest) {
 	held := make(map[kwid.RequestDigest]bool, len(current))
--- a/io/kwdirectcontrol/crashing_requests_test.go
+++ b/io/kwdirectcontrol/crashing_requests_test.go
@@ -122,3 +122,26 @@
 		t.Errorf("got %d events requests-released, want 1", n)
 	}
 }
+
+// TestDecisionWakesWatches guards against a hold that entries learn of only with their next watch: each crash until then costs a server.
+func TestDecisionWakesWatches(t *testing.T) {
+	f := newRequestsFixture()
+	bad := kwdirectproto.CrashedRequest{Request: "q", Digest: kwid.RequestDigest{1}}
+	f.crash(1, "a", bad)
+	f.crash(1, "b", bad)
+	f.parts.decide(f.now, 1)
+	decided := f.parts.decided.next()
+	f.parts.decide(f.now, 1)
+	select {
+	case <-decided:
+		t.Error("two crashes: the watches were woken without a decision")
+	default:
+	}
+	f.crash(1, "c", bad)
+	f.parts.decide(f.now, 1)
+	select {
+	case <-decided:
+	default:
+		t.Error("three crashes: the watches were not woken by the decision")
+	}
+}
--- a/io/kwdirectcontrol/prompt_parts.go
+++ b/io/kwdirectcontrol/prompt_parts.go
@@ -22,6 +22,9 @@
 	// quarantined are the parts that were last logged as such, and held the requests.
 	quarantined map[kwid.PromptPartID]bool
 	held        map[kwid.RequestDigest]bool
+	// decided wakes the watches after a decision, and nextDecision is when a goroutine takes the next one, zero if none does.
+	decided      decisions
+	nextDecision time.Time
 }
 
 func newPromptParts(events *kwevent.Emitter) *promptParts {
@@ -31,7 +34,7 @@
 // at returns the registry of an epoch.
 func (p *promptParts) at(epoch uint64) *kwquarantine.Registry {
 	if epoch != p.epoch {
-		p.epoch, p.quarantined, p.held = epoch, nil, nil
+		p.epoch, p.quarantined, p.held, p.nextDecision = epoch, nil, nil, time.Time{}
 		p.registry.Reset()
 	}
 	return p.registry
@@ -53,13 +56,18 @@
 
 // addTo decides on quarantines and adds them to a view.
 func (p *promptParts) addTo(v *kwdirectproto.View, now time.Time) {
+	p.decide(now, v.Epoch)
 	r := p.at(v.Epoch)
-	changed := r.Decide(now)
 	v.SuspectParts, v.QuarantinedParts = r.Suspects(now), r.Quarantined(now)
 	v.SuspectRequests, v.HeldRequests = r.SuspectRequests(now), r.HeldRequests(now)
-	if changed {
-		p.logChanges(v.QuarantinedParts)
-		p.logHeldChanges(v.HeldRequests)
+}
+
+// decide takes the decisions that are due.
+func (p *promptParts) decide(now time.Time, epoch uint64) {
+	if r := p.at(epoch); r.Decide(now) {
+		p.logChanges(r.Quarantined(now))
+		p.logHeldChanges(r.HeldRequests(now))
+		p.decided.announce()
 	}
 }
 
@@ -93,6 +101,7 @@
 		for _, ev := range evidence {
 			s.promptParts.at(t.Epoch).RecordCrash(now, ev)
 		}
+		s.decideInTime(now, t.Epoch)
 	})
 }
 
--- a/io/kwdirectcontrol/watch.go
+++ b/io/kwdirectcontrol/watch.go
@@ -34,7 +34,7 @@
 		return nil, err
 	}
 	for expired := false; ; {
-		changed := m.loop.Changed()
+		changed, decided := m.loop.Changed(), s.promptParts.decided.next()
 		view, replies, err := s.view(ctx, m, req, expired)
 		if err != nil {
 			return nil, err
@@ -44,6 +44,8 @@
 		}
 		select {
 		case <-changed:
+		case <-decided:
+			expired = true
 		case <-timer.C:
 			expired = true
 		case <-ctx.Done():
--- a/io/kwdirectentry/crash_reports.go
+++ b/io/kwdirectentry/crash_reports.go
@@ -111,7 +111,7 @@
 	}
 	var crashed []kwdirectproto.CrashedRequest
 	for _, digest := range answered[:min(len(answered), maxReportedRequests)] {
-		crashed = append(crashed, kwdirectproto.CrashedRequest{Digest: digest})
+		crashed = append(crashed, kwdirectproto.CrashedRequest{Digest: digest, SoundAge: g.partGuard.SoundAge(time.Now(), digest)})
 		g.deps.Events.Emit(kwevent.RequestCrashed, "", kwevent.F("endpoint", process.Endpoint), kwevent.F("born", process.StartedMillis),
 			kwevent.F("digest", digest.String()), kwevent.F("answered", true))
 	}
--- a/io/kwdirectentry/held_requests.go
+++ b/io/kwdirectentry/held_requests.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"knapweedproxy/core/kwchainsearch"
 	"knapweedproxy/core/kwcode"
 	"knapweedproxy/core/kwid"
 	"knapweedproxy/core/kwmembership"
@@ -53,9 +54,11 @@
 	return g.leader.Call(ctx, kwdirectproto.KindQuarantineTrial, req, nil, 0) == nil
 }
 
-// recordAnswered records that a process has answered a request in full.
-func (g *Gateway) recordAnswered(q *request, id kwid.EndpointID) {
-	g.partGuard.RecordAnswered(time.Now(), g.processOf(q, id), q.digest)
+// recordAnswered records that a chain has answered a request in full.
+func (g *Gateway) recordAnswered(q *request, chain kwchainsearch.Chain) {
+	for _, stage := range chain.Stages {
+		g.partGuard.RecordAnswered(time.Now(), g.processOf(q, stage.Endpoint), q.digest)
+	}
 }
 
 // errHeld is the cause with which the wait of a request in the queue ends when the request is kept from servers.
--- a/io/kwdirectentry/quarantine.go
+++ b/io/kwdirectentry/quarantine.go
@@ -102,7 +102,9 @@
 	}
 	g.deps.Events.Emit(kwevent.RequestCrashed, q.meta.ID, kwevent.F("endpoint", id), kwevent.F("address", address),
 		kwevent.F("born", process.StartedMillis), kwevent.F("digest", q.digest.String()), kwevent.F("parts", parts))
-	g.reportCrash(process, kwdirectproto.CrashedRequest{Request: q.meta.ID, Digest: q.digest, Parts: parts})
+	g.reportCrash(process, kwdirectproto.CrashedRequest{
+		Request: q.meta.ID, Digest: q.digest, Parts: parts, SoundAge: g.partGuard.SoundAge(time.Now(), q.digest),
+	})
 }
 
 // processOf returns the process of an endpoint that served a request, also if the endpoint has left the view since.
--- a/io/kwdirectentry/stream.go
+++ b/io/kwdirectentry/stream.go
@@ -297,7 +297,7 @@
 // finishComplete ends a stream that the caller has received in full.
 func (g *Gateway) finishComplete(s *streamState, chain kwchainsearch.Chain) {
 	g.recordSoundStream(s)
-	g.recordAnswered(s.q, chain.First().Endpoint)
+	g.recordAnswered(s.q, chain)
 	g.scheduler.recordSuccess(chain)
 	g.metrics.served.Inc(1)
 	g.metrics.longestPause.Update(s.q.longestPause)
--- a/io/kwdirectproto/messages.go
+++ b/io/kwdirectproto/messages.go
@@ -83,6 +83,8 @@
 	Digest  kwid.RequestDigest `cbor:"2,keyasint"`
 	// Parts are the parts that its prompt shares with others, empty unless the endpoint was to begin the answer.
 	Parts []kwid.PromptPartID `cbor:"3,keyasint,omitempty"`
+	// SoundAge is how long ago the entry last saw a sound run of the request, 0 if it has not.
+	SoundAge time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // EndpointCrashed reports the requests that an endpoint was to answer when it crashed. Request and Parts are those of one of them, for
