Log how long an answer was expected to be and how long it was

The end line of a stream had the expected and the taken time only, so a cut stream did not tell whether its answer was longer than its caller had estimated or its chain slower than expected. It now holds the estimate and the bound of the answer in tokens, and the events delivered.

--- a/io/kwdirectentry/request.go
+++ b/io/kwdirectentry/request.go
@@ -53,6 +53,8 @@
 	resumptions int
 	// expected is the time that the chain of the last attempt was expected to take for the whole answer.
 	expected time.Duration
+	// events is how many events the caller has received.
+	events int
 }
 
 // urgency is what the caller has to gain from being served soon.
@@ -262,7 +264,8 @@
 	}
 	if q.firstEvent > 0 {
 		fields = append(fields, kwevent.F("first-ms", q.firstEvent.Milliseconds()), kwevent.F("resumed", q.resumptions),
-			kwevent.F("pause-ms", q.longestPause.Milliseconds()), kwevent.F("expected-ms", q.expected.Milliseconds()))
+			kwevent.F("pause-ms", q.longestPause.Milliseconds()), kwevent.F("expected-ms", q.expected.Milliseconds()),
+			kwevent.F("answer-tokens", q.answerTokens()), kwevent.F("max-answer-tokens", q.meta.MaxAnswerTokens), kwevent.F("events", q.events))
 	}
 	if err != nil {
 		fields = append(fields, kwevent.F("code", int(err.Code)), kwevent.F("error", err.Error()), kwevent.F("retry-after-ms", err.RetryAfter.Milliseconds()))
--- a/io/kwdirectentry/stream.go
+++ b/io/kwdirectentry/stream.go
@@ -238,6 +238,7 @@
 	events := kwupstream.NewEventReader(resp.Body)
 	flusher := http.NewResponseController(q.w)
 	deadline := s.firstEventDeadline
+	eventsBefore := q.events
 	for {
 		c.SetReadDeadline(deadline)
 		chunk, err := events.Next()
@@ -269,6 +270,7 @@
 			g.recordSoundStream(s)
 		}
 		s.lastEventID = events.LastID
+		q.events = eventsBefore + events.Count
 		g.metrics.eventWrites.Inc(1)
 		s.watched.eventReceived(now)
 		deadline = now.Add(eventGapTimeout(q))
--- a/io/kwupstream/events.go
+++ b/io/kwupstream/events.go
@@ -19,6 +19,8 @@
 	returned int
 	// LastID is the ID of the last event that Next returned.
 	LastID string
+	// Count is the number of events that Next has returned.
+	Count int
 }
 
 // NewEventReader returns a reader of the events in body.
@@ -42,7 +44,7 @@
 		e.buf = e.buf[:len(e.buf)+n]
 		if end := endOfEvents(e.buf); end > 0 {
 			e.returned = end
-			e.recordLastID(e.buf[:end])
+			e.recordEvents(e.buf[:end])
 			return e.buf[:end], nil
 		}
 		if err == io.EOF && len(e.buf) > 0 {
@@ -72,13 +74,19 @@
 	return end
 }
 
-// recordLastID sets LastID to the ID of the last event in b.
-func (e *EventReader) recordLastID(b []byte) {
+// recordEvents counts the complete events in b and sets LastID to the ID of the last one.
+func (e *EventReader) recordEvents(b []byte) {
+	inEvent := false
 	for len(b) > 0 {
 		line, rest, _ := bytes.Cut(b, []byte("\n"))
 		b = rest
 		if id, ok := bytes.CutPrefix(line, idField); ok {
 			e.LastID = string(bytes.TrimSpace(id))
 		}
+		blank := len(bytes.TrimSpace(line)) == 0
+		if blank && inEvent {
+			e.Count++
+		}
+		inEvent = !blank
 	}
 }
--- a/io/kwupstream/upstream_test.go
+++ b/io/kwupstream/upstream_test.go
@@ -278,8 +278,8 @@
 			}
 			got.Write(chunk)
 		}
-		if !bytes.Equal(got.Bytes(), stream.Bytes()) || e.LastID != "39" {
-			t.Fatalf("size %d: %d bytes, last id %q, want %d and 39", size, got.Len(), e.LastID, stream.Len())
+		if !bytes.Equal(got.Bytes(), stream.Bytes()) || e.LastID != "39" || e.Count != 40 {
+			t.Fatalf("size %d: %d bytes, last id %q, %d events, want %d, 39 and 40", size, got.Len(), e.LastID, e.Count, stream.Len())
 		}
 	}
 }
@@ -293,8 +293,8 @@
 	if _, err := e.Next(); !errors.Is(err, io.ErrUnexpectedEOF) {
 		t.Errorf("got %v, want %v", err, io.ErrUnexpectedEOF)
 	}
-	if e.LastID != "1" {
-		t.Errorf("last id got %q, want 1", e.LastID)
+	if e.LastID != "1" || e.Count != 1 {
+		t.Errorf("got last id %q and %d events, want 1 and 1", e.LastID, e.Count)
 	}
 }
 
