A stopping entry accepts streams by the probability that they end in time

Callers lost whole answers after 5.6 to 7.6 s: an entry that had got SIGTERM accepted their streams and cut them at the end of its drain, 1.2 to 3.7 s after they were expected to end.

Cause: the rule took an answer to last 1.25 times its expected time at most. The lengths that callers estimate are right in the median, but one answer in ten is 1.9 times as long and one in a hundred 3.1 times.

Change: the dispatcher learns how length relates to its estimate and time per token to the expected one, both as a trend of the logarithms with its spread, and adds the expected wait for the first event. A stream is accepted on a chain only if the probability of being cut is 0.02 at most, so that a slow chain is passed over for a faster one. The check holds for every attempt that has sent nothing to the caller yet, not for the first alone.

TestStoppingEntryRetriesNoStreamItWouldCut failed before with two attempts, want one. TestStoppingEntryLearnsFromAnswers and TestStoppingEntryWeighsStreams are new; the latter holds the old rule as one of its candidates.

--- a/core/kwchainsearch/choose.go
+++ b/core/kwchainsearch/choose.go
@@ -37,6 +37,8 @@
 	MaxFirstEvent time.Duration
 	// EstimateFirstEvent estimates the time to the first event from the first endpoint and the time that an idle chain takes.
 	EstimateFirstEvent func(first kwid.EndpointID, idle time.Duration) time.Duration
+	// Accept reports whether a chain may be used; nil accepts all.
+	Accept func(Chain) bool
 }
 
 // Choose returns the chain on which a request can expect its first event soonest: in the home zone if that is fast enough, or
@@ -72,7 +74,8 @@
 	if found || c.Incomplete || anyZoneHoldsModel(engine, servers) {
 		return best.chain, found
 	}
-	return NewSearch(engine, all).Best(c.Size)
+	chain, ok := NewSearch(engine, all).Best(c.Size)
+	return chain, ok && (c.Accept == nil || c.Accept(chain))
 }
 
 // candidate is a chain with its score, the expected time to the first event and the costs added to it. Lower is better.
@@ -85,7 +88,7 @@
 func (c Criteria) bestCandidate(engine *kwdeclaration.Engine, servers []Server) (best candidate, found bool) {
 	for _, chain := range NewSearch(engine, servers).BestByFirst(c.Size) {
 		firstEvent := c.EstimateFirstEvent(chain.First().Endpoint, chain.PrefillTime+chain.TokenTime)
-		if firstEvent > c.MaxFirstEvent {
+		if firstEvent > c.MaxFirstEvent || c.Accept != nil && !c.Accept(chain) {
 			continue
 		}
 		score := firstEvent + c.decodeCost(engine, chain)
--- a/core/kwdispatch/dispatcher.go
+++ b/core/kwdispatch/dispatcher.go
@@ -47,6 +47,10 @@
 	Deadline time.Time
 	// Broken means that the caller has received part of a stream that has broken off.
 	Broken bool
+	// Exit is when the entry ends its requests in progress; zero means that it keeps running.
+	Exit time.Time
+	// AnswerTokens is the caller's estimate of the length of the answer.
+	AnswerTokens int
 	// DeclaredPriority is the priority that the declaration gives the request; 0 is the highest.
 	DeclaredPriority int
 	// Excluded holds the endpoints that have failed or refused the request.
@@ -68,6 +72,8 @@
 	RetryAfter time.Duration
 	// Paused means that the request is rejected since every chain passes through an endpoint that wants no requests.
 	Paused bool
+	// EndsLate means that the request is rejected since no chain would end its answer before the entry exits.
+	EndsLate bool
 }
 
 // Dispatcher holds what the decisions of one entry depend on. It is not safe for concurrent use; the caller's lock protects it.
@@ -77,6 +83,8 @@
 	queue *kwqueue.Queue
 	// latency estimates the time to the first event, by the first endpoint of a chain.
 	latency map[kwid.EndpointID]*kwqueue.LatencyEstimator
+	// forecast tells how long answers take.
+	forecast Forecast
 }
 
 // New returns a Dispatcher without load.
@@ -108,6 +116,9 @@
 	if pause := d.pauseOfAll(now, fleet, r); pause > 0 {
 		return Decision{RetryAfter: pause, Paused: true}
 	}
+	if d.endsLate(now, fleet, r) {
+		return Decision{EndsLate: true}
+	}
 	left := time.Duration(unlimited)
 	if !r.Deadline.IsZero() {
 		left = r.Deadline.Sub(now)
@@ -139,6 +150,10 @@
 		d.queue.Remove(waiter)
 		return Decision{RetryAfter: pause, Paused: true}
 	}
+	if d.endsLate(now, fleet, r) {
+		d.queue.Remove(waiter)
+		return Decision{EndsLate: true}
+	}
 	if ended {
 		d.queue.Remove(waiter)
 		return Decision{RetryAfter: d.queue.RetryAfter(now)}
@@ -199,6 +214,17 @@
 // reserve reserves room on the best chain. A chain whose first event would come too late counts as full. If allowLate is set, or
 // if the request is late or broken already, a late answer is better than none, and only the first-event timeout bounds it.
 func (d *Dispatcher) reserve(now time.Time, fleet Fleet, r Request, allowLate bool) (kwchainsearch.Chain, bool) {
+	chain, ok := d.choose(now, fleet, r, allowLate, d.acceptChain(now, r))
+	if ok {
+		d.loads.Reserve(chain, r.Size.TotalTokens)
+	}
+	return chain, ok
+}
+
+// choose returns the best chain that has room and that accept, if it is set, allows.
+func (d *Dispatcher) choose(
+	now time.Time, fleet Fleet, r Request, allowLate bool, accept func(kwchainsearch.Chain) bool,
+) (kwchainsearch.Chain, bool) {
 	limit := r.FirstEventObjective
 	if allowLate || r.urgency(now) != kwqueue.OnTime {
 		limit = r.FirstEventTimeout
@@ -211,7 +237,7 @@
 		servers[i].Withheld = d.loads.Withheld(now, &servers[i], size)
 	}
 	excluded := func(id kwid.EndpointID) bool { return r.Excluded[id] || d.cfg.Unavailable(now, id) }
-	chain, ok := kwchainsearch.Choose(fleet.Engine, servers, excluded, kwchainsearch.Criteria{
+	return kwchainsearch.Choose(fleet.Engine, servers, excluded, kwchainsearch.Criteria{
 		Size:                r.Size,
 		Home:                d.cfg.Zone,
 		FirstEventObjective: r.FirstEventObjective,
@@ -221,9 +247,6 @@
 		EstimateFirstEvent: func(first kwid.EndpointID, idle time.Duration) time.Duration {
 			return d.latencyOf(first).Estimate(now, idle)
 		},
+		Accept: accept,
 	})
-	if ok {
-		d.loads.Reserve(chain, r.Size.TotalTokens)
-	}
-	return chain, ok
 }
--- a/core/kwdispatch/drain_test.go
+++ b/core/kwdispatch/drain_test.go
@@ -1,6 +1,8 @@
 package kwdispatch
 
 import (
+	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -9,6 +11,7 @@
 
 func TestEndsInTime(t *testing.T) {
 	now := time.Unix(1000, 0)
+	const firstEvent = 110 * time.Millisecond
 	chain := kwchainsearch.Chain{PrefillTime: 100 * time.Millisecond, TokenTime: 10 * time.Millisecond}
 	cases := []struct {
 		name   string
@@ -23,12 +26,143 @@
 		{"answer that takes half of the time left", 90, 2 * time.Second, true},
 		{"answer that takes nine tenths of the time left", 170, 2 * time.Second, false},
 	}
-	for _, c := range cases {
-		if got := EndsInTime(now, chain, c.tokens, now.Add(c.left)); got != c.want {
-			t.Errorf("%s: got %v, want %v", c.name, got, c.want)
+	// Answers that differ little from what is expected.
+	var learned Forecast
+	for i := range 100 {
+		deviation := 1 + 0.2*float64(i%3-1)
+		learned.Observe(Answer{
+			EstimatedTokens: 50 + 10*i, ExpectedTokenTime: chain.TokenTime,
+			Tokens: int(float64(50+10*i) * deviation), TokenTime: chain.TokenTime,
+		})
+	}
+	for name, f := range map[string]*Forecast{"nothing learned": {}, "learned": &learned} {
+		for _, c := range cases {
+			if got := f.EndsInTime(now, chain, c.tokens, firstEvent, now.Add(c.left)); got != c.want {
+				t.Errorf("%s, %s: got %v, want %v", name, c.name, got, c.want)
+			}
+		}
+		if !f.EndsInTime(now, chain, 1_000_000, firstEvent, time.Time{}) {
+			t.Errorf("%s, entry that keeps running: got false, want true", name)
+		}
+		if f.EndsInTime(now, chain, 10, 2*time.Second, now.Add(time.Second)) {
+			t.Errorf("%s, prompt that waits at its server until the end: got true, want false", name)
+		}
+	}
+}
+
+// stopPattern is the load of an entry that stops.
+type stopPattern struct {
+	name string
+	// lengthSpread is the standard deviation of the logarithm of an answer's length, estimateSpread that of its estimate, and
+	// paceSpread that of a chain's time per token against the expected one.
+	lengthSpread, estimateSpread, paceSpread float64
+	// slowdown multiplies the time per token while other entries stop too.
+	slowdown float64
+}
+
+// stopOutcome counts what became of the streams that reach a stopping entry.
+type stopOutcome struct {
+	streams, cut, rejected int
+}
+
+func (o stopOutcome) shares() (cut, rejected float64) {
+	return float64(o.cut) / float64(o.streams), float64(o.rejected) / float64(o.streams)
+}
+
+const (
+	simulatedGrace = 8 * time.Second
+	// simulatedLameDuck is how long callers still reach a stopping entry.
+	simulatedLameDuck  = 2300 * time.Millisecond
+	simulatedMaxTokens = 600
+)
+
+// stopRule decides whether a stopping entry accepts a stream.
+type stopRule func(f *Forecast, chain kwchainsearch.Chain, estimate int, left time.Duration) bool
+
+// factorRule accepts a stream if a multiple of its expected time is left.
+func factorRule(factor float64) stopRule {
+	return func(_ *Forecast, chain kwchainsearch.Chain, estimate int, left time.Duration) bool {
+		return time.Duration(factor*float64(chain.AnswerTime(estimate))) <= left
+	}
+}
+
+// longestRule accepts a stream if the longest answer that its caller allows would end in time.
+func longestRule(_ *Forecast, chain kwchainsearch.Chain, _ int, left time.Duration) bool {
+	return chain.AnswerTime(simulatedMaxTokens) <= left
+}
+
+func forecastRule(f *Forecast, chain kwchainsearch.Chain, estimate int, left time.Duration) bool {
+	now := time.Unix(1000, 0)
+	return f.EndsInTime(now, chain, estimate, chain.PrefillTime+chain.TokenTime, now.Add(left))
+}
+
+// simulateStops plays stops of an entry, with the answers before each to learn from.
+func simulateStops(p stopPattern, rule stopRule) stopOutcome {
+	const stops, answersBefore, streamsPerStop = 100, 200, 40
+	rng := rand.New(rand.NewPCG(1, 2))
+	spread := func(sd float64) float64 { return math.Exp(sd * rng.NormFloat64()) }
+	draw := func() (chain kwchainsearch.Chain, estimate, tokens int, pace time.Duration) {
+		tokens = int(min(simulatedMaxTokens, max(3, 150*spread(p.lengthSpread))))
+		estimate = int(min(simulatedMaxTokens, max(3, float64(tokens)*spread(p.estimateSpread))))
+		pace = time.Duration(11 * float64(time.Millisecond) * spread(0.18))
+		chain.PrefillTime = 40 * time.Millisecond
+		chain.TokenTime = time.Duration(1.2 * float64(pace) * spread(p.paceSpread))
+		return chain, estimate, tokens, pace
+	}
+	var o stopOutcome
+	for range stops {
+		var f Forecast
+		for range answersBefore {
+			chain, estimate, tokens, pace := draw()
+			f.Observe(Answer{EstimatedTokens: estimate, ExpectedTokenTime: chain.TokenTime, Tokens: tokens, TokenTime: pace})
+		}
+		for range streamsPerStop {
+			chain, estimate, tokens, pace := draw()
+			left := simulatedGrace - time.Duration(rng.Int64N(int64(simulatedLameDuck)))
+			o.streams++
+			if !rule(&f, chain, estimate, left) {
+				o.rejected++
+				continue
+			}
+			took := chain.PrefillTime + time.Duration(float64(tokens)*float64(pace)*p.slowdown)
+			if took > left {
+				o.cut++
+			}
 		}
 	}
-	if !EndsInTime(now, chain, 1_000_000, time.Time{}) {
-		t.Errorf("entry that keeps running: got false, want true")
+	return o
+}
+
+// TestStoppingEntryWeighsStreams plays stops under load with rules for which streams a stopping entry accepts. The forecast must
+// not cut off more than its limit, and must reject fewer streams than the longest answer as a bound; where estimates are far
+// off, it must halve what a fixed factor cuts off, and where they are good, it must reject fewer streams than the factor.
+func TestStoppingEntryWeighsStreams(t *testing.T) {
+	patterns := []struct {
+		stopPattern
+		goodEstimates bool
+	}{
+		{stopPattern{"estimates right in the median but far off", 0.8, 0.5, 0.35, 1}, false},
+		{stopPattern{"chains slow down while other entries stop", 0.8, 0.5, 0.35, 1.15}, false},
+		{stopPattern{"good estimates, expected times too long", 0.8, 0.03, 0.05, 1}, true},
+	}
+	for _, p := range patterns {
+		factorCut, factorRejected := simulateStops(p.stopPattern, factorRule(1.25)).shares()
+		doubleCut, doubleRejected := simulateStops(p.stopPattern, factorRule(2)).shares()
+		longestCut, longestRejected := simulateStops(p.stopPattern, longestRule).shares()
+		cut, rejected := simulateStops(p.stopPattern, forecastRule).shares()
+		t.Logf("%s: cut %.4f, rejected %.3f; factor 1.25: %.4f, %.3f; factor 2: %.4f, %.3f; longest answer: %.4f, %.3f",
+			p.name, cut, rejected, factorCut, factorRejected, doubleCut, doubleRejected, longestCut, longestRejected)
+		if cut > maxLateProbability/2 {
+			t.Errorf("%s: got %.4f cut, want %.4f at most", p.name, cut, maxLateProbability/2)
+		}
+		if rejected > longestRejected {
+			t.Errorf("%s: got %.3f rejected, want %.3f at most, as with the longest answer", p.name, rejected, longestRejected)
+		}
+		if p.goodEstimates && rejected > factorRejected {
+			t.Errorf("%s: got %.3f rejected, want %.3f at most, as with a factor", p.name, rejected, factorRejected)
+		}
+		if !p.goodEstimates && cut > factorCut/2 {
+			t.Errorf("%s: got %.4f cut, want %.4f at most, half of what a factor cuts", p.name, cut, factorCut/2)
+		}
 	}
 }
--- /dev/null
+++ b/core/kwdispatch/forecast.go
@@ -0,0 +1,104 @@
+package kwdispatch
+
+import (
+	"math"
+	"time"
+
+	"knapweedproxy/core/kwchainsearch"
+)
+
+const (
+	// forecastDecay is the weight that an observation keeps with each later one: what is learned is about the last hundred answers.
+	forecastDecay = 0.99
+	// minForecastWeight is the weight of observations below which a forecast goes by the expected time alone.
+	minForecastWeight = 10
+	// minVariance bounds the variance of a learned logarithm, for fleets in which all answers are alike.
+	minVariance = 1e-4
+)
+
+// trend is a linear relation between the logarithms of two quantities, with the spread around it. Old observations fade.
+type trend struct {
+	weight, sumX, sumY, sumXX, sumXY, sumYY float64
+}
+
+func (t *trend) observe(x, y float64) {
+	x, y = math.Log(x), math.Log(y)
+	for _, s := range []struct {
+		sum   *float64
+		value float64
+	}{{&t.weight, 1}, {&t.sumX, x}, {&t.sumY, y}, {&t.sumXX, x * x}, {&t.sumXY, x * y}, {&t.sumYY, y * y}} {
+		*s.sum = forecastDecay**s.sum + s.value
+	}
+}
+
+// at returns the mean and the variance of the logarithm of y for a value of x. A slope beyond 0 and 1 would extrapolate noise.
+func (t *trend) at(x float64) (mean, variance float64) {
+	meanX, meanY := t.sumX/t.weight, t.sumY/t.weight
+	varX := t.sumXX/t.weight - meanX*meanX
+	cov := t.sumXY/t.weight - meanX*meanY
+	slope := 0.0
+	if varX > minVariance {
+		slope = min(1, max(0, cov/varX))
+	}
+	variance = t.sumYY/t.weight - meanY*meanY - 2*slope*cov + slope*slope*varX
+	return meanY + slope*(math.Log(x)-meanX), max(minVariance, variance)
+}
+
+// Forecast learns from answers how long those to come will take: callers estimate lengths that are right in the median but often
+// far off, and the time that a chain takes per token depends less on the load at the moment of choice than the estimate of it
+// does. It is not safe for concurrent use.
+type Forecast struct {
+	// length relates the length of an answer to its estimate, pace the time per token to the expected one.
+	length, pace trend
+}
+
+// Answer is an answer of a chain: what was expected of it, and what came.
+type Answer struct {
+	// EstimatedTokens and ExpectedTokenTime were expected.
+	EstimatedTokens   int
+	ExpectedTokenTime time.Duration
+	// Tokens is the number of tokens that came, and TokenTime the time per token after the first event.
+	Tokens    int
+	TokenTime time.Duration
+}
+
+// Observe records an answer that has ended.
+func (f *Forecast) Observe(a Answer) {
+	if a.EstimatedTokens <= 0 || a.Tokens <= 0 {
+		return
+	}
+	f.length.observe(float64(a.EstimatedTokens), float64(a.Tokens))
+	if a.TokenTime > 0 && a.ExpectedTokenTime > 0 {
+		f.pace.observe(float64(a.ExpectedTokenTime), float64(a.TokenTime))
+	}
+}
+
+func (f *Forecast) learned() bool {
+	return f.length.weight >= minForecastWeight && f.pace.weight >= minForecastWeight
+}
+
+// LateProbability returns the probability that an answer of a chain that begins after firstEvent takes longer than left.
+func (f *Forecast) LateProbability(chain kwchainsearch.Chain, estimatedTokens int, firstEvent, left time.Duration) float64 {
+	writing := left - firstEvent
+	if writing <= 0 {
+		return 1
+	}
+	if estimatedTokens <= 0 || chain.TokenTime <= 0 {
+		return 0
+	}
+	if !f.learned() {
+		if time.Duration(unlearnedTimeFactor*float64(chain.TokenTime)*float64(estimatedTokens)) > writing {
+			return 1
+		}
+		return 0
+	}
+	length, lengthVariance := f.length.at(float64(estimatedTokens))
+	pace, paceVariance := f.pace.at(float64(chain.TokenTime))
+	return normalExceeds((math.Log(float64(writing)) - length - pace) / math.Sqrt(lengthVariance+paceVariance))
+}
+
+// unlearnedTimeFactor is how many times its expected time an answer may take until answers have been observed.
+const unlearnedTimeFactor = 2
+
+// normalExceeds returns the probability that a standard normal variable exceeds z.
+func normalExceeds(z float64) float64 { return math.Erfc(z/math.Sqrt2) / 2 }
--- a/io/kwdirectentry/queue.go
+++ b/io/kwdirectentry/queue.go
@@ -34,6 +34,8 @@
 		WaitingSince:        c.r.arrived,
 		Deadline:            deadline,
 		Broken:              c.r.broken,
+		Exit:                c.exitTime(),
+		AnswerTokens:        c.r.answerTokens(),
 		DeclaredPriority:    c.r.basePriority(),
 		Excluded:            c.exclude,
 	}
@@ -77,6 +79,9 @@
 		chain, err := s.waitInQueue(ctx, req, decision.Waiter)
 		return chain, time.Since(begin), err
 	}
+	if decision.EndsLate {
+		return kwchainsearch.Chain{}, 0, endsLateError()
+	}
 	if !req.exitTime().IsZero() {
 		return kwchainsearch.Chain{}, 0, stoppingError("no chain is expected to have capacity before the entry stops")
 	}
@@ -93,6 +98,11 @@
 	return err.After(decision.RetryAfter)
 }
 
+// endsLateError rejects a request whose answer would be cut off.
+func endsLateError() error {
+	return stoppingError("the answer may not end before the entry stops")
+}
+
 // waitInQueue waits until a queued request gets a chain or its waiting time is over; the caller holds the lock, which
 // is released while it sleeps.
 func (s *scheduler) waitInQueue(ctx context.Context, req chainRequest, waiter *kwqueue.Waiter) (kwchainsearch.Chain, error) {
@@ -118,6 +128,9 @@
 		if decision.Granted {
 			return decision.Chain, nil
 		}
+		if decision.EndsLate {
+			return kwchainsearch.Chain{}, endsLateError()
+		}
 		if decision.Waiter == nil && !req.exitTime().IsZero() {
 			return kwchainsearch.Chain{}, stoppingError("no chain has had capacity, and the entry is stopping")
 		}
--- a/io/kwdirectentry/scheduler.go
+++ b/io/kwdirectentry/scheduler.go
@@ -145,6 +145,13 @@
 	s.wakeNext()
 }
 
+// observe records how long an answer was and took.
+func (s *scheduler) observe(a kwdispatch.Answer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dispatcher.Observe(a)
+}
+
 // crossZonePenalty is added to the load of an endpoint outside this entry's availability zone, to prefer local ones.
 const crossZonePenalty = 2
 
--- a/io/kwdirectentry/stop_test.go
+++ b/io/kwdirectentry/stop_test.go
@@ -98,6 +98,66 @@
 	}
 }
 
+// TestStoppingEntryRetriesNoStreamItWouldCut guards against a second attempt that a stopping entry cuts off.
+func TestStoppingEntryRetriesNoStreamItWouldCut(t *testing.T) {
+	const left = time.Second
+	var served atomic.Int64
+	model := serveRaw(t, func(io.Writer, string) bool {
+		served.Add(1)
+		time.Sleep(left * 7 / 10)
+		return false
+	})
+	g := newTestGateway(t, model, "127.0.0.1:1")
+	setModelServers(
+		g, kwmembership.Announcement{ID: "m1", Address: model, Layers: kwid.LayerRange{To: 8}},
+		kwmembership.Announcement{ID: "m2", Address: model, Layers: kwid.LayerRange{To: 8}},
+	)
+	end := time.Now().Add(left)
+	g.drainEnd.Store(&end)
+	g.stopping.Store(true)
+	status, body := post(t, http.DefaultClient, g, "/notes/x", "s")
+	if status != http.StatusBadGateway || served.Load() != 1 {
+		t.Errorf("got status %d after %d attempts, want 502 after 1, since a second answer would be cut off; body %s", status, served.Load(), body)
+	}
+}
+
+// TestStoppingEntryLearnsFromAnswers has answers end sooner than expected, after which a stopping entry must accept what it would
+// have rejected before.
+func TestStoppingEntryLearnsFromAnswers(t *testing.T) {
+	const answers, events, left = 20, 10, 300 * time.Millisecond
+	model := serveRaw(t, func(w io.Writer, id string) bool {
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id)
+		for i := range events {
+			writeEvent(w, i)
+		}
+		_, _ = io.WriteString(w, "0\r\n\r\n")
+		return true
+	})
+	g := newTestGateway(t, model, "127.0.0.1:1")
+	stopping := func(left time.Duration) {
+		end := time.Now().Add(left)
+		g.drainEnd.Store(&end)
+		g.stopping.Store(left > 0)
+		if left == 0 {
+			g.drainEnd.Store(nil)
+		}
+	}
+	stopping(left)
+	if status, body := post(t, http.DefaultClient, g, "/notes/x", "before"); status != http.StatusServiceUnavailable {
+		t.Fatalf("before any answer: got status %d, want 503; body %s", status, body)
+	}
+	stopping(0)
+	for range answers {
+		if status, body := post(t, http.DefaultClient, g, "/notes/x", "a"); status != http.StatusOK {
+			t.Fatalf("entry that keeps running: got status %d, want 200; body %s", status, body)
+		}
+	}
+	stopping(left)
+	if status, body := post(t, http.DefaultClient, g, "/notes/x", "after"); status != http.StatusOK {
+		t.Errorf("after %d short answers: got status %d, want 200; body %s", answers, status, body)
+	}
+}
+
 // lastEnd returns the last event that tells the end of a request.
 func lastEnd(t *testing.T, g *Gateway, id string) kwevent.Record {
 	t.Helper()
--- a/io/kwdirectentry/stream.go
+++ b/io/kwdirectentry/stream.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -77,12 +76,6 @@
 			s.recordNoChain(err)
 			break
 		}
-		if q.sends == 0 && !kwdispatch.EndsInTime(time.Now(), chain, q.answerTokens(), g.exitTime()) {
-			g.scheduler.release(chain, s.size.TotalTokens)
-			s.recordNoChain(stoppingError(fmt.Sprintf("the answer is expected to take %v, and the entry stops earlier",
-				chain.AnswerTime(q.answerTokens()).Round(time.Millisecond))))
-			break
-		}
 		result := g.attemptStream(ctx, s, chain)
 		if q.callerLeft() {
 			g.abortCallerGone(q)
@@ -294,11 +287,35 @@
 func (g *Gateway) finishComplete(s *streamState, chain kwchainsearch.Chain) {
 	g.recordSoundStream(s)
 	g.scheduler.recordSuccess(chain)
+	s.observeAnswer(g, chain)
 	g.metrics.served.Inc(1)
 	g.metrics.longestPause.Update(s.q.longestPause)
 	g.logEnd(kwevent.RequestAnswered, s.q, http.StatusOK, nil)
 }
 
+// minPacedEvents is the number of events from which the time between them tells the pace of a chain.
+const minPacedEvents = 8
+
+// observeAnswer has the scheduler learn from an answer that one attempt has delivered in full.
+func (s *streamState) observeAnswer(g *Gateway, chain kwchainsearch.Chain) {
+	q := s.q
+	if q.sends != 1 || q.meta.LastEventID != "" {
+		return
+	}
+	answer := kwdispatch.Answer{
+		EstimatedTokens: q.answerTokens(), ExpectedTokenTime: chain.TokenTime, Tokens: q.events * tokensPerEvent(q),
+	}
+	if q.events >= minPacedEvents {
+		answer.TokenTime = q.lastEventAt.Sub(q.arrived.Add(q.firstEvent)) / time.Duration((q.events-1)*tokensPerEvent(q))
+	}
+	g.scheduler.observe(answer)
+}
+
+// tokensPerEvent returns how many tokens an event of an answer holds.
+func tokensPerEvent(q *request) int {
+	return max(1, q.view.index.Service(q.service).Engine.TokensPerEvent)
+}
+
 // finishStream ends a stream that no attempt has completed.
 func (g *Gateway) finishStream(ctx context.Context, s *streamState) {
 	q := s.q
