A stopping entry hands streams that may not end in time to faster chains

Change: while the entry stops, each stream is checked every 250 ms against the learned lengths, given what has come already, and the pace so far. If another chain lowers the probability of being cut by 0.1 or more, it is reserved and the stream goes on there after its last event, as after a break. The route must be resumable and have an attempt left, and the entry's own share of the retry budget pays; no loan is asked for, since the stream would pause meanwhile.

A trend learned from chains that are all expected to be alike took any other chain to be as fast; it now follows the expected time.

--- a/core/kwdispatch/drain.go
+++ b/core/kwdispatch/drain.go
@@ -1,9 +1,11 @@
 package kwdispatch
 
 import (
+	"maps"
 	"time"
 
 	"knapweedproxy/core/kwchainsearch"
+	"knapweedproxy/core/kwid"
 )
 
 // maxLateProbability is the probability of being cut off with which a stopping entry still accepts a stream: a rejected stream
@@ -17,6 +19,37 @@
 	return exit.IsZero() || f.LateProbability(chain, estimatedTokens, firstEvent, exit.Sub(now)) <= maxLateProbability
 }
 
+// minHandOverGain is by how much the probability of being cut off must fall for a stream to be handed over, which costs a retry and
+// the processing of its prompt.
+const minHandOverGain = 0.1
+
+// HandOver reserves a faster chain for a stream of a stopping entry that may not end before the exit, if there is one on which it is
+// more likely to. It answers streams that turn out longer than estimated, or whose chain has become slow since it was chosen. The
+// first endpoint of the present chain is not used again, since it may still be at work on the stream.
+func (d *Dispatcher) HandOver(now time.Time, fleet Fleet, r Request, present kwchainsearch.Chain, p Progress) (kwchainsearch.Chain, bool) {
+	if r.Exit.IsZero() || !d.forecast.learned() || p.EstimatedTokens <= 0 || p.Tokens <= 0 || p.TokenTime <= 0 {
+		return kwchainsearch.Chain{}, false
+	}
+	left := r.Exit.Sub(now)
+	here := d.forecast.lateProbabilityHere(p, left)
+	if here < minHandOverGain {
+		return kwchainsearch.Chain{}, false
+	}
+	r.Excluded = maps.Clone(r.Excluded)
+	if r.Excluded == nil {
+		r.Excluded = make(map[kwid.EndpointID]bool)
+	}
+	r.Excluded[present.First().Endpoint] = true
+	chain, ok := d.choose(now, fleet, r, true, func(chain kwchainsearch.Chain) bool {
+		firstEvent := d.latencyOf(chain.First().Endpoint).Estimate(now, chain.PrefillTime+chain.TokenTime)
+		return here-d.forecast.lateProbabilityOn(chain, p, firstEvent, left) >= minHandOverGain
+	})
+	if ok {
+		d.loads.Reserve(chain, r.Size.TotalTokens)
+	}
+	return chain, ok
+}
+
 // Observe records how long an answer was and took.
 func (d *Dispatcher) Observe(a Answer) { d.forecast.Observe(a) }
 
--- a/core/kwdispatch/drain_test.go
+++ b/core/kwdispatch/drain_test.go
@@ -3,10 +3,13 @@
 import (
 	"math"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
 	"knapweedproxy/core/kwchainsearch"
+	"knapweedproxy/core/kwid"
+	"knapweedproxy/core/kwqueue"
 )
 
 func TestEndsInTime(t *testing.T) {
@@ -166,3 +169,122 @@
 		}
 	}
 }
+
+// TestForecastFollowsChains guards against a forecast that takes a chain that is expected to be slow for as fast as the usual ones.
+func TestForecastFollowsChains(t *testing.T) {
+	f := learnedForecast()
+	const tokens, left = 200, 4 * time.Second
+	usual := f.LateProbability(kwchainsearch.Chain{TokenTime: 10 * time.Millisecond}, tokens, 0, left)
+	slow := f.LateProbability(kwchainsearch.Chain{TokenTime: 40 * time.Millisecond}, tokens, 0, left)
+	if usual > 0.2 || slow < 0.8 {
+		t.Errorf("got probabilities %.3f on a usual chain and %.3f on one four times as slow, want 0.2 at most and 0.8 at least", usual, slow)
+	}
+}
+
+// learnedForecast returns a forecast that has learned from answers whose lengths differ from their estimates.
+func learnedForecast() Forecast {
+	var f Forecast
+	rng := rand.New(rand.NewPCG(3, 4))
+	for range 200 {
+		estimate := 50 + rng.IntN(400)
+		f.Observe(Answer{
+			EstimatedTokens: estimate, ExpectedTokenTime: 10 * time.Millisecond, TokenTime: 10 * time.Millisecond,
+			Tokens: max(1, int(float64(estimate)*math.Exp(0.4*rng.NormFloat64()))),
+		})
+	}
+	return f
+}
+
+func TestHandOver(t *testing.T) {
+	now := time.Unix(1000, 0)
+	present := kwchainsearch.Chain{Stages: []kwchainsearch.Stage{{Endpoint: "z0-slow-0"}}}
+	slow := Progress{EstimatedTokens: 300, MaxTokens: 600, Tokens: 100, TokenTime: 40 * time.Millisecond}
+	nearEnd, fast, beyond := slow, slow, slow
+	nearEnd.Tokens = 595
+	fast.TokenTime = 8 * time.Millisecond
+	beyond.Tokens = 400
+	isFast := func(id kwid.EndpointID) bool { return strings.Contains(string(id), "fast") }
+	cases := []struct {
+		name        string
+		progress    Progress
+		left        time.Duration
+		unavailable func(kwid.EndpointID) bool
+		want        bool
+	}{
+		{"slow chain, a faster one", slow, 5 * time.Second, nil, true},
+		{"slow chain, longer than estimated", beyond, 5 * time.Second, nil, true},
+		{"slow chain, no other one", slow, 5 * time.Second, func(kwid.EndpointID) bool { return true }, false},
+		{"slow chain, ample time", slow, 5 * time.Minute, nil, false},
+		{"slow chain, about to end by its bound", nearEnd, 5 * time.Second, nil, false},
+		{"slow chain, no time for any other", slow, 50 * time.Millisecond, nil, false},
+		{"fast chain", fast, 5 * time.Second, nil, false},
+		{"entry that keeps running", slow, 0, nil, false},
+	}
+	for _, c := range cases {
+		d := New(Config{
+			Entry: "e", Zone: "z0", Queue: kwqueue.DefaultConfig(),
+			Unavailable: func(_ time.Time, id kwid.EndpointID) bool { return c.unavailable != nil && c.unavailable(id) },
+		})
+		d.forecast = learnedForecast()
+		r := request(now)
+		r.Size = kwchainsearch.RequestSize{TotalTokens: 1000, PromptTokens: 800}
+		if c.left > 0 {
+			r.Exit = now.Add(c.left)
+		}
+		chain, got := d.HandOver(now, zonedFleet(), r, present, c.progress)
+		if got != c.want {
+			t.Errorf("%s: got hand-over %v, want %v", c.name, got, c.want)
+		}
+		if got && (!isFast(chain.First().Endpoint) || len(d.Loads().Own()) == 0) {
+			t.Errorf("%s: got chain %v with loads %v, want a fast chain that is reserved", c.name, chain, d.Loads().Own())
+		}
+		d.forecast = Forecast{}
+		if _, got := d.HandOver(now, zonedFleet(), r, present, c.progress); got {
+			t.Errorf("%s, nothing learned: got a hand-over, want none", c.name)
+		}
+	}
+}
+
+// TestHandOverSavesStreams plays streams of stopping entries whose chains are slow, beside one that is as fast as usual. Handing
+// them over must save a third of those that would be cut, at the price of few that would have ended in time.
+func TestHandOverSavesStreams(t *testing.T) {
+	const streams, step, usualPace = 4000, 250 * time.Millisecond, 10 * time.Millisecond
+	const firstEvent = 100 * time.Millisecond
+	other := kwchainsearch.Chain{TokenTime: usualPace}
+	f := learnedForecast()
+	rng := rand.New(rand.NewPCG(5, 6))
+	var cut, saved, harmed, handedOver int
+	for range streams {
+		estimate := 50 + rng.IntN(400)
+		tokens := max(1, int(float64(estimate)*math.Exp(0.4*rng.NormFloat64())))
+		pace := time.Duration(float64(usualPace) * (1 + rng.Float64()))
+		left := simulatedGrace - time.Duration(rng.Int64N(int64(simulatedLameDuck)))
+		late := time.Duration(tokens)*pace > left
+		if late {
+			cut++
+		}
+		for at := 2 * step; at < min(left, time.Duration(tokens)*pace); at += step {
+			p := Progress{EstimatedTokens: estimate, Tokens: int(at / pace), TokenTime: pace}
+			here := f.lateProbabilityHere(p, left-at)
+			if here-f.lateProbabilityOn(other, p, firstEvent, left-at) < minHandOverGain {
+				continue
+			}
+			handedOver++
+			end := at + firstEvent + time.Duration(tokens-p.Tokens)*usualPace
+			switch {
+			case late && end <= left:
+				saved++
+			case !late && end > left:
+				harmed++
+			}
+			break
+		}
+	}
+	t.Logf("of %d streams %d would be cut; %d handed over, %d saved, %d harmed", streams, cut, handedOver, saved, harmed)
+	if saved < cut/3 {
+		t.Errorf("got %d of %d cut streams saved, want %d at least", saved, cut, cut/3)
+	}
+	if harmed > saved/20 {
+		t.Errorf("got %d streams cut that would have ended in time, want %d at most", harmed, saved/20)
+	}
+}
--- a/core/kwdispatch/forecast.go
+++ b/core/kwdispatch/forecast.go
@@ -31,12 +31,13 @@
 	}
 }
 
-// at returns the mean and the variance of the logarithm of y for a value of x. A slope beyond 0 and 1 would extrapolate noise.
+// at returns the mean and the variance of the logarithm of y for a value of x. A slope beyond 0 and 1 would extrapolate noise, and
+// values of x that hardly differ show none: y is taken to be proportional to x then.
 func (t *trend) at(x float64) (mean, variance float64) {
 	meanX, meanY := t.sumX/t.weight, t.sumY/t.weight
 	varX := t.sumXX/t.weight - meanX*meanX
 	cov := t.sumXY/t.weight - meanX*meanY
-	slope := 0.0
+	slope := 1.0
 	if varX > minVariance {
 		slope = min(1, max(0, cov/varX))
 	}
@@ -97,6 +98,43 @@
 	return normalExceeds((math.Log(float64(writing)) - length - pace) / math.Sqrt(lengthVariance+paceVariance))
 }
 
+// Progress is how far an answer has come.
+type Progress struct {
+	EstimatedTokens int
+	// MaxTokens bounds the length of the answer; zero means that the caller has set no bound.
+	MaxTokens int
+	// Tokens is the number of tokens that have come, and TokenTime the time per token so far.
+	Tokens    int
+	TokenTime time.Duration
+}
+
+// lateProbabilityHere returns the probability that an answer in progress takes longer than left on its present chain.
+func (f *Forecast) lateProbabilityHere(p Progress, left time.Duration) float64 {
+	return f.lateProbabilityAfter(p, float64(left)/float64(p.TokenTime), 0)
+}
+
+// lateProbabilityOn returns the probability that an answer in progress takes longer than left if it goes on on another chain, after
+// firstEvent.
+func (f *Forecast) lateProbabilityOn(chain kwchainsearch.Chain, p Progress, firstEvent, left time.Duration) float64 {
+	pace, variance := f.pace.at(float64(chain.TokenTime))
+	return f.lateProbabilityAfter(p, float64(left-firstEvent)/math.Exp(pace), variance)
+}
+
+// lateProbabilityAfter returns the probability that more tokens are left than a number whose logarithm has the given variance.
+func (f *Forecast) lateProbabilityAfter(p Progress, tokens, variance float64) float64 {
+	if tokens <= 0 {
+		return 1
+	}
+	end := float64(p.Tokens) + tokens
+	if p.MaxTokens > 0 && end >= float64(p.MaxTokens) {
+		return 0
+	}
+	length, lengthVariance := f.length.at(float64(p.EstimatedTokens))
+	longer := normalExceeds((math.Log(end) - length) / math.Sqrt(lengthVariance+variance))
+	soFar := normalExceeds((math.Log(float64(p.Tokens)) - length) / math.Sqrt(lengthVariance))
+	return min(1, longer/max(soFar, math.SmallestNonzeroFloat64))
+}
+
 // unlearnedTimeFactor is how many times its expected time an answer may take until answers have been observed.
 const unlearnedTimeFactor = 2
 
--- /dev/null
+++ b/io/kwdirectentry/handover.go
@@ -0,0 +1,65 @@
+package kwdirectentry
+
+import (
+	"context"
+	"time"
+
+	"knapweedproxy/core/kwchainsearch"
+	"knapweedproxy/core/kwcode"
+	"knapweedproxy/core/kwdispatch"
+	"knapweedproxy/io/kwevent"
+)
+
+// handOverInterval is the time between two checks whether a stream of a stopping entry needs a faster chain.
+const handOverInterval = 250 * time.Millisecond
+
+// handOver looks for a faster chain for a stream that may not end before the entry exits, and reserves it for the next attempt.
+// eventsBefore is the number of events of earlier attempts.
+func (g *Gateway) handOver(ctx context.Context, s *streamState, chain kwchainsearch.Chain, eventsBefore int) bool {
+	q := s.q
+	now := time.Now()
+	if g.exitTime().IsZero() || now.Before(s.nextHandOverCheck) {
+		return false
+	}
+	s.nextHandOverCheck = now.Add(handOverInterval)
+	events := q.events - eventsBefore
+	if events < minPacedEvents || s.lastEventID == "" || !q.route.Retryable() || s.attempts.mayHaveRun+1 >= q.route.MaxAttempts {
+		return false
+	}
+	req := s.chainRequest(g)
+	delivered := q.events * tokensPerEvent(q)
+	req.size.PromptTokens = float64(q.meta.PromptTokens + delivered)
+	req.size.TotalTokens = max(req.size.TotalTokens, req.size.PromptTokens)
+	progress := kwdispatch.Progress{
+		EstimatedTokens: q.answerTokens(), MaxTokens: q.meta.MaxAnswerTokens, Tokens: delivered,
+		TokenTime: q.lastEventAt.Sub(s.attemptFirstEvent) / time.Duration((events-1)*tokensPerEvent(q)),
+	}
+	next, ok := g.scheduler.handOver(ctx, req, chain, progress)
+	if !ok {
+		return false
+	}
+	if !g.retryBudgets.ForService(q.service).TrySpend(now) {
+		g.scheduler.release(next, req.size.TotalTokens)
+		return false
+	}
+	s.size = req.size
+	s.reserved = &next
+	s.attempts.mayHaveRun++
+	s.attempts.lastErr = kwcode.New(kwcode.StreamCut, "chain %s: too slow for the stream to end before the entry stops", formatChain(chain))
+	q.broken = true
+	q.resumptions++
+	g.metrics.resumed.Inc(1)
+	g.metrics.retried.Inc(1)
+	g.deps.Events.Emit(kwevent.StreamHandedOver, q.meta.ID, kwevent.F("from", formatChain(chain)), kwevent.F("to", formatChain(next)),
+		kwevent.F("last-event", s.lastEventID), kwevent.F("left-ms", time.Until(g.exitTime()).Milliseconds()))
+	return true
+}
+
+// takeReserved returns the chain that was reserved for the next attempt, if any.
+func (s *streamState) takeReserved() (chain kwchainsearch.Chain, ok bool) {
+	if s.reserved == nil {
+		return kwchainsearch.Chain{}, false
+	}
+	chain, s.reserved = *s.reserved, nil
+	return chain, true
+}
--- a/io/kwdirectentry/scheduler.go
+++ b/io/kwdirectentry/scheduler.go
@@ -1,6 +1,7 @@
 package kwdirectentry
 
 import (
+	"context"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -152,6 +153,17 @@
 	s.dispatcher.Observe(a)
 }
 
+// handOver reserves a faster chain for a stream that may not end before the entry exits, if there is one.
+func (s *scheduler) handOver(ctx context.Context, req chainRequest, present kwchainsearch.Chain, p kwdispatch.Progress) (kwchainsearch.Chain, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fleet, err := req.fleet()
+	if err != nil {
+		return kwchainsearch.Chain{}, false
+	}
+	return s.dispatcher.HandOver(time.Now(), fleet, req.dispatchRequest(ctx), present, p)
+}
+
 // crossZonePenalty is added to the load of an endpoint outside this entry's availability zone, to prefer local ones.
 const crossZonePenalty = 2
 
--- a/io/kwdirectentry/stream.go
+++ b/io/kwdirectentry/stream.go
@@ -34,6 +34,12 @@
 	firstEventDeadline time.Time
 	// watched is the current attempt.
 	watched *watchedStream
+	// attemptFirstEvent is when the current attempt delivered its first event.
+	attemptFirstEvent time.Time
+	// reserved is the chain of the next attempt of a stream that is handed over.
+	reserved *kwchainsearch.Chain
+	// nextHandOverCheck is when the stream is next checked for a hand-over.
+	nextHandOverCheck time.Time
 }
 
 // attemptResult is how an attempt of a stream ended.
@@ -46,6 +52,8 @@
 	resultNotRun
 	// resultBroken means that the request may have run but failed, broke off or fell silent.
 	resultBroken
+	// resultHandedOver means that the stream goes on on the chain that is reserved for it.
+	resultHandedOver
 )
 
 // serveStream serves a streaming request; a broken stream resumes after its last event on another chain.
@@ -56,32 +64,21 @@
 	}
 	s := &streamState{q: q, size: estimateSize(q), attempts: attemptState{exclude: make(endpointSet)}, lastEventID: q.meta.LastEventID}
 	for {
-		if err := g.checkQuarantine(ctx, q); err != nil {
-			s.recordNoChain(err)
-			break
-		}
-		chain, waited, err := g.scheduler.acquireChain(ctx, s.chainRequest(g))
-		q.waited += waited
-		g.metrics.queueWait.Update(waited)
-		if q.callerLeft() {
-			g.abortCallerGone(q)
-		}
-		if err != nil {
-			s.recordNoChain(err)
-			break
-		}
-		// The part may have been quarantined while the request waited.
-		if err := g.checkQuarantine(ctx, q); err != nil {
-			g.scheduler.release(chain, s.size.TotalTokens)
-			s.recordNoChain(err)
-			break
+		chain, ok := s.takeReserved()
+		if !ok {
+			if chain, ok = g.acquireStreamChain(ctx, s); !ok {
+				break
+			}
 		}
 		result := g.attemptStream(ctx, s, chain)
 		if q.callerLeft() {
 			g.abortCallerGone(q)
 		}
-		if result == resultComplete {
+		switch result {
+		case resultComplete:
 			return
+		case resultHandedOver:
+			continue
 		}
 		if q.mayCrashAgain() || !g.mayRetry(ctx, q, &s.attempts) {
 			break
@@ -95,6 +92,32 @@
 	g.finishStream(ctx, s)
 }
 
+// acquireStreamChain acquires a chain for the next attempt, or records why there is none.
+func (g *Gateway) acquireStreamChain(ctx context.Context, s *streamState) (kwchainsearch.Chain, bool) {
+	q := s.q
+	if err := g.checkQuarantine(ctx, q); err != nil {
+		s.recordNoChain(err)
+		return kwchainsearch.Chain{}, false
+	}
+	chain, waited, err := g.scheduler.acquireChain(ctx, s.chainRequest(g))
+	q.waited += waited
+	g.metrics.queueWait.Update(waited)
+	if q.callerLeft() {
+		g.abortCallerGone(q)
+	}
+	if err != nil {
+		s.recordNoChain(err)
+		return kwchainsearch.Chain{}, false
+	}
+	// The part may have been quarantined while the request waited.
+	if err := g.checkQuarantine(ctx, q); err != nil {
+		g.scheduler.release(chain, s.size.TotalTokens)
+		s.recordNoChain(err)
+		return kwchainsearch.Chain{}, false
+	}
+	return chain, true
+}
+
 // chainRequest returns the request for a chain for the next attempt.
 func (s *streamState) chainRequest(g *Gateway) chainRequest {
 	return chainRequest{r: s.q, size: s.size, exclude: s.attempts.exclude, currentView: g.view.Load, exitTime: g.exitTime}
@@ -259,6 +282,9 @@
 		}
 		now := time.Now()
 		q.recordEvent(now)
+		if s.reads == 0 {
+			s.attemptFirstEvent = now
+		}
 		if s.reads++; s.reads == soundReads {
 			g.recordSoundStream(s)
 		}
@@ -266,6 +292,9 @@
 		q.events = eventsBefore + events.Count
 		g.metrics.eventWrites.Inc(1)
 		s.watched.eventReceived(now)
+		if g.handOver(ctx, s, chain, eventsBefore) {
+			return resultHandedOver
+		}
 		deadline = now.Add(eventGapTimeout(q))
 	}
 }
