--- a/io/kwdirectentry/stream.go
+++ b/io/kwdirectentry/stream.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -35,6 +34,12 @@
 	firstEventDeadline time.Time
 	// watched is the current attempt.
 	watched *watchedStream
+	// attemptFirstEvent is when the current attempt delivered its first event.
+	attemptFirstEvent time.Time
+	// reserved is the chain of the next attempt of a stream that is handed over.
+	reserved *kwchainsearch.Chain
+	// nextHandOverCheck is when the stream is next checked for a hand-over.
+	nextHandOverCheck time.Time
 }
 
 // attemptResult is how an attempt of a stream ended.
@@ -47,6 +52,8 @@
 	resultNotRun
 	// resultBroken means that the request may have run but failed, broke off or fell silent.
 	resultBroken
+	// resultHandedOver means that the stream goes on on the chain that is reserved for it.
+	resultHandedOver
 )
 
 // serveStream serves a streaming request; a broken stream resumes after its last event on another chain.
@@ -56,10 +63,42 @@
 		return
 	}
 	s := &streamState{q: q, size: estimateSize(q), attempts: attemptState{exclude: make(endpointSet)}, lastEventID: q.meta.LastEventID}
+	for {
+		chain, ok := s.takeReserved()
+		if !ok {
+			if chain, ok = g.acquireStreamChain(ctx, s); !ok {
+				break
+			}
+		}
+		result := g.attemptStream(ctx, s, chain)
+		if q.callerLeft() {
+			g.abortCallerGone(q)
+		}
+		switch result {
+		case resultComplete:
+			return
+		case resultHandedOver:
+			continue
+		}
+		if q.mayCrashAgain() || !g.mayRetry(ctx, q, &s.attempts) {
+			break
+		}
+		if s.begun {
+			q.broken = true
+			q.resumptions++
+			g.metrics.resumed.Inc(1)
+		}
+	}
+	g.finishStream(ctx, s)
+}
+
+// acquireStreamChain acquires a chain for the next attempt, or records why there is none.
+func (g *Gateway) acquireStreamChain(ctx context.Context, s *streamState) (kwchainsearch.Chain, bool) {
+	q := s.q
 	for {
 		if err := g.checkQuarantine(ctx, q); err != nil {
 			s.recordNoChain(err)
-			break
+			return kwchainsearch.Chain{}, false
 		}
 		queueCtx, leaveQueue := g.queuedRequests.enter(ctx, q)
 		chain, waited, err := g.scheduler.acquireChain(queueCtx, s.chainRequest(g))
@@ -75,37 +114,16 @@
 		}
 		if err != nil {
 			s.recordNoChain(err)
-			break
+			return kwchainsearch.Chain{}, false
 		}
 		// The part may have been quarantined while the request waited.
 		if err := g.checkQuarantine(ctx, q); err != nil {
 			g.scheduler.release(chain, s.size.TotalTokens)
 			s.recordNoChain(err)
-			break
-		}
-		if q.sends == 0 && !kwdispatch.EndsInTime(time.Now(), chain, q.answerTokens(), g.exitTime()) {
-			g.scheduler.release(chain, s.size.TotalTokens)
-			s.recordNoChain(stoppingError(fmt.Sprintf("the answer is expected to take %v, and the entry stops earlier",
-				chain.AnswerTime(q.answerTokens()).Round(time.Millisecond))))
-			break
-		}
-		result := g.attemptStream(ctx, s, chain)
-		if q.callerLeft() {
-			g.abortCallerGone(q)
-		}
-		if result == resultComplete {
-			return
-		}
-		if q.mayCrashAgain() || !g.mayRetry(ctx, q, &s.attempts) {
-			break
-		}
-		if s.begun {
-			q.broken = true
-			q.resumptions++
-			g.metrics.resumed.Inc(1)
+			return kwchainsearch.Chain{}, false
 		}
+		return chain, true
 	}
-	g.finishStream(ctx, s)
 }
 
 // chainRequest returns the request for a chain for the next attempt.
@@ -244,6 +262,7 @@
 	events := kwupstream.NewEventReader(resp.Body)
 	flusher := http.NewResponseController(q.w)
 	deadline := s.firstEventDeadline
+	eventsBefore := q.events
 	for {
 		c.SetReadDeadline(deadline)
 		chunk, err := events.Next()
@@ -271,12 +290,19 @@
 		}
 		now := time.Now()
 		q.recordEvent(now)
+		if s.reads == 0 {
+			s.attemptFirstEvent = now
+		}
 		if s.reads++; s.reads == soundReads {
 			g.recordSoundStream(s)
 		}
 		s.lastEventID = events.LastID
+		q.events = eventsBefore + events.Count
 		g.metrics.eventWrites.Inc(1)
 		s.watched.eventReceived(now)
+		if g.handOver(ctx, s, chain, eventsBefore) {
+			return resultHandedOver
+		}
 		deadline = now.Add(eventGapTimeout(q))
 	}
 }
@@ -299,11 +325,35 @@
 	g.recordSoundStream(s)
 	g.recordAnswered(s.q, chain)
 	g.scheduler.recordSuccess(chain)
+	s.observeAnswer(g, chain)
 	g.metrics.served.Inc(1)
 	g.metrics.longestPause.Update(s.q.longestPause)
 	g.logEnd(kwevent.RequestAnswered, s.q, http.StatusOK, nil)
 }
 
+// minPacedEvents is the number of events from which the time between them tells the pace of a chain.
+const minPacedEvents = 8
+
+// observeAnswer has the scheduler learn from an answer that one attempt has delivered in full.
+func (s *streamState) observeAnswer(g *Gateway, chain kwchainsearch.Chain) {
+	q := s.q
+	if q.sends != 1 || q.meta.LastEventID != "" {
+		return
+	}
+	answer := kwdispatch.Answer{
+		EstimatedTokens: q.answerTokens(), ExpectedTokenTime: chain.TokenTime, Tokens: q.events * tokensPerEvent(q),
+	}
+	if q.events >= minPacedEvents {
+		answer.TokenTime = q.lastEventAt.Sub(q.arrived.Add(q.firstEvent)) / time.Duration((q.events-1)*tokensPerEvent(q))
+	}
+	g.scheduler.observe(answer)
+}
+
+// tokensPerEvent returns how many tokens an event of an answer holds.
+func tokensPerEvent(q *request) int {
+	return max(1, q.view.index.Service(q.service).Engine.TokensPerEvent)
+}
+
 // finishStream ends a stream that no attempt has completed.
 func (g *Gateway) finishStream(ctx context.Context, s *streamState) {
 	q := s.q
--- a/io/kwevent/catalogue.go
+++ b/io/kwevent/catalogue.go
@@ -35,6 +35,7 @@
 	EndpointPaused      ID = 223
 	RetryAfterOdd       ID = 224
 	RequestHeld         ID = 225
+	StreamHandedOver    ID = 226
 	SessionStarted      ID = 301
 	SessionEnded        ID = 302
 	StageStarted        ID = 303
@@ -128,6 +129,7 @@
 	{EndpointPaused, "endpoint-paused", levelInfo, "An endpoint turned a request away and wants none for a while; the entry sends it none."},
 	{RetryAfterOdd, "retry-after-odd", levelInfo, "The Retry-After time of an endpoint was ignored or bounded."},
 	{RequestHeld, "request-held", levelInfo, "A request was not sent, or not sent again, since servers crash under it."},
+	{StreamHandedOver, "stream-handed-over", levelInfo, "An entry that stops goes on with a stream on a faster chain."},
 	{SessionStarted, "session-started", levelDetail, "The first stage of a chain began an attempt."},
 	{SessionEnded, "session-ended", levelDetail, "The first stage of a chain ended an attempt."},
 	{StageStarted, "stage-started", levelDetail, "A later stage of a chain began an attempt."},
