--- /dev/null
+++ b/io/kwdirectentry/silence_test.go
@@ -0,0 +1,264 @@
+package kwdirectentry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"knapweedproxy/core/kwdeclaration"
+	"knapweedproxy/core/kwid"
+	"knapweedproxy/core/kwmembership"
+)
+
+const (
+	// testSilence is how long the sound servers of these tests are silent.
+	testSilence = 1200 * time.Millisecond
+	// silenceSlack is how much later than the end of a silence an answer may be complete.
+	silenceSlack = time.Second
+)
+
+// silence is a time in which servers send nothing. It begins when a server first pauses.
+type silence struct {
+	length time.Duration
+	once   sync.Once
+	began  time.Time
+	ended  chan struct{}
+}
+
+func newSilence(length time.Duration) *silence {
+	return &silence{length: length, ended: make(chan struct{})}
+}
+
+// pause begins the silence, if it has not begun, and waits for its end.
+func (s *silence) pause() {
+	s.once.Do(func() {
+		s.began = time.Now()
+		time.AfterFunc(s.length, func() { close(s.ended) })
+	})
+	<-s.ended
+}
+
+// StalledRequests gets no answer while the servers are silent.
+func (s *silence) StalledRequests(ctx context.Context, _ string) (StallReport, error) {
+	select {
+	case <-s.ended:
+		return StallReport{}, nil
+	case <-ctx.Done():
+		return StallReport{}, ctx.Err()
+	}
+}
+
+// silentStream answers a stream of three events, and pauses before the head or after some events.
+func silentStream(s *silence, eventsBefore int, beforeHead bool, arrivals *atomic.Int32) func(w io.Writer, id string) bool {
+	return func(w io.Writer, id string) bool {
+		arrivals.Add(1)
+		if beforeHead {
+			s.pause()
+		}
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n", id)
+		for event := 1; event <= 3; event++ {
+			if event == eventsBefore+1 {
+				s.pause()
+			}
+			writeEvent(w, event)
+		}
+		_, err := io.WriteString(w, "0\r\n\r\n")
+		return err == nil
+	}
+}
+
+// silentAnswer answers a plain request after a pause.
+func silentAnswer(s *silence, arrivals *atomic.Int32) func(w io.Writer, id string) bool {
+	return func(w io.Writer, id string) bool {
+		arrivals.Add(1)
+		s.pause()
+		_, err := fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 2\r\n\r\nok", id)
+		return err == nil
+	}
+}
+
+// setRoutes changes all routes of a gateway.
+func setRoutes(g *Gateway, change func(*kwdeclaration.Route)) {
+	v := *g.view.Load()
+	d := *v.index.Declaration
+	d.Number++
+	d.Routes = append([]kwdeclaration.Route(nil), d.Routes...)
+	for i := range d.Routes {
+		change(&d.Routes[i])
+	}
+	v.index = kwdeclaration.NewIndex(&d)
+	v.declarationNumber = d.Number
+	g.view.Store(&v)
+	g.scheduler.applyView(&v, nil)
+}
+
+// setServers makes a gateway know as many model servers and records servers at the addresses.
+func setServers(g *Gateway, model, records []string) {
+	v := *g.view.Load()
+	v.endpoints = make(map[kwid.EndpointID]kwmembership.RosterRow)
+	add := func(a kwmembership.Announcement) {
+		a.Zone = "a"
+		v.endpoints[a.ID] = kwmembership.RosterRow{State: kwmembership.Live, Announcement: a}
+	}
+	for i, address := range model {
+		add(kwmembership.Announcement{ID: kwid.EndpointID(fmt.Sprint("m", i)), Service: "llm", Accelerator: "fast", Address: address, Layers: kwid.LayerRange{To: 8}})
+	}
+	for i, address := range records {
+		add(kwmembership.Announcement{ID: kwid.EndpointID(fmt.Sprint("r", i)), Service: "records", Address: address})
+	}
+	v.indexEndpoints()
+	g.view.Store(&v)
+	g.scheduler.applyView(&v, nil)
+}
+
+// silentRequest is a request whose servers fall silent.
+type silentRequest struct {
+	name, path, want string
+	answer           func(s *silence, arrivals *atomic.Int32) func(w io.Writer, id string) bool
+}
+
+func silentRequests() []silentRequest {
+	const events = "id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\n"
+	stream := func(eventsBefore int, beforeHead bool) func(*silence, *atomic.Int32) func(io.Writer, string) bool {
+		return func(s *silence, arrivals *atomic.Int32) func(io.Writer, string) bool {
+			return silentStream(s, eventsBefore, beforeHead, arrivals)
+		}
+	}
+	return []silentRequest{
+		{"stream before its head", "/notes/x", events, stream(0, true)},
+		{"stream before its first event", "/notes/x", events, stream(0, false)},
+		{"stream between two events", "/notes/x", events, stream(1, false)},
+		{"idempotent request", "/lookups/x", "ok", silentAnswer},
+		{"request that may run once", "/alerts/x", "ok", silentAnswer},
+	}
+}
+
+// TestSilentServersEndNoAnswer guards against timers that end an answer because its server is silent for a while. The silent
+// servers are all that there are.
+func TestSilentServersEndNoAnswer(t *testing.T) {
+	phases := []struct {
+		name string
+		// during is called while the servers are silent.
+		during func(g *Gateway)
+	}{
+		{"calm", func(*Gateway) {}},
+		{"drain", func(g *Gateway) { go g.drain(drainTimes(time.Now(), 4*time.Second)) }},
+		{"new declaration", func(g *Gateway) {
+			setRoutes(g, func(r *kwdeclaration.Route) {
+				r.EventGapObjective, r.LatencyObjective = 20*time.Millisecond, 50*time.Millisecond
+			})
+		}},
+	}
+	for _, phase := range phases {
+		for _, c := range silentRequests() {
+			for _, servers := range []int{1, 2, 3} {
+				t.Run(fmt.Sprintf("%s, %s, %d servers", phase.name, c.name, servers), func(t *testing.T) {
+					t.Parallel()
+					s := newSilence(testSilence)
+					var arrivals atomic.Int32
+					var addresses []string
+					for range servers {
+						addresses = append(addresses, serveRaw(t, c.answer(s, &arrivals)))
+					}
+					g := newTestGateway(t, addresses[0], addresses[0])
+					g.deps.Stalls = s
+					if c.path == "/notes/x" {
+						setServers(g, addresses, nil)
+					} else {
+						setServers(g, nil, addresses)
+					}
+					setRoutes(g, func(r *kwdeclaration.Route) {
+						r.Timeout, r.LatencyObjective, r.EventGapObjective = 2*time.Second, 250*time.Millisecond, 100*time.Millisecond
+					})
+					response := postInBackground(t, g, c.path, "q")
+					awaitTrue(t, "the request arrives", func() bool { return arrivals.Load() > 0 })
+					phase.during(g)
+					// By then the entry has found out that servers are silent.
+					time.Sleep(testSilence * 3 / 4)
+					second := postInBackground(t, g, c.path, "q2")
+					for name, response := range map[string]<-chan postedResponse{"first": response, "second": second} {
+						if got := <-response; got.status != http.StatusOK || got.body != c.want {
+							t.Errorf("%s request: got %d %q, want 200 %q", name, got.status, got.body, c.want)
+						}
+					}
+					<-s.ended
+					if late := time.Since(s.began) - testSilence; late > silenceSlack {
+						t.Errorf("got the answers %v after the end of the silence, want them within %v", late, silenceSlack)
+					}
+					limit := 4
+					if c.path == "/alerts/x" {
+						limit = 2
+					}
+					if got := int(arrivals.Load()); got > limit {
+						t.Errorf("got %d attempts, want at most %d", got, limit)
+					}
+				})
+			}
+		}
+	}
+}
+
+// TestSlowAnswerOfFirstAttemptCounts guards against a second attempt that replaces the first one, whose answer would have come
+// earlier: each server is silent from the arrival of its request on.
+func TestSlowAnswerOfFirstAttemptCounts(t *testing.T) {
+	t.Parallel()
+	var arrivals atomic.Int32
+	server := func() string {
+		return serveRaw(t, func(w io.Writer, id string) bool { return silentAnswer(newSilence(testSilence), &arrivals)(w, id) })
+	}
+	addresses := []string{server(), server()}
+	g := newTestGateway(t, addresses[0], addresses[0])
+	setServers(g, nil, addresses)
+	setRoutes(g, func(r *kwdeclaration.Route) { r.Timeout = 2 * time.Second })
+	begin := time.Now()
+	status, body := post(t, http.DefaultClient, g, "/lookups/x", "q")
+	if took := time.Since(begin); status != http.StatusOK || body != "ok" || took > testSilence+silenceSlack/2 {
+		t.Errorf("got %d %q after %v, want 200 %q %v after the first attempt", status, body, took, "ok", testSilence)
+	}
+	if got := arrivals.Load(); got != 2 {
+		t.Errorf("got %d attempts, want 2", got)
+	}
+}
+
+// TestSilentStreamMovesToSoundServer checks that a stream does not wait for a silent server while another one is free.
+func TestSilentStreamMovesToSoundServer(t *testing.T) {
+	for _, c := range silentRequests()[:3] {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s := newSilence(time.Minute)
+			t.Cleanup(func() { s.once.Do(func() {}) })
+			var arrivals atomic.Int32
+			silent := serveRaw(t, c.answer(s, &arrivals))
+			begun := strings.Contains(c.name, "between")
+			sound := serveRaw(t, func(w io.Writer, id string) bool {
+				_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n", id)
+				for event := 1; event <= 3; event++ {
+					if event > 1 || !begun {
+						writeEvent(w, event)
+					}
+				}
+				_, err := io.WriteString(w, "0\r\n\r\n")
+				return err == nil
+			})
+			g := newTestGateway(t, silent, silent)
+			setServers(g, []string{silent}, nil)
+			setRoutes(g, func(r *kwdeclaration.Route) {
+				r.LatencyObjective, r.EventGapObjective = 250*time.Millisecond, 100*time.Millisecond
+			})
+			begin := time.Now()
+			response := postInBackground(t, g, c.path, "q")
+			awaitTrue(t, "the request arrives", func() bool { return arrivals.Load() > 0 })
+			setServers(g, []string{silent, sound}, nil)
+			got := <-response
+			if took := time.Since(begin); got.status != http.StatusOK || got.body != c.want || took > 2*time.Second {
+				t.Errorf("got %d %q after %v, want 200 %q within 2s", got.status, got.body, took, c.want)
+			}
+		})
+	}
+}
