Move a silent stream only once another chain is granted

The deadlines for the first event and between two events closed the attempt and then looked for another chain, route attempt and retry; so did stall reports and probes without an answer. Whatever was missing ended the answer. Now the silent attempt goes on while another chain is sought, and is given up only when one is granted, would end before the entry exits, and the retry budget is spent (make before break). Silence never ends the last permitted attempt. An endpoint that refuses connections is still left at once.

The decision whether an attempt may be added is kwretry.Attempts. New event 227, stream-moved.

--- a/io/kwdirectentry/fault_detection.go
+++ b/io/kwdirectentry/fault_detection.go
@@ -13,7 +13,7 @@
 )
 
 // queryStalls asks the first endpoint of a silent chain which requests are stalled by which endpoints, ejects those
-// endpoints and moves the requests to other chains. A first endpoint that does not answer is ejected itself. One that
+// endpoints and seeks other chains for the requests. A first endpoint that does not answer is ejected itself. One that
 // wants no requests is not asked.
 func (g *Gateway) queryStalls(chain kwchainsearch.Chain) {
 	first := chain.First()
@@ -42,7 +42,7 @@
 				ejected[s.EndpointAddress] = id
 				g.logEjection("", id, s.EndpointAddress, "stalls a chain", kwevent.F("first", first.Endpoint), kwevent.F("asked", err == nil))
 			}
-			g.activeStreams.abort(s.Request, id)
+			g.activeStreams.suspect(s.Request, id)
 		}
 	})
 }
@@ -96,11 +96,16 @@
 	return results
 }
 
-// ejectFaulty ejects an endpoint whose probe was refused or timed out, and moves its streams.
+// ejectFaulty ejects an endpoint whose probe was refused or timed out. The streams of the former are aborted; for those of the latter,
+// which may only be silent for a while, other chains are sought.
 func (g *Gateway) ejectFaulty(stage kwchainsearch.Stage, result kwchainsearch.ConnectResult) {
 	lost := result == kwchainsearch.Refused
 	g.eject("", stage.Endpoint, stage.Address, "failed a probe of a silent chain", kwevent.F("refused", lost))
-	g.activeStreams.abortAll(stage.Endpoint, lost)
+	if lost {
+		g.activeStreams.abortAll(stage.Endpoint)
+	} else {
+		g.activeStreams.suspectAll(stage.Endpoint)
+	}
 	g.reportFaulty(stage.Endpoint, lost)
 }
 
--- a/io/kwdirectentry/stream.go
+++ b/io/kwdirectentry/stream.go
@@ -31,8 +31,6 @@
 	reads int
 	// sound means that a server has gone on with the answer after its beginning.
 	sound bool
-	// firstEventDeadline is when the current attempt must have its first event.
-	firstEventDeadline time.Time
 	// watched is the current attempt.
 	watched *watchedStream
 }
@@ -83,7 +81,7 @@
 				chain.AnswerTime(q.answerTokens()).Round(time.Millisecond))))
 			break
 		}
-		result := g.attemptStream(ctx, s, chain)
+		result := g.attemptChains(ctx, s, chain)
 		if q.callerLeft() {
 			g.abortCallerGone(q)
 		}
@@ -138,7 +136,7 @@
 	begin := time.Now()
 	process, _ := g.scheduler.leavers.Process(first.Endpoint)
 	defer g.scheduler.release(chain, s.size.TotalTokens)
-	s.firstEventDeadline = begin.Add(g.scheduler.firstEventPatience(ctx, s.chainRequest(g), chain))
+	patience := g.scheduler.firstEventPatience(ctx, s.chainRequest(g), chain)
 	firstWait := g.startFirstEventWait(first.Endpoint, begin)
 	defer firstWait.end(false)
 	c, err := g.upstreamPool.Get(ctx, first.Address, false)
@@ -168,9 +166,11 @@
 	if err := c.Send(upstreamReq); err != nil {
 		return g.firstEndpointFailed(s, chain, err, true)
 	}
-	s.watched = g.activeStreams.watch(q.meta.ID, c, chain, silenceLimitsFor(q, chain), silenceActions{probe: g.probeChain, queryStalls: g.queryStalls})
+	silent := s.silentAttempt(g)
+	s.watched = g.activeStreams.watch(q.meta.ID, c, chain, silenceLimitsFor(q, chain, patience), silenceActions{
+		probe: g.probeChain, queryStalls: g.queryStalls, replace: func(w *watchedStream) { g.replaceChain(ctx, w, silent) },
+	})
 	defer g.activeStreams.unwatch(q.meta.ID, s.watched)
-	c.SetReadDeadline(s.firstEventDeadline)
 	resp, meta, err := c.Receive(upstreamReq, g.deps.Dialect)
 	g.recordNotices(q.meta.ID, process, first.Address, meta)
 	if err != nil {
@@ -180,7 +180,7 @@
 	if resp.StatusCode != http.StatusOK {
 		result, reusable = g.handleErrorResponse(ctx, s, chain, resp, meta)
 	} else {
-		result = g.relay(ctx, s, chain, c, resp, firstWait)
+		result = g.relay(ctx, s, chain, resp, firstWait)
 		reusable = result == resultComplete
 	}
 	if reusable = reusable && stopClose(); reusable {
@@ -189,7 +189,7 @@
 	return result
 }
 
-// firstEventTimeout is how long the first event may take at least before another chain is tried.
+// firstEventTimeout is how long the first event may take at least before another chain is sought.
 func firstEventTimeout(q *request) time.Duration {
 	return max(firstEventTimeoutFactor*q.route.LatencyObjective, minEventTimeout)
 }
@@ -199,14 +199,15 @@
 	return max(time.Duration(stallQueryGapFactor*float64(q.route.EventGapObjective)), minStallQueryWait)
 }
 
-// silenceLimitsFor returns the silence limits of an attempt on a chain; the probe never comes after the stall query.
-func silenceLimitsFor(q *request, chain kwchainsearch.Chain) silenceLimits {
+// silenceLimitsFor returns the silence limits of an attempt on a chain, whose first event may take as long as patience; the probe never
+// comes after the stall query.
+func silenceLimitsFor(q *request, chain kwchainsearch.Chain, patience time.Duration) silenceLimits {
 	queryStalls := stallQueryWait(q)
 	probe := max(minProbeWait, probeGapFactor*chain.EventInterval(q.view.index.Service(q.service).Engine))
-	return silenceLimits{probe: min(probe, queryStalls), queryStalls: queryStalls}
+	return silenceLimits{probe: min(probe, queryStalls), queryStalls: queryStalls, firstEvent: patience, eventGap: eventGapTimeout(q)}
 }
 
-// eventGapTimeout is how long a stream may be silent between two events before another chain is tried.
+// eventGapTimeout is how long a stream may be silent between two events before another chain is sought.
 func eventGapTimeout(q *request) time.Duration {
 	return max(eventGapTimeoutFactor*q.route.EventGapObjective, minEventTimeout)
 }
@@ -233,13 +234,11 @@
 }
 
 // relay passes events on to the caller as they arrive.
-func (g *Gateway) relay(ctx context.Context, s *streamState, chain kwchainsearch.Chain, c *kwupstream.Conn, resp *http.Response, firstWait *firstEventWait) attemptResult {
+func (g *Gateway) relay(ctx context.Context, s *streamState, chain kwchainsearch.Chain, resp *http.Response, firstWait *firstEventWait) attemptResult {
 	q := s.q
 	events := kwupstream.NewEventReader(resp.Body)
 	flusher := http.NewResponseController(q.w)
-	deadline := s.firstEventDeadline
 	for {
-		c.SetReadDeadline(deadline)
 		chunk, err := events.Next()
 		if errors.Is(err, io.EOF) && s.begun && (s.reads > 0 || framed(resp)) {
 			g.finishComplete(s, chain)
@@ -270,8 +269,7 @@
 		}
 		s.lastEventID = events.LastID
 		g.metrics.eventWrites.Inc(1)
-		s.watched.eventReceived(now)
-		deadline = now.Add(eventGapTimeout(q))
+		g.activeStreams.eventReceived(s.watched, now)
 	}
 }
 
--- a/io/kwdirectentry/stream_failure.go
+++ b/io/kwdirectentry/stream_failure.go
@@ -76,7 +76,7 @@
 	s.attempts.mayHaveRun++
 	s.attempts.lastErr = kwcode.New(kwcode.StreamCut, "chain %s: %v", formatChain(chain), err)
 	blamed := g.activeStreams.blamed(s.watched)
-	s.excludeFaulty(chain, blamed)
+	excludeFaulty(s.attempts.exclude, chain, blamed)
 	switch {
 	case ctx.Err() != nil:
 	case blamed != "":
@@ -110,13 +110,13 @@
 	}
 }
 
-// excludeFaulty excludes the faulty endpoint from the next attempt, or the whole chain if the faulty one is not known.
-func (s *streamState) excludeFaulty(chain kwchainsearch.Chain, blamed kwid.EndpointID) {
+// excludeFaulty excludes the faulty endpoint of a chain from the next attempt, or the whole chain if the faulty one is not known.
+func excludeFaulty(exclude endpointSet, chain kwchainsearch.Chain, blamed kwid.EndpointID) {
 	if blamed != "" && chain.Uses(blamed) {
-		s.attempts.exclude[blamed] = true
+		exclude[blamed] = true
 		return
 	}
 	for _, stage := range chain.Stages {
-		s.attempts.exclude[stage.Endpoint] = true
+		exclude[stage.Endpoint] = true
 	}
 }
--- /dev/null
+++ b/io/kwdirectentry/stream_move.go
@@ -0,0 +1,114 @@
+package kwdirectentry
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"knapweedproxy/core/kwchainsearch"
+	"knapweedproxy/core/kwdispatch"
+	"knapweedproxy/core/kwretry"
+	"knapweedproxy/io/kwevent"
+)
+
+// silentAttempt is what decides on another chain for an attempt that has fallen silent: a copy of the state with which the attempt
+// began, since the request goes on meanwhile.
+type silentAttempt struct {
+	req      chainRequest
+	attempts kwretry.Attempts
+	// begun means that the caller had received the first event before the attempt.
+	begun bool
+}
+
+// silentAttempt returns the state with which the present attempt begins.
+func (s *streamState) silentAttempt(g *Gateway) silentAttempt {
+	q := *s.q
+	a := silentAttempt{req: s.chainRequest(g), attempts: s.attempts.count(s.q), begun: s.begun}
+	a.req.r = &q
+	a.req.exclude = maps.Clone(s.attempts.exclude)
+	a.attempts.InProgress = 1
+	return a
+}
+
+// count returns the attempts of a request so far.
+func (a *attemptState) count(q *request) kwretry.Attempts {
+	return kwretry.Attempts{
+		Limit: q.route.MaxAttempts, Extra: extraAttempts, Repeatable: q.route.Retryable(), Sent: q.sends, MayHaveRun: a.mayHaveRun,
+	}
+}
+
+// attemptChains makes an attempt on a chain, and further ones on the chains that are granted while an attempt is silent.
+func (g *Gateway) attemptChains(ctx context.Context, s *streamState, chain kwchainsearch.Chain) attemptResult {
+	var next *kwchainsearch.Chain
+	defer func() {
+		if next != nil {
+			g.scheduler.release(*next, s.size.TotalTokens)
+		}
+	}()
+	for {
+		s.watched = nil
+		result := func() attemptResult {
+			defer func() { next = g.activeStreams.takeReplacement(s.watched) }()
+			return g.attemptStream(ctx, s, chain)
+		}()
+		if next == nil || result == resultComplete || ctx.Err() != nil || s.q.mayCrashAgain() {
+			return result
+		}
+		if s.begun {
+			s.q.broken = true
+			s.q.resumptions++
+			g.metrics.resumed.Inc(1)
+		}
+		g.metrics.retried.Inc(1)
+		chain, next = *next, nil
+	}
+}
+
+// replaceChain seeks another chain for a silent attempt and gives the attempt up once one is granted (make before break). A server
+// may fall silent for a while and go on, so silence alone is no reason to end an answer.
+func (g *Gateway) replaceChain(ctx context.Context, w *watchedStream, a silentAttempt) {
+	if !a.attempts.MayAdd() || a.req.r.mayCrashAgain() {
+		return
+	}
+	search, ok := g.activeStreams.beginSearch(ctx, a.req.r.meta.ID, w)
+	if !ok {
+		return
+	}
+	silence := w.silence()
+	g.goBackground(func() {
+		defer g.activeStreams.searchFailed(search, w)
+		chain, ok := g.acquireReplacement(search, w, a)
+		if !ok {
+			return
+		}
+		if !g.activeStreams.replace(search, w, chain) {
+			g.scheduler.release(chain, a.req.size.TotalTokens)
+			return
+		}
+		g.deps.Events.Emit(kwevent.StreamMoved, a.req.r.meta.ID, kwevent.F("chain", formatChain(w.chain)),
+			kwevent.F("next", formatChain(chain)), kwevent.F("silent-ms", silence.Milliseconds()))
+	})
+}
+
+// acquireReplacement reserves capacity on another chain for a silent attempt and spends the retry budget for it.
+func (g *Gateway) acquireReplacement(ctx context.Context, w *watchedStream, a silentAttempt) (kwchainsearch.Chain, bool) {
+	q := a.req.r
+	if _, held := g.partGuard.Check(time.Now(), q.guardedParts()); held && !q.trial {
+		return kwchainsearch.Chain{}, false
+	}
+	req := a.req
+	req.exclude = maps.Clone(a.req.exclude)
+	excludeFaulty(req.exclude, w.chain, g.activeStreams.blamed(w))
+	broken := *q
+	broken.broken = broken.broken || a.begun || w.begun.Load()
+	req.r = &broken
+	chain, _, err := g.scheduler.acquireChain(ctx, req)
+	if err != nil {
+		return kwchainsearch.Chain{}, false
+	}
+	if !kwdispatch.EndsInTime(time.Now(), chain, q.answerTokens(), g.exitTime()) || !g.spendRetryBudget(ctx, q) {
+		g.scheduler.release(chain, req.size.TotalTokens)
+		return kwchainsearch.Chain{}, false
+	}
+	return chain, true
+}
--- a/io/kwdirectentry/unary.go
+++ b/io/kwdirectentry/unary.go
@@ -131,10 +131,7 @@
 	if ctx.Err() != nil || q.remaining() <= 0 {
 		return false
 	}
-	if attempts.mayHaveRun > 0 && (!q.route.Retryable() || attempts.mayHaveRun >= q.route.MaxAttempts) {
-		return false
-	}
-	if q.sends >= q.route.MaxAttempts+extraAttempts {
+	if !attempts.count(q).MayAdd() {
 		return false
 	}
 	if q.sends > 0 && !g.spendRetryBudget(ctx, q) {
--- a/io/kwevent/catalogue.go
+++ b/io/kwevent/catalogue.go
@@ -34,6 +34,7 @@
 	LeavingUnreported   ID = 222
 	EndpointPaused      ID = 223
 	RetryAfterOdd       ID = 224
+	StreamMoved         ID = 227
 	SessionStarted      ID = 301
 	SessionEnded        ID = 302
 	StageStarted        ID = 303
@@ -124,6 +125,7 @@
 	{LeavingUnreported, "leaving-unreported", levelInfo, "An entry could not yet tell control that an endpoint leaves; it tries again."},
 	{EndpointPaused, "endpoint-paused", levelInfo, "An endpoint turned a request away and wants none for a while; the entry sends it none."},
 	{RetryAfterOdd, "retry-after-odd", levelInfo, "The Retry-After time of an endpoint was ignored or bounded."},
+	{StreamMoved, "stream-moved", levelInfo, "A stream goes on at another chain, since its own was silent."},
 	{SessionStarted, "session-started", levelDetail, "The first stage of a chain began an attempt."},
 	{SessionEnded, "session-ended", levelDetail, "The first stage of a chain ended an attempt."},
 	{StageStarted, "stage-started", levelDetail, "A later stage of a chain began an attempt."},
