Add an attempt beside a silent one of an idempotent request

Callers with a short deadline got 502 from a service whose only endpoint was silent for 0.9 of their 2 s, and 504 if each endpoint answered after 1.2 s: the attempt was closed after 0.45 of the remaining time while others were permitted, whether or not another endpoint was there, and the answer that was due was thrown away.

After the same time an attempt is now added beside the first one (hedged request) if another endpoint, the route's attempts and the retry budget allow, and the first answer counts. The connections of the others are closed then. Nothing is added for requests that may run once. New metric calls.hedged.

--- a/core/kwretry/attempts.go
+++ b/core/kwretry/attempts.go
@@ -1,5 +1,7 @@
 package kwretry
 
+import "time"
+
 // Attempts counts the attempts of one request, for the decision on another one.
 type Attempts struct {
 	// Limit is how many attempts may run the request, Extra how many more may be refused by endpoints that have not run it.
@@ -20,3 +22,13 @@
 	}
 	return a.Sent < a.Limit+a.Extra
 }
+
+// hedgeShare is the share of the remaining time after which an attempt is added beside one without an answer. It leaves the added one
+// more time than the first one has had.
+const hedgeShare = 0.45
+
+// HedgeDelay returns how long an attempt may be without an answer until another one is added beside it. The first answer of the two
+// counts, so a slow or silent endpoint costs a retry but no answer.
+func HedgeDelay(remaining time.Duration) time.Duration {
+	return time.Duration(hedgeShare * float64(remaining))
+}
--- a/io/kwdirectentry/config.go
+++ b/io/kwdirectentry/config.go
@@ -100,9 +100,8 @@
 	faultReportTimeout = time.Second
 	// minEventTimeout is the lower bound of the timeouts for events, for routes that declare no objective.
 	minEventTimeout = 500 * time.Millisecond
-	// attemptTimeShare is the share of the remaining time that one attempt of an idempotent request may take while
-	// others may follow.
-	attemptTimeShare = 0.45
+	// minHedgeDelay is the least time between two looks whether an attempt may be added beside a silent one.
+	minHedgeDelay = 50 * time.Millisecond
 	// stallQueryTimeout bounds a stall query.
 	stallQueryTimeout = 250 * time.Millisecond
 	// extraAttempts is how many attempts beyond a route's MaxAttempts may be refused without having run before the
--- a/io/kwdirectentry/metrics.go
+++ b/io/kwdirectentry/metrics.go
@@ -9,6 +9,7 @@
 	failed       metrics.Counter
 	callerGone   metrics.Counter
 	retried      metrics.Counter
+	hedged       metrics.Counter
 	resumed      metrics.Counter
 	eventWrites  metrics.Counter
 	firstEvent   metrics.Timer
@@ -26,6 +27,7 @@
 		failed:       metrics.GetOrRegisterCounter("requests.failed", r),
 		callerGone:   metrics.GetOrRegisterCounter("requests.caller-gone", r),
 		retried:      metrics.GetOrRegisterCounter("requests.retried", r),
+		hedged:       metrics.GetOrRegisterCounter("calls.hedged", r),
 		resumed:      metrics.GetOrRegisterCounter("streams.resumed", r),
 		eventWrites:  metrics.GetOrRegisterCounter("streams.event-writes", r),
 		firstEvent:   metrics.GetOrRegisterTimer("streams.first-event", r),
--- a/io/kwdirectentry/stream.go
+++ b/io/kwdirectentry/stream.go
@@ -88,7 +88,7 @@
 		if result == resultComplete {
 			return
 		}
-		if q.mayCrashAgain() || !g.mayRetry(ctx, q, &s.attempts) {
+		if q.mayCrashAgain() || !g.mayRetry(ctx, q, s.attempts.count(q)) {
 			break
 		}
 		if s.begun {
--- a/io/kwdirectentry/unary.go
+++ b/io/kwdirectentry/unary.go
@@ -9,6 +9,7 @@
 	"knapweedproxy/core/kwcode"
 	"knapweedproxy/core/kwdeclaration"
 	"knapweedproxy/core/kwmembership"
+	"knapweedproxy/core/kwretry"
 	"knapweedproxy/io/kwevent"
 	"knapweedproxy/io/kwupstream"
 )
@@ -29,55 +30,111 @@
 
 // serveUnary serves a request with a single response.
 func (g *Gateway) serveUnary(ctx context.Context, q *request) {
-	attempts := attemptState{exclude: make(endpointSet)}
-	for {
-		if err := g.checkQuarantine(ctx, q); err != nil {
-			attempts.refusal = err
-			break
-		}
-		endpoint, ok := g.scheduler.pickUnary(time.Now(), q.view.live[q.service], attempts.exclude)
-		if !ok {
-			break
-		}
-		res := g.sendUnary(ctx, q, endpoint)
-		if q.callerLeft() {
-			g.abortCallerGone(q)
-		}
-		if g.recordAttempt(q, &attempts, endpoint, res) || q.mayCrashAgain() || !g.mayRetry(ctx, q, &attempts) {
-			break
-		}
+	u := &unaryState{
+		q: q, attempts: attemptState{exclude: make(endpointSet)},
+		results: make(chan unaryResult, q.route.MaxAttempts+extraAttempts+1),
+	}
+	attemptsCtx, endAttempts := context.WithCancel(ctx)
+	defer endAttempts()
+	for g.startUnary(attemptsCtx, u) && !g.awaitUnary(attemptsCtx, u) {
 	}
-	g.finishUnary(ctx, q, &attempts)
+	endAttempts()
+	g.finishUnary(ctx, q, &u.attempts)
+}
+
+// unaryState is the state of a unary request over all its attempts.
+type unaryState struct {
+	q        *request
+	attempts attemptState
+	// results delivers the result of each attempt, inProgress counts those whose results are missing.
+	results    chan unaryResult
+	inProgress int
 }
 
-func (g *Gateway) sendUnary(ctx context.Context, q *request, endpoint kwmembership.Announcement) kwupstream.Result {
-	atMostOnce := !q.route.Retryable()
-	attemptCtx := ctx
-	if !atMostOnce && q.sends+1 < q.route.MaxAttempts {
-		var cancel context.CancelFunc
-		attemptCtx, cancel = context.WithTimeout(ctx, time.Duration(float64(q.remaining())*attemptTimeShare))
-		defer cancel()
+// unaryResult is the result of an attempt at an endpoint.
+type unaryResult struct {
+	endpoint kwmembership.Announcement
+	kwupstream.Result
+}
+
+// count returns the attempts so far, including those in progress.
+func (u *unaryState) count() kwretry.Attempts {
+	a := u.attempts.count(u.q)
+	a.InProgress = u.inProgress
+	return a
+}
+
+// startUnary starts an attempt, the first one or one beside or after others; it reports false if there is none to make.
+func (g *Gateway) startUnary(ctx context.Context, u *unaryState) bool {
+	q := u.q
+	if err := g.checkQuarantine(ctx, q); err != nil {
+		u.attempts.refusal = err
+		return false
 	}
-	upstreamReq := q.upstreamRequest(g.deps.Dialect, kwupstream.ForwardMeta{Endpoint: endpoint.ID})
+	endpoint, ok := g.scheduler.pickUnary(time.Now(), q.view.live[q.service], u.attempts.exclude)
+	if !ok {
+		return false
+	}
+	if len(u.attempts.exclude) > 0 && !g.mayRetry(ctx, q, u.count()) {
+		g.scheduler.finishUnary(endpoint.ID, -1)
+		return false
+	}
+	u.attempts.exclude[endpoint.ID] = true
+	u.inProgress++
+	q.sends++
+	q.endpoint = endpoint.ID
 	// An at-most-once request needs a new connection: if the endpoint has closed a reused one unnoticed, it is unknown
 	// whether the request was read.
-	res := g.upstreamPool.Exchange(attemptCtx, endpoint.Address, atMostOnce, upstreamReq, g.deps.Dialect, maxResponseBytes)
-	g.recordNotices(q.meta.ID, endpoint.Process(), endpoint.Address, res.Meta)
-	reportedInFlight := -1
-	if res.Err == nil {
-		reportedInFlight = res.Meta.InFlight
-	}
-	g.scheduler.finishUnary(endpoint.ID, reportedInFlight)
-	if res.Sent {
-		q.sends++
-		q.endpoint = endpoint.ID
-	}
-	return res
+	fresh := !q.route.Retryable()
+	upstreamReq := q.upstreamRequest(g.deps.Dialect, kwupstream.ForwardMeta{Endpoint: endpoint.ID})
+	go func() {
+		res := g.upstreamPool.Exchange(ctx, endpoint.Address, fresh, upstreamReq, g.deps.Dialect, maxResponseBytes)
+		g.recordNotices(upstreamReq.ID, endpoint.Process(), endpoint.Address, res.Meta)
+		reportedInFlight := -1
+		if res.Err == nil {
+			reportedInFlight = res.Meta.InFlight
+		}
+		g.scheduler.finishUnary(endpoint.ID, reportedInFlight)
+		u.results <- unaryResult{endpoint, res}
+	}()
+	return true
+}
+
+// awaitUnary waits for the results of the attempts in progress. It reports true if the request has its final response or is over,
+// and false if another attempt is due: after a failed one, or beside one whose endpoint has been silent for long (hedged request).
+func (g *Gateway) awaitUnary(ctx context.Context, u *unaryState) bool {
+	q := u.q
+	hedge := time.NewTimer(kwretry.HedgeDelay(q.remaining()))
+	defer hedge.Stop()
+	for {
+		select {
+		case <-hedge.C:
+			if u.count().MayAdd() && g.startUnary(ctx, u) {
+				g.metrics.hedged.Inc(1)
+			}
+			hedge.Reset(max(kwretry.HedgeDelay(q.remaining()), minHedgeDelay))
+			continue
+		case res := <-u.results:
+			u.inProgress--
+			if !res.Sent {
+				q.sends--
+			}
+			if q.callerLeft() {
+				g.abortCallerGone(q)
+			}
+			if g.recordAttempt(q, &u.attempts, res.endpoint, res.Result) {
+				q.endpoint = res.endpoint.ID
+				return true
+			}
+		}
+		if u.inProgress == 0 {
+			return q.mayCrashAgain()
+		}
+	}
 }
 
 // recordAttempt records the outcome of an attempt; it returns true if the request has its final response.
 func (g *Gateway) recordAttempt(q *request, attempts *attemptState, endpoint kwmembership.Announcement, res kwupstream.Result) bool {
-	attempts.exclude[endpoint.ID] = true
 	switch {
 	case res.Err != nil:
 		if res.Sent {
@@ -126,20 +183,21 @@
 	g.deps.Events.Emit(kwevent.AttemptFailed, q.meta.ID, kwevent.F("endpoint", endpoint.ID), kwevent.F("address", endpoint.Address), kwevent.F("error", err.Error()))
 }
 
-// mayRetry reports whether the request may be sent to another endpoint, and spends the retry budget for it.
-func (g *Gateway) mayRetry(ctx context.Context, q *request, attempts *attemptState) bool {
+// mayRetry reports whether the request may be sent to another endpoint after the given attempts, and spends the retry budget for it.
+func (g *Gateway) mayRetry(ctx context.Context, q *request, attempts kwretry.Attempts) bool {
 	if ctx.Err() != nil || q.remaining() <= 0 {
 		return false
 	}
-	if !attempts.count(q).MayAdd() {
+	if !attempts.MayAdd() {
 		return false
 	}
-	if q.sends > 0 && !g.spendRetryBudget(ctx, q) {
-		return false
+	if attempts.Sent == 0 {
+		return true
 	}
-	if q.sends > 0 {
-		g.metrics.retried.Inc(1)
+	if !g.spendRetryBudget(ctx, q) {
+		return false
 	}
+	g.metrics.retried.Inc(1)
 	return true
 }
 
