Keep endpoints that are silent for up to 1.5 s in the roster

Sound endpoints that sent nothing for 1.3 s were declared lost, with heartbeats of 0.2 s after four of them, and after 1.3 heartbeats where two entries had found them unresponsive: 1.56 s on the users' deployments (1.2 s). Their layers were then placed elsewhere, and new requests kept from them.

Both leases now last at least a silence of 1.5 s, the interval to the heartbeat that is due in it, and a quarter of that for a late one. The plain lease of the users' deployments (4.8 s) stays; the shortened one grows from 1.56 to 3 s, so a VM that is lost without refusing connections is replaced that much later. Refused connections still make an endpoint lost at once.

--- a/io/kwdirectcontrol/config.go
+++ b/io/kwdirectcontrol/config.go
@@ -42,6 +42,11 @@
 	// suspectLeaseHeartbeats is how many missed heartbeats make an endpoint lost that several entries cannot reach. A copy of a
 	// model stops without each of its endpoints, so that its layers are needed elsewhere soon.
 	suspectLeaseHeartbeats = 1.3
+	// maxSoundSilence is how long a sound endpoint may send nothing and then go on. It may fall silent just before a heartbeat is due,
+	// which it sends when it goes on.
+	maxSoundSilence = 1500 * time.Millisecond
+	// lateHeartbeatShare is the share of the heartbeat interval by which a heartbeat may be late besides.
+	lateHeartbeatShare = 0.25
 	// goneRetention is how long endpoints that left are remembered, so that heartbeats which a partition delayed do not
 	// revive them.
 	goneRetention = 2 * time.Minute
@@ -157,9 +162,10 @@
 }
 
 func (c Config) rosterConfig() kwmembership.RosterConfig {
+	leastLease := maxSoundSilence + time.Duration((1+lateHeartbeatShare)*float64(c.Heartbeat))
 	return kwmembership.RosterConfig{
-		Lease:        leaseHeartbeats * c.Heartbeat,
-		SuspectLease: time.Duration(suspectLeaseHeartbeats * float64(c.Heartbeat)),
+		Lease:        max(leaseHeartbeats*c.Heartbeat, leastLease),
+		SuspectLease: max(time.Duration(suspectLeaseHeartbeats*float64(c.Heartbeat)), leastLease),
 		Retention:    goneRetention,
 	}
 }
