Do not learn latency from the time that a silent endpoint keeps requests waiting

New streams were refused with 503 (overloaded, or no capacity) while all servers were silent and for up to another second after they had gone on: the waits of the requests before them, 1.2 s in the test, counted as the time to the first event that the endpoints need. Attempts used to be closed after their patience, which bounded what was learned; since they go on, nothing did.

A wait now counts up to its patience, as a lower bound, whether or not the attempt goes on.

--- a/io/kwdirectentry/stream.go
+++ b/io/kwdirectentry/stream.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"knapweedproxy/core/kwchainsearch"
@@ -169,6 +170,7 @@
 	silent := s.silentAttempt(g)
 	s.watched = g.activeStreams.watch(q.meta.ID, c, chain, silenceLimitsFor(q, chain, patience), silenceActions{
 		probe: g.probeChain, queryStalls: g.queryStalls, replace: func(w *watchedStream) { g.replaceChain(ctx, w, silent) },
+		firstEventLate: func() { firstWait.end(false) },
 	})
 	defer g.activeStreams.unwatch(q.meta.ID, s.watched)
 	resp, meta, err := c.Receive(upstreamReq, g.deps.Dialect)
@@ -217,7 +219,7 @@
 	scheduler *scheduler
 	endpoint  kwid.EndpointID
 	began     time.Time
-	ended     bool
+	ended     atomic.Bool
 }
 
 func (g *Gateway) startFirstEventWait(id kwid.EndpointID, began time.Time) *firstEventWait {
@@ -225,10 +227,10 @@
 	return &firstEventWait{scheduler: g.scheduler, endpoint: id, began: began}
 }
 
-// end records the end of the wait; only the first call counts.
+// end records the end of the wait, or that it has taken longer than it may. Only the first call counts: how long a silent endpoint
+// keeps its requests waiting beyond that tells nothing of how long later ones will wait.
 func (f *firstEventWait) end(received bool) {
-	if !f.ended {
-		f.ended = true
+	if !f.ended.Swap(true) {
 		f.scheduler.endFirstEventWait(f.endpoint, f.began, received)
 	}
 }
--- a/io/kwdirectentry/stream_watch.go
+++ b/io/kwdirectentry/stream_watch.go
@@ -53,6 +53,8 @@
 	probe, queryStalls func(kwchainsearch.Chain)
 	// replace seeks another chain for the attempt; it returns at once.
 	replace func(*watchedStream)
+	// firstEventLate is called if the first event takes longer than it may.
+	firstEventLate func()
 }
 
 // watch starts to watch an attempt. While it is silent, its chain is probed, then also its first endpoint queried for stalls, and at
@@ -88,6 +90,9 @@
 	}
 	silent, patience := w.silence(), w.patience()
 	if silent >= patience {
+		if !w.begun.Load() {
+			w.do.firstEventLate()
+		}
 		w.do.replace(w)
 		return min(delay, faultCheckInterval)
 	}
