Use silent endpoints where every chain needs one

New streams were refused with 503 while the first servers of all chains were silent: each stall query without an answer ejected one, up to half of the endpoints, and the rest was no whole chain. The second request of TestSilenceOfAllFirstServersRefusesNothing got 503 (entry-overloaded) at once.

An ejection for silence (a stall query, probe or connection without an answer, a stage that stalls others, the end of the caller's time) is now told apart from one for a failure. Endpoints that are ejected for silence are avoided as before, but used where no chain is left without them (panic threshold). A refused connection, a reset or an error ejects as before.

--- a/core/kwdispatch/dispatcher.go
+++ b/core/kwdispatch/dispatcher.go
@@ -21,6 +21,8 @@
 	Queue kwqueue.Config
 	// Unavailable reports whether an endpoint is out of use, such as after failures.
 	Unavailable func(now time.Time, id kwid.EndpointID) bool
+	// Silent reports whether an endpoint is out of use only because it was silent; nil stands for none.
+	Silent func(now time.Time, id kwid.EndpointID) bool
 	// PauseOf returns for how long an endpoint wants no requests, which Unavailable includes; nil stands for none.
 	PauseOf func(now time.Time, id kwid.EndpointID) time.Duration
 }
@@ -199,6 +201,15 @@
 // reserve reserves room on the best chain. A chain whose first event would come too late counts as full. If allowLate is set, or
 // if the request is late or broken already, a late answer is better than none, and only the first-event timeout bounds it.
 func (d *Dispatcher) reserve(now time.Time, fleet Fleet, r Request, allowLate bool) (kwchainsearch.Chain, bool) {
+	excluded := func(id kwid.EndpointID) bool { return r.Excluded[id] || d.cfg.Unavailable(now, id) }
+	if chain, ok := d.reserveFrom(now, fleet, r, allowLate, excluded); ok {
+		return chain, true
+	}
+	return d.reserveSilent(now, fleet, r, allowLate)
+}
+
+// reserveFrom is reserve for the endpoints that are not excluded.
+func (d *Dispatcher) reserveFrom(now time.Time, fleet Fleet, r Request, allowLate bool, excluded func(kwid.EndpointID) bool) (kwchainsearch.Chain, bool) {
 	limit := r.FirstEventObjective
 	if allowLate || r.urgency(now) != kwqueue.OnTime {
 		limit = r.FirstEventTimeout
@@ -210,7 +221,6 @@
 		size := kwchainsearch.LayerTokens(r.Size.TotalTokens * float64(servers[i].Layers.Len()))
 		servers[i].Withheld = d.loads.Withheld(now, &servers[i], size)
 	}
-	excluded := func(id kwid.EndpointID) bool { return r.Excluded[id] || d.cfg.Unavailable(now, id) }
 	chain, ok := kwchainsearch.Choose(fleet.Engine, servers, excluded, kwchainsearch.Criteria{
 		Size:                r.Size,
 		Home:                d.cfg.Zone,
--- a/core/kwdispatch/pause.go
+++ b/core/kwdispatch/pause.go
@@ -5,7 +5,6 @@
 	"sort"
 	"time"
 
-	"knapweedproxy/core/kwchainsearch"
 	"knapweedproxy/core/kwid"
 )
 
@@ -34,12 +33,7 @@
 			pause, paused := pauses[id]
 			return paused && pause > wait || !paused && r.Excluded[id]
 		}
-		_, ok := kwchainsearch.Choose(fleet.Engine, fleet.Servers, excluded, kwchainsearch.Criteria{
-			Size: r.Size, Home: d.cfg.Zone, FirstEventObjective: r.FirstEventObjective, EventGapObjective: r.EventGapObjective,
-			Incomplete: fleet.Incomplete, MaxFirstEvent: unlimited,
-			EstimateFirstEvent: func(_ kwid.EndpointID, idle time.Duration) time.Duration { return idle },
-		})
-		return ok
+		return d.chainExists(fleet, r, excluded)
 	}
 	slices.Sort(ends)
 	if chainAfter(0) {
--- /dev/null
+++ b/core/kwdispatch/silence.go
@@ -0,0 +1,41 @@
+package kwdispatch
+
+import (
+	"time"
+
+	"knapweedproxy/core/kwchainsearch"
+	"knapweedproxy/core/kwid"
+)
+
+// reserveSilent reserves room on the best chain if endpoints that are out of use only because they were silent may be part of it, which
+// they may where every chain needs one of them (panic threshold). It answers servers that fall silent together: they may go on at any
+// moment, and to refuse all requests until then would make a short silence a long one.
+func (d *Dispatcher) reserveSilent(now time.Time, fleet Fleet, r Request, allowLate bool) (kwchainsearch.Chain, bool) {
+	if d.cfg.Silent == nil {
+		return kwchainsearch.Chain{}, false
+	}
+	silent := make(map[kwid.EndpointID]bool)
+	for _, server := range fleet.Servers {
+		if d.cfg.Silent(now, server.ID) && !r.Excluded[server.ID] {
+			silent[server.ID] = true
+		}
+	}
+	if len(silent) == 0 {
+		return kwchainsearch.Chain{}, false
+	}
+	excluded := func(id kwid.EndpointID) bool { return r.Excluded[id] || d.cfg.Unavailable(now, id) }
+	if d.chainExists(fleet, r, excluded) {
+		return kwchainsearch.Chain{}, false
+	}
+	return d.reserveFrom(now, fleet, r, allowLate, func(id kwid.EndpointID) bool { return !silent[id] && excluded(id) })
+}
+
+// chainExists reports whether there is a chain without the excluded endpoints if none of the others had any load.
+func (d *Dispatcher) chainExists(fleet Fleet, r Request, excluded func(kwid.EndpointID) bool) bool {
+	_, ok := kwchainsearch.Choose(fleet.Engine, fleet.Servers, excluded, kwchainsearch.Criteria{
+		Size: r.Size, Home: d.cfg.Zone, FirstEventObjective: r.FirstEventObjective, EventGapObjective: r.EventGapObjective,
+		Incomplete: fleet.Incomplete, MaxFirstEvent: unlimited,
+		EstimateFirstEvent: func(_ kwid.EndpointID, idle time.Duration) time.Duration { return idle },
+	})
+	return ok
+}
--- a/core/kwretry/ejector.go
+++ b/core/kwretry/ejector.go
@@ -23,6 +23,8 @@
 
 type endpointState struct {
 	ejectedUntil time.Time
+	// silent means that the endpoint is ejected only because it was silent.
+	silent bool
 	// pausedUntil is set by refusals.
 	pausedUntil      time.Time
 	ejectionDuration time.Duration
@@ -58,13 +60,25 @@
 func (e *Ejector) Fail(now time.Time, id kwid.EndpointID) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.eject(now, id)
+	e.eject(now, id, false)
+}
+
+// FailSilent ejects an endpoint that has been silent, as Fail does. It may go on at any moment, so it may still be used where there is no
+// other: see Silent.
+func (e *Ejector) FailSilent(now time.Time, id kwid.EndpointID) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.eject(now, id, true)
 }
 
 // eject ejects an endpoint unless it is ejected or too many others are; the caller holds the lock.
-func (e *Ejector) eject(now time.Time, id kwid.EndpointID) {
+func (e *Ejector) eject(now time.Time, id kwid.EndpointID, silent bool) {
 	state := e.endpoints[id]
 	if now.Before(state.ejectedUntil) {
+		if state.silent && !silent {
+			state.silent = false
+			e.endpoints[id] = state
+		}
 		return
 	}
 	if float64(e.ejectedCount(now)+1) > e.cfg.MaxEjectedShare*float64(e.endpointCount) {
@@ -72,6 +86,7 @@
 	}
 	state.ejectionDuration = min(max(2*state.ejectionDuration, e.cfg.BaseEjection), e.cfg.MaxEjection)
 	state.ejectedUntil = now.Add(state.ejectionDuration)
+	state.silent = silent
 	e.endpoints[id] = state
 }
 
@@ -102,7 +117,7 @@
 	state.transientFailures++
 	e.endpoints[id] = state
 	if state.transientFailures >= transientFailureThreshold {
-		e.eject(now, id)
+		e.eject(now, id, false)
 	}
 	return now.Before(e.endpoints[id].ejectedUntil)
 }
@@ -131,6 +146,14 @@
 	return now.Before(state.ejectedUntil) || now.Before(state.pausedUntil)
 }
 
+// Silent reports whether an endpoint is out of use now only because it was silent.
+func (e *Ejector) Silent(now time.Time, id kwid.EndpointID) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	state := e.endpoints[id]
+	return state.silent && now.Before(state.ejectedUntil) && !now.Before(state.pausedUntil)
+}
+
 func (e *Ejector) ejectedCount(now time.Time) int {
 	n := 0
 	for _, state := range e.endpoints {
--- a/io/kwdirectentry/fault_detection.go
+++ b/io/kwdirectentry/fault_detection.go
@@ -29,6 +29,7 @@
 			g.recordLeaving("", process)
 		}
 		stalls := report.Stalled
+		silent := err == nil || ctx.Err() != nil
 		if err != nil {
 			stalls = []StalledRequest{{EndpointAddress: first.Address}}
 		}
@@ -36,7 +37,7 @@
 		for _, s := range stalls {
 			id, known := ejected[s.EndpointAddress]
 			if !known {
-				if id, known = g.scheduler.ejectAddress(time.Now(), s.EndpointAddress); !known {
+				if id, known = g.scheduler.ejectAddress(time.Now(), s.EndpointAddress, silent); !known {
 					continue
 				}
 				ejected[s.EndpointAddress] = id
@@ -100,7 +101,7 @@
 // which may only be silent for a while, other chains are sought.
 func (g *Gateway) ejectFaulty(stage kwchainsearch.Stage, result kwchainsearch.ConnectResult) {
 	lost := result == kwchainsearch.Refused
-	g.eject("", stage.Endpoint, stage.Address, "failed a probe of a silent chain", kwevent.F("refused", lost))
+	g.eject("", stage.Endpoint, stage.Address, !lost, "failed a probe of a silent chain", kwevent.F("refused", lost))
 	if lost {
 		g.activeStreams.abortAll(stage.Endpoint)
 	} else {
@@ -109,9 +110,9 @@
 	g.reportFaulty(stage.Endpoint, lost)
 }
 
-// eject takes an endpoint out of use for a while and logs the cause.
-func (g *Gateway) eject(request kwid.RequestID, id kwid.EndpointID, address, cause string, more ...kwevent.Field) {
-	g.scheduler.eject(time.Now(), id)
+// eject takes an endpoint out of use for a while and logs the cause; see scheduler.eject.
+func (g *Gateway) eject(request kwid.RequestID, id kwid.EndpointID, address string, silent bool, cause string, more ...kwevent.Field) {
+	g.scheduler.eject(time.Now(), id, silent)
 	g.logEjection(request, id, address, cause, more...)
 }
 
--- a/io/kwdirectentry/scheduler.go
+++ b/io/kwdirectentry/scheduler.go
@@ -45,13 +45,15 @@
 		process, _ := leavers.Process(id)
 		return pauses.Remaining(now, process)
 	}
-	unavailable := func(now time.Time, id kwid.EndpointID) bool {
-		return ejector.Ejected(now, id) || leavers.EndpointLeaving(id) || pauseOf(now, id) > 0
+	closed := func(now time.Time, id kwid.EndpointID) bool {
+		return leavers.EndpointLeaving(id) || pauseOf(now, id) > 0
 	}
+	unavailable := func(now time.Time, id kwid.EndpointID) bool { return ejector.Ejected(now, id) || closed(now, id) }
+	silent := func(now time.Time, id kwid.EndpointID) bool { return ejector.Silent(now, id) && !closed(now, id) }
 	return &scheduler{
 		cfg: cfg,
 		dispatcher: kwdispatch.New(kwdispatch.Config{
-			Entry: cfg.Node, Zone: cfg.Zone, Queue: cfg.Queue, Unavailable: unavailable, PauseOf: pauseOf,
+			Entry: cfg.Node, Zone: cfg.Zone, Queue: cfg.Queue, Unavailable: unavailable, Silent: silent, PauseOf: pauseOf,
 		}),
 		inFlight:         make(map[kwid.EndpointID]int),
 		reportedInFlight: make(map[kwid.EndpointID]int),
@@ -191,14 +193,20 @@
 	}
 }
 
-// eject takes an endpoint out of use for a while.
-func (s *scheduler) eject(now time.Time, id kwid.EndpointID) { s.ejector.Fail(now, id) }
+// eject takes an endpoint out of use for a while; one that is only silent is still used where there is no other.
+func (s *scheduler) eject(now time.Time, id kwid.EndpointID, silent bool) {
+	if silent {
+		s.ejector.FailSilent(now, id)
+		return
+	}
+	s.ejector.Fail(now, id)
+}
 
 // ejectAddress ejects the endpoint at an address and returns its ID, or false if no endpoint is known there.
-func (s *scheduler) ejectAddress(now time.Time, address string) (kwid.EndpointID, bool) {
+func (s *scheduler) ejectAddress(now time.Time, address string, silent bool) (kwid.EndpointID, bool) {
 	id, ok := s.endpointAt(address)
 	if ok {
-		s.ejector.Fail(now, id)
+		s.eject(now, id, silent)
 	}
 	return id, ok
 }
--- a/io/kwdirectentry/silence_test.go
+++ b/io/kwdirectentry/silence_test.go
@@ -271,3 +271,32 @@
 		})
 	}
 }
+
+// TestSilenceOfAllFirstServersRefusesNothing guards against a fleet without any chain because the first servers of all chains are
+// ejected for their silence.
+func TestSilenceOfAllFirstServersRefusesNothing(t *testing.T) {
+	t.Parallel()
+	s := newSilence(testSilence)
+	var arrivals atomic.Int32
+	var seen sync.Map
+	address := func() string { return serveRaw(t, silentStream(s, 0, true, &arrivals, &seen)) }
+	g := newTestGateway(t, "127.0.0.1:1", "127.0.0.1:1")
+	g.deps.Stalls = s
+	first, second := kwid.LayerRange{To: 4}, kwid.LayerRange{From: 4, To: 8}
+	setModelServers(g, kwmembership.Announcement{ID: "a1", Address: address(), Layers: first}, kwmembership.Announcement{ID: "a2", Address: address(), Layers: second},
+		kwmembership.Announcement{ID: "b1", Address: address(), Layers: first}, kwmembership.Announcement{ID: "b2", Address: address(), Layers: second})
+	setRoutes(g, func(r *kwdeclaration.Route) {
+		r.Timeout, r.LatencyObjective, r.EventGapObjective = 3*time.Second, 250*time.Millisecond, 100*time.Millisecond
+	})
+	responses := []<-chan postedResponse{postInBackground(t, g, "/notes/x", "q0")}
+	awaitTrue(t, "all first servers are ejected", func() bool {
+		now := time.Now()
+		return g.scheduler.ejector.Ejected(now, "a1") && g.scheduler.ejector.Ejected(now, "b1")
+	})
+	responses = append(responses, postInBackground(t, g, "/notes/x", "q1"))
+	for i, response := range responses {
+		if got := <-response; got.status != http.StatusOK {
+			t.Errorf("request %d: got %d %q, want 200", i, got.status, got.body)
+		}
+	}
+}
--- a/io/kwdirectentry/stream_failure.go
+++ b/io/kwdirectentry/stream_failure.go
@@ -22,7 +22,7 @@
 	s.attempts.exclude[first.Endpoint] = true
 	s.attempts.lastErr = kwcode.New(kwcode.StreamCut, "endpoint %s: %v", first.Endpoint, err)
 	if !s.q.stopped() {
-		g.eject(s.q.meta.ID, first.Endpoint, first.Address, err.Error())
+		g.eject(s.q.meta.ID, first.Endpoint, first.Address, errors.Is(err, kwupstream.ErrNoConnection), err.Error())
 		g.probeChain(chain)
 	}
 	if !sent {
--- a/io/kwdirectentry/unary.go
+++ b/io/kwdirectentry/unary.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -143,7 +144,8 @@
 		}
 		attempts.lastErr = kwcode.New(kwcode.OutcomeUnknown, "endpoint %s: %v", endpoint.ID, res.Err)
 		if !q.stopped() {
-			g.eject(q.meta.ID, endpoint.ID, endpoint.Address, res.Err.Error())
+			silent := q.remaining() <= 0 || errors.Is(res.Err, kwupstream.ErrNoConnection)
+			g.eject(q.meta.ID, endpoint.ID, endpoint.Address, silent, res.Err.Error())
 		}
 		return false
 	case res.Meta.NotRun:
--- a/io/kwupstream/conn.go
+++ b/io/kwupstream/conn.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"context"
+	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"strconv"
@@ -34,6 +36,9 @@
 	maxMismatchedBodyBytes = 1 << 20
 )
 
+// ErrNoConnection marks the error of an endpoint that has neither accepted nor refused a connection in time.
+var ErrNoConnection = errors.New("no connection in time")
+
 // Conn is a connection to an endpoint; it carries one request at a time.
 type Conn struct {
 	raw     net.Conn
@@ -80,6 +85,10 @@
 	}
 	d := net.Dialer{Timeout: dialTimeout}
 	raw, err := d.DialContext(ctx, "tcp", address)
+	var netErr net.Error
+	if errors.As(err, &netErr) && netErr.Timeout() {
+		return nil, fmt.Errorf("%w: %v", ErrNoConnection, err)
+	}
 	if err != nil {
 		return nil, kwcode.New(kwcode.PeerUnreachable, "%v", err)
 	}
