--- a/core/kwdispatch/dispatcher.go
+++ b/core/kwdispatch/dispatcher.go
@@ -21,6 +21,8 @@
 	Queue kwqueue.Config
 	// Unavailable reports whether an endpoint is out of use, such as after failures.
 	Unavailable func(now time.Time, id kwid.EndpointID) bool
+	// Silent reports whether an endpoint is out of use only because it was silent; nil stands for none.
+	Silent func(now time.Time, id kwid.EndpointID) bool
 	// PauseOf returns for how long an endpoint wants no requests, which Unavailable includes; nil stands for none.
 	PauseOf func(now time.Time, id kwid.EndpointID) time.Duration
 }
@@ -214,16 +216,25 @@
 // reserve reserves room on the best chain. A chain whose first event would come too late counts as full. If allowLate is set, or
 // if the request is late or broken already, a late answer is better than none, and only the first-event timeout bounds it.
 func (d *Dispatcher) reserve(now time.Time, fleet Fleet, r Request, allowLate bool) (kwchainsearch.Chain, bool) {
-	chain, ok := d.choose(now, fleet, r, allowLate, d.acceptChain(now, r))
+	accept := d.acceptChain(now, r)
+	chain, ok := d.choose(now, fleet, r, allowLate, d.excludedFor(now, r), accept)
+	if !ok {
+		chain, ok = d.chooseSilent(now, fleet, r, allowLate, accept)
+	}
 	if ok {
 		d.loads.Reserve(chain, r.Size.TotalTokens)
 	}
 	return chain, ok
 }
 
-// choose returns the best chain that has room and that accept, if it is set, allows.
+// excludedFor returns which endpoints a request must not use.
+func (d *Dispatcher) excludedFor(now time.Time, r Request) func(kwid.EndpointID) bool {
+	return func(id kwid.EndpointID) bool { return r.Excluded[id] || d.cfg.Unavailable(now, id) }
+}
+
+// choose returns the best chain that has room, without the excluded endpoints, and that accept, if it is set, allows.
 func (d *Dispatcher) choose(
-	now time.Time, fleet Fleet, r Request, allowLate bool, accept func(kwchainsearch.Chain) bool,
+	now time.Time, fleet Fleet, r Request, allowLate bool, excluded func(kwid.EndpointID) bool, accept func(kwchainsearch.Chain) bool,
 ) (kwchainsearch.Chain, bool) {
 	limit := r.FirstEventObjective
 	if allowLate || r.urgency(now) != kwqueue.OnTime {
@@ -236,7 +247,6 @@
 		size := kwchainsearch.LayerTokens(r.Size.TotalTokens * float64(servers[i].Layers.Len()))
 		servers[i].Withheld = d.loads.Withheld(now, &servers[i], size)
 	}
-	excluded := func(id kwid.EndpointID) bool { return r.Excluded[id] || d.cfg.Unavailable(now, id) }
 	return kwchainsearch.Choose(fleet.Engine, servers, excluded, kwchainsearch.Criteria{
 		Size:                r.Size,
 		Home:                d.cfg.Zone,
--- a/core/kwdispatch/drain.go
+++ b/core/kwdispatch/drain.go
@@ -40,7 +40,7 @@
 		r.Excluded = make(map[kwid.EndpointID]bool)
 	}
 	r.Excluded[present.First().Endpoint] = true
-	chain, ok := d.choose(now, fleet, r, true, func(chain kwchainsearch.Chain) bool {
+	chain, ok := d.choose(now, fleet, r, true, d.excludedFor(now, r), func(chain kwchainsearch.Chain) bool {
 		firstEvent := d.latencyOf(chain.First().Endpoint).Estimate(now, chain.PrefillTime+chain.TokenTime)
 		return here-d.forecast.lateProbabilityOn(chain, p, firstEvent, left) >= minHandOverGain
 	})
@@ -59,10 +59,13 @@
 	if r.Exit.IsZero() || r.Broken {
 		return nil
 	}
-	return func(chain kwchainsearch.Chain) bool {
-		firstEvent := d.latencyOf(chain.First().Endpoint).Estimate(now, chain.PrefillTime+chain.TokenTime)
-		return d.forecast.EndsInTime(now, chain, r.AnswerTokens, firstEvent, r.Exit)
-	}
+	return func(chain kwchainsearch.Chain) bool { return d.EndsInTime(now, chain, r) }
+}
+
+// EndsInTime reports whether a chain can be expected to end the answer to a request before the entry exits.
+func (d *Dispatcher) EndsInTime(now time.Time, chain kwchainsearch.Chain, r Request) bool {
+	firstEvent := d.latencyOf(chain.First().Endpoint).Estimate(now, chain.PrefillTime+chain.TokenTime)
+	return d.forecast.EndsInTime(now, chain, r.AnswerTokens, firstEvent, r.Exit)
 }
 
 // endsLate reports whether chains have room for a request, but none would end its answer before the entry exits.
@@ -71,9 +74,9 @@
 	if accept == nil {
 		return false
 	}
-	if _, ok := d.choose(now, fleet, r, true, accept); ok {
+	if _, ok := d.choose(now, fleet, r, true, d.excludedFor(now, r), accept); ok {
 		return false
 	}
-	_, ok := d.choose(now, fleet, r, true, nil)
+	_, ok := d.choose(now, fleet, r, true, d.excludedFor(now, r), nil)
 	return ok
 }
--- a/io/kwdirectentry/fault_detection.go
+++ b/io/kwdirectentry/fault_detection.go
@@ -14,7 +14,7 @@
 )
 
 // queryStalls asks the first endpoint of a silent chain which requests are stalled by which endpoints, ejects those
-// endpoints and moves the requests to other chains. A first endpoint that does not answer is ejected itself. One that
+// endpoints and seeks other chains for the requests. A first endpoint that does not answer is ejected itself. One that
 // wants no requests is not asked.
 func (g *Gateway) queryStalls(chain kwchainsearch.Chain) {
 	first := chain.First()
@@ -30,6 +30,7 @@
 			g.recordLeaving("", process)
 		}
 		stalls := report.Stalled
+		silent := err == nil || ctx.Err() != nil
 		if err != nil {
 			stalls = []StalledRequest{{EndpointAddress: first.Address}}
 		}
@@ -37,13 +38,13 @@
 		for _, s := range stalls {
 			id, known := ejected[s.EndpointAddress]
 			if !known {
-				if id, known = g.scheduler.ejectAddress(time.Now(), s.EndpointAddress); !known {
+				if id, known = g.scheduler.ejectAddress(time.Now(), s.EndpointAddress, silent); !known {
 					continue
 				}
 				ejected[s.EndpointAddress] = id
 				g.logEjection("", id, s.EndpointAddress, "stalls a chain", kwevent.F("first", first.Endpoint), kwevent.F("asked", err == nil))
 			}
-			g.activeStreams.abort(s.Request, id)
+			g.activeStreams.suspect(s.Request, id)
 		}
 	})
 }
@@ -97,20 +98,23 @@
 	return results
 }
 
-// ejectFaulty ejects an endpoint whose probe was refused or timed out, and moves its streams.
+// ejectFaulty ejects an endpoint whose probe was refused or timed out. The streams of the former are aborted; for those of the latter,
+// which may only be silent for a while, other chains are sought.
 func (g *Gateway) ejectFaulty(stage kwchainsearch.Stage, result kwchainsearch.ConnectResult) {
 	lost := result == kwchainsearch.Refused
-	g.eject("", stage.Endpoint, stage.Address, "failed a probe of a silent chain", kwevent.F("refused", lost))
+	g.eject("", stage.Endpoint, stage.Address, !lost, "failed a probe of a silent chain", kwevent.F("refused", lost))
 	if lost {
 		g.noteRefusal(stage.Endpoint, syscall.ECONNREFUSED)
+		g.activeStreams.abortAll(stage.Endpoint)
+	} else {
+		g.activeStreams.suspectAll(stage.Endpoint)
 	}
-	g.activeStreams.abortAll(stage.Endpoint, lost)
 	g.reportFaulty(stage.Endpoint, lost)
 }
 
-// eject takes an endpoint out of use for a while and logs the cause.
-func (g *Gateway) eject(request kwid.RequestID, id kwid.EndpointID, address, cause string, more ...kwevent.Field) {
-	g.scheduler.eject(time.Now(), id)
+// eject takes an endpoint out of use for a while and logs the cause; see scheduler.eject.
+func (g *Gateway) eject(request kwid.RequestID, id kwid.EndpointID, address string, silent bool, cause string, more ...kwevent.Field) {
+	g.scheduler.eject(time.Now(), id, silent)
 	g.logEjection(request, id, address, cause, more...)
 }
 
--- a/io/kwdirectentry/stream.go
+++ b/io/kwdirectentry/stream.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"knapweedproxy/core/kwchainsearch"
@@ -30,8 +31,6 @@
 	reads int
 	// sound means that a server has gone on with the answer after its beginning.
 	sound bool
-	// firstEventDeadline is when the current attempt must have its first event.
-	firstEventDeadline time.Time
 	// watched is the current attempt.
 	watched *watchedStream
 	// attemptFirstEvent is when the current attempt delivered its first event.
@@ -70,7 +69,7 @@
 				break
 			}
 		}
-		result := g.attemptStream(ctx, s, chain)
+		result := g.attemptChains(ctx, s, chain)
 		if q.callerLeft() {
 			g.abortCallerGone(q)
 		}
@@ -80,7 +79,7 @@
 		case resultHandedOver:
 			continue
 		}
-		if q.mayCrashAgain() || !g.mayRetry(ctx, q, &s.attempts) {
+		if q.mayCrashAgain() || !g.mayRetry(ctx, q, s.attempts.count(q)) {
 			break
 		}
 		if s.begun {
@@ -162,7 +161,7 @@
 	begin := time.Now()
 	process, _ := g.scheduler.leavers.Process(first.Endpoint)
 	defer g.scheduler.release(chain, s.size.TotalTokens)
-	s.firstEventDeadline = begin.Add(g.scheduler.firstEventPatience(ctx, s.chainRequest(g), chain))
+	patience := g.scheduler.firstEventPatience(ctx, s.chainRequest(g), chain)
 	firstWait := g.startFirstEventWait(first.Endpoint, begin)
 	defer firstWait.end(false)
 	c, err := g.upstreamPool.Get(ctx, first.Address, false)
@@ -192,9 +191,12 @@
 	if err := c.Send(upstreamReq); err != nil {
 		return g.firstEndpointFailed(s, chain, err, true)
 	}
-	s.watched = g.activeStreams.watch(q.meta.ID, c, chain, silenceLimitsFor(q, chain), silenceActions{probe: g.probeChain, queryStalls: g.queryStalls})
+	silent := s.silentAttempt(g)
+	s.watched = g.activeStreams.watch(q.meta.ID, c, chain, silenceLimitsFor(q, chain, patience), silenceActions{
+		probe: g.probeChain, queryStalls: g.queryStalls, replace: func(w *watchedStream) { g.replaceChain(ctx, w, silent) },
+		firstEventLate: func() { firstWait.end(false) },
+	})
 	defer g.activeStreams.unwatch(q.meta.ID, s.watched)
-	c.SetReadDeadline(s.firstEventDeadline)
 	resp, meta, err := c.Receive(upstreamReq, g.deps.Dialect)
 	g.recordNotices(q.meta.ID, process, first.Address, meta)
 	if err != nil {
@@ -204,7 +206,7 @@
 	if resp.StatusCode != http.StatusOK {
 		result, reusable = g.handleErrorResponse(ctx, s, chain, resp, meta)
 	} else {
-		result = g.relay(ctx, s, chain, c, resp, firstWait)
+		result = g.relay(ctx, s, chain, resp, firstWait)
 		reusable = result == resultComplete
 	}
 	if reusable = reusable && stopClose(); reusable {
@@ -213,7 +215,7 @@
 	return result
 }
 
-// firstEventTimeout is how long the first event may take at least before another chain is tried.
+// firstEventTimeout is how long the first event may take at least before another chain is sought.
 func firstEventTimeout(q *request) time.Duration {
 	return max(firstEventTimeoutFactor*q.route.LatencyObjective, minEventTimeout)
 }
@@ -223,14 +225,15 @@
 	return max(time.Duration(stallQueryGapFactor*float64(q.route.EventGapObjective)), minStallQueryWait)
 }
 
-// silenceLimitsFor returns the silence limits of an attempt on a chain; the probe never comes after the stall query.
-func silenceLimitsFor(q *request, chain kwchainsearch.Chain) silenceLimits {
+// silenceLimitsFor returns the silence limits of an attempt on a chain, whose first event may take as long as patience; the probe never
+// comes after the stall query.
+func silenceLimitsFor(q *request, chain kwchainsearch.Chain, patience time.Duration) silenceLimits {
 	queryStalls := stallQueryWait(q)
 	probe := max(minProbeWait, probeGapFactor*chain.EventInterval(q.view.index.Service(q.service).Engine))
-	return silenceLimits{probe: min(probe, queryStalls), queryStalls: queryStalls}
+	return silenceLimits{probe: min(probe, queryStalls), queryStalls: queryStalls, firstEvent: patience, eventGap: eventGapTimeout(q)}
 }
 
-// eventGapTimeout is how long a stream may be silent between two events before another chain is tried.
+// eventGapTimeout is how long a stream may be silent between two events before another chain is sought.
 func eventGapTimeout(q *request) time.Duration {
 	return max(eventGapTimeoutFactor*q.route.EventGapObjective, minEventTimeout)
 }
@@ -240,7 +243,7 @@
 	scheduler *scheduler
 	endpoint  kwid.EndpointID
 	began     time.Time
-	ended     bool
+	ended     atomic.Bool
 }
 
 func (g *Gateway) startFirstEventWait(id kwid.EndpointID, began time.Time) *firstEventWait {
@@ -248,23 +251,21 @@
 	return &firstEventWait{scheduler: g.scheduler, endpoint: id, began: began}
 }
 
-// end records the end of the wait; only the first call counts.
+// end records the end of the wait, or that it has taken longer than it may. Only the first call counts: how long a silent endpoint
+// keeps its requests waiting beyond that tells nothing of how long later ones will wait.
 func (f *firstEventWait) end(received bool) {
-	if !f.ended {
-		f.ended = true
+	if !f.ended.Swap(true) {
 		f.scheduler.endFirstEventWait(f.endpoint, f.began, received)
 	}
 }
 
 // relay passes events on to the caller as they arrive.
-func (g *Gateway) relay(ctx context.Context, s *streamState, chain kwchainsearch.Chain, c *kwupstream.Conn, resp *http.Response, firstWait *firstEventWait) attemptResult {
+func (g *Gateway) relay(ctx context.Context, s *streamState, chain kwchainsearch.Chain, resp *http.Response, firstWait *firstEventWait) attemptResult {
 	q := s.q
 	events := kwupstream.NewEventReader(resp.Body)
 	flusher := http.NewResponseController(q.w)
-	deadline := s.firstEventDeadline
 	eventsBefore := q.events
 	for {
-		c.SetReadDeadline(deadline)
 		chunk, err := events.Next()
 		if errors.Is(err, io.EOF) && s.begun && (s.reads > 0 || framed(resp)) {
 			g.finishComplete(s, chain)
@@ -299,11 +300,10 @@
 		s.lastEventID = events.LastID
 		q.events = eventsBefore + events.Count
 		g.metrics.eventWrites.Inc(1)
-		s.watched.eventReceived(now)
+		g.activeStreams.eventReceived(s.watched, now)
 		if g.handOver(ctx, s, chain, eventsBefore) {
 			return resultHandedOver
 		}
-		deadline = now.Add(eventGapTimeout(q))
 	}
 }
 
--- a/io/kwevent/catalogue.go
+++ b/io/kwevent/catalogue.go
@@ -36,6 +36,7 @@
 	RetryAfterOdd       ID = 224
 	RequestHeld         ID = 225
 	StreamHandedOver    ID = 226
+	StreamMoved         ID = 227
 	SessionStarted      ID = 301
 	SessionEnded        ID = 302
 	StageStarted        ID = 303
@@ -130,6 +131,7 @@
 	{RetryAfterOdd, "retry-after-odd", levelInfo, "The Retry-After time of an endpoint was ignored or bounded."},
 	{RequestHeld, "request-held", levelInfo, "A request was not sent, or not sent again, since servers crash under it."},
 	{StreamHandedOver, "stream-handed-over", levelInfo, "An entry that stops goes on with a stream on a faster chain."},
+	{StreamMoved, "stream-moved", levelInfo, "A stream goes on at another chain, since its own was silent."},
 	{SessionStarted, "session-started", levelDetail, "The first stage of a chain began an attempt."},
 	{SessionEnded, "session-ended", levelDetail, "The first stage of a chain ended an attempt."},
 	{StageStarted, "stage-started", levelDetail, "A later stage of a chain began an attempt."},
