--- a/core/kwquarantine/decide_requests.go
+++ b/core/kwquarantine/decide_requests.go
@@ -83,10 +83,13 @@
 
 // contested reports whether another request was on all crashes of one, or on all but one.
 func (r *Registry) contested(q *requestState) bool {
-	shared := make(map[kwid.RequestDigest]int)
-	for _, c := range q.crashes {
+	if len(q.crashes) < 2 {
+		return false
+	}
+	// One that misses a crash at most is on the first or on the second.
+	for _, c := range q.crashes[:2] {
 		for digest := range c.crash.digests {
-			if shared[digest]++; shared[digest] > 1 && shared[digest] >= len(q.crashes)-1 && r.requests[digest] != nil && r.requests[digest] != q {
+			if other := r.requests[digest]; other != nil && other != q && len(other.crashes) > 1 && missed(q, digest) <= 1 {
 				return true
 			}
 		}
@@ -94,6 +97,19 @@
 	return false
 }
 
+// missed returns on how many of the crashes under a request another one was not, or 2 if it is more than one.
+func missed(q *requestState, other kwid.RequestDigest) int {
+	n := 0
+	for _, c := range q.crashes {
+		if _, ok := c.crash.digests[other]; !ok {
+			if n++; n > 1 {
+				break
+			}
+		}
+	}
+	return n
+}
+
 // correctRequests releases the requests that were held for the crashes of others, once those explain all of them and have crashed a
 // server since.
 func (r *Registry) correctRequests(now time.Time) {
@@ -107,6 +123,10 @@
 			if len(h.crashes) < r.cfg.MinCrashes || !h.held.trialAt.IsZero() || !q.lastAt().After(h.heldAt) {
 				continue
 			}
+			if !q.answeredAt.IsZero() && h.answeredAt.IsZero() {
+				// A popular request is on many crashes by chance.
+				continue
+			}
 			if !slices.ContainsFunc(h.crashes, func(c requestCrash) bool { _, ok := c.crash.digests[digest]; return !ok }) {
 				r.exonerate(now, held)
 			}
@@ -120,11 +140,11 @@
 	}
 }
 
-// explainedByLater reports whether each crash under a held request was under one that is held since.
+// explainedByLater reports whether each crash under a held request was under one with more crashes that is held since.
 func (r *Registry) explainedByLater(h *requestState) bool {
 	return !slices.ContainsFunc(h.crashes, func(c requestCrash) bool {
 		for digest := range c.crash.digests {
-			if other := r.heldRequests[digest]; other != nil && other.heldAt.After(h.heldAt) {
+			if other := r.heldRequests[digest]; other != nil && other.heldAt.After(h.heldAt) && len(other.crashes) > len(h.crashes) {
 				return false
 			}
 		}
--- a/core/kwquarantine/simulation_requests_test.go
+++ b/core/kwquarantine/simulation_requests_test.go
@@ -522,9 +522,8 @@
 	entries, servers int
 	seeds            int
 	load             func(*requestSimulationConfig)
-	// late and held are the greatest shares of runs, in percent, in which a crashing request may be sent more than lateRequests times, and in
-	// which an innocent one may be held.
-	late, held int
+	// held is the greatest share of runs, in percent, in which an innocent request may be held.
+	held int
 	// points are the times of the crash, all if empty.
 	points []crashPoint
 }
@@ -554,7 +553,8 @@
 			}
 			if overdue {
 				lateRuns++
-				t.Logf("seed %d, crash point %d: a crashing request was sent more than %d times later than %v after crash 3", seed, at, lateRequests, contactTime)
+				t.Errorf("seed %d, crash point %d: a crashing request was sent more than %d times later than %v after crash 3, want %d at most",
+					seed, at, lateRequests, contactTime, lateRequests)
 			}
 			if n := f.innocentsHeld(); n > 0 {
 				heldRuns++
@@ -572,9 +572,6 @@
 	}
 	t.Logf("%s: %d runs: %d with more than %d late requests (%d at most), %d with innocent requests held (%d of %d)",
 		sim.name, runs, lateRuns, lateRequests, late, heldRuns, held, innocents)
-	if want := (runs*sim.late + 99) / 100; lateRuns > want {
-		t.Errorf("got %d of %d runs with more than %d late requests, want %d at most", lateRuns, runs, lateRequests, want)
-	}
 	if want := (runs*sim.held + 99) / 100; heldRuns > want {
 		t.Errorf("got %d of %d runs with innocent requests held, want %d at most", heldRuns, runs, want)
 	}
@@ -592,8 +589,8 @@
 	}
 }
 
-// TestCrashingRequestsSimulated simulates fleets whose servers crash under requests, and looks at what is sent and held. The shares
-// are limits in percent, rounded up to a whole run.
+// TestCrashingRequestsSimulated simulates fleets whose servers crash under requests, and looks at what is sent and held. The share
+// of runs in which innocent requests are held is a limit in percent, rounded up to a whole run.
 func TestCrashingRequestsSimulated(t *testing.T) {
 	together := func(over time.Duration) func(*requestSimulationConfig) {
 		return func(c *requestSimulationConfig) { c.crashTogether, c.crashOver = c.servers, over }
@@ -613,45 +610,45 @@
 	part := func(c *requestSimulationConfig) { c.prompts, c.crashingPartRate = true, 3 }
 	attack := func(c *requestSimulationConfig) { c.attackRate, c.attackCrashes = 100, 1 }
 	tests := []requestSimulation{
-		{"1 a second, 3 servers", 3, 3, 2, rate(1), 0, 0, before},
-		{"1 a second, 7 servers", 7, 7, 1, rate(1), 0, 0, before},
-		{"3 a second, 3 servers", 3, 3, 2, rate(3), 0, 0, before},
-		{"3 a second, 7 servers", 7, 7, 2, rate(3), 0, 0, before},
-		{"3 a second, 33 servers", 8, 33, 1, rate(3), 0, 0, first},
-		{"12 a second, 3 servers", 3, 3, 2, rate(12), 0, 0, before},
-		{"12 a second, 7 servers", 7, 7, 1, rate(12), 0, 0, before},
-		{"streams, 3 servers", 3, 3, 2, prompts(rate(3)), 0, 5, before},
-		{"streams, 7 servers", 7, 7, 1, prompts(rate(3)), 0, 0, before},
-		{"crash after the answer, 3 servers", 3, 3, 2, rate(3), 0, 30, whole},
-		{"crash after the answer, 7 servers", 7, 7, 2, rate(3), 0, 15, whole},
-		{"crash after the answer, 33 servers", 8, 33, 1, rate(3), 0, 0, whole},
-		{"two, 3 servers", 3, 3, 2, rate(3, 3), 5, 10, before},
-		{"two, 7 servers", 7, 7, 1, rate(3, 3), 5, 10, before},
-		{"two, 33 servers", 8, 33, 1, rate(3, 3), 0, 0, first},
-		{"two streams, 3 servers", 3, 3, 2, prompts(rate(3, 3)), 5, 45, before},
-		{"two streams, 7 servers", 7, 7, 1, prompts(rate(3, 3)), 5, 25, before},
-		{"two, crash after the answer, 7 servers", 7, 7, 2, rate(3, 3), 30, 40, whole},
-		{"crashing part too, 3 servers", 3, 3, 2, withRate(part), 5, 100, before},
-		{"crashing part too, 7 servers", 7, 7, 1, withRate(part), 25, 100, before},
-		{"crashing part too, 33 servers", 8, 33, 1, withRate(part), 10, 30, first},
-		{"other crashes too, 3 servers", 3, 3, 2, withRate(otherCrashes), 0, 45, before},
-		{"other crashes too, 7 servers", 7, 7, 1, withRate(otherCrashes), 0, 25, before},
-		{"other crashes too, 33 servers", 8, 33, 1, withRate(otherCrashes), 0, 0, first},
-		{"other crashes alone, 3 servers", 3, 3, 2, otherCrashes, 0, 35, first},
-		{"other crashes alone, 7 servers", 7, 7, 2, otherCrashes, 0, 10, first},
-		{"all servers at once, 3 servers", 3, 3, 2, together(0), 0, 0, first},
-		{"all servers at once, 7 servers", 7, 7, 2, together(0), 0, 0, first},
-		{"all servers within 0.3 s, 3 servers", 3, 3, 2, together(300 * time.Millisecond), 0, 0, first},
-		{"all servers within 0.3 s, 7 servers", 7, 7, 2, together(300 * time.Millisecond), 0, 10, first},
-		{"all servers within 0.3 s, 33 servers", 8, 33, 1, together(300 * time.Millisecond), 0, 40, first},
-		{"entries cut off, 3 servers", 3, 3, 2, withRate(cutOff), 5, 45, before},
-		{"entries cut off, 7 servers", 7, 7, 1, withRate(cutOff), 5, 65, before},
-		{"entries cut off, 33 servers", 8, 33, 1, withRate(cutOff), 0, 0, first},
-		{"new leader, 3 servers", 3, 3, 2, withRate(newLeader), 0, 10, before},
-		{"new leader, 7 servers", 7, 7, 1, withRate(newLeader), 0, 15, before},
-		{"attacker, 3 servers", 3, 3, 1, withRate(attack), 0, 90, before},
-		{"attacker, 7 servers", 7, 7, 1, withRate(attack), 5, 85, before},
-		{"attacker, 33 servers", 8, 33, 1, withRate(attack), 0, 25, first},
+		{"1 a second, 3 servers", 3, 3, 2, rate(1), 0, before},
+		{"1 a second, 7 servers", 7, 7, 1, rate(1), 0, before},
+		{"3 a second, 3 servers", 3, 3, 2, rate(3), 0, before},
+		{"3 a second, 7 servers", 7, 7, 2, rate(3), 0, before},
+		{"3 a second, 33 servers", 8, 33, 1, rate(3), 0, first},
+		{"12 a second, 3 servers", 3, 3, 2, rate(12), 0, before},
+		{"12 a second, 7 servers", 7, 7, 1, rate(12), 0, before},
+		{"streams, 3 servers", 3, 3, 2, prompts(rate(3)), 5, before},
+		{"streams, 7 servers", 7, 7, 1, prompts(rate(3)), 0, before},
+		{"crash after the answer, 3 servers", 3, 3, 2, rate(3), 30, whole},
+		{"crash after the answer, 7 servers", 7, 7, 2, rate(3), 15, whole},
+		{"crash after the answer, 33 servers", 8, 33, 1, rate(3), 0, whole},
+		{"two, 3 servers", 3, 3, 2, rate(3, 3), 10, before},
+		{"two, 7 servers", 7, 7, 1, rate(3, 3), 10, before},
+		{"two, 33 servers", 8, 33, 1, rate(3, 3), 0, first},
+		{"two streams, 3 servers", 3, 3, 2, prompts(rate(3, 3)), 45, before},
+		{"two streams, 7 servers", 7, 7, 1, prompts(rate(3, 3)), 25, before},
+		{"two, crash after the answer, 7 servers", 7, 7, 2, rate(3, 3), 40, whole},
+		{"crashing part too, 3 servers", 3, 3, 2, withRate(part), 100, before},
+		{"crashing part too, 7 servers", 7, 7, 1, withRate(part), 100, before},
+		{"crashing part too, 33 servers", 8, 33, 1, withRate(part), 30, first},
+		{"other crashes too, 3 servers", 3, 3, 2, withRate(otherCrashes), 45, before},
+		{"other crashes too, 7 servers", 7, 7, 1, withRate(otherCrashes), 25, before},
+		{"other crashes too, 33 servers", 8, 33, 1, withRate(otherCrashes), 0, first},
+		{"other crashes alone, 3 servers", 3, 3, 2, otherCrashes, 35, first},
+		{"other crashes alone, 7 servers", 7, 7, 2, otherCrashes, 10, first},
+		{"all servers at once, 3 servers", 3, 3, 2, together(0), 0, first},
+		{"all servers at once, 7 servers", 7, 7, 2, together(0), 0, first},
+		{"all servers within 0.3 s, 3 servers", 3, 3, 2, together(300 * time.Millisecond), 0, first},
+		{"all servers within 0.3 s, 7 servers", 7, 7, 2, together(300 * time.Millisecond), 10, first},
+		{"all servers within 0.3 s, 33 servers", 8, 33, 1, together(300 * time.Millisecond), 40, first},
+		{"entries cut off, 3 servers", 3, 3, 2, withRate(cutOff), 45, before},
+		{"entries cut off, 7 servers", 7, 7, 1, withRate(cutOff), 65, before},
+		{"entries cut off, 33 servers", 8, 33, 1, withRate(cutOff), 0, first},
+		{"new leader, 3 servers", 3, 3, 2, withRate(newLeader), 10, before},
+		{"new leader, 7 servers", 7, 7, 1, withRate(newLeader), 15, before},
+		{"attacker, 3 servers", 3, 3, 1, withRate(attack), 90, before},
+		{"attacker, 7 servers", 7, 7, 1, withRate(attack), 85, before},
+		{"attacker, 33 servers", 8, 33, 1, withRate(attack), 25, first},
 	}
 	for _, sim := range tests {
 		t.Run(sim.name, sim.run)
