A hand-over keeps to the quarantine and frees the chain of a caller that leaves

Found while reading the hand-over again. A stream whose prompt part was quarantined while it ran was sent to servers that had not seen it. A caller that left between the reservation of the new chain and its use left it reserved until the entry exited.

The stream of a held part stays where it is; the chain is freed when the request ends.

--- a/io/kwdirectentry/handover.go
+++ b/io/kwdirectentry/handover.go
@@ -26,6 +26,9 @@
 	if events < minPacedEvents || s.lastEventID == "" || !q.route.Retryable() || s.attempts.mayHaveRun+1 >= q.route.MaxAttempts {
 		return false
 	}
+	if _, held := g.partGuard.Check(now, q.guardedParts()); held {
+		return false
+	}
 	req := s.chainRequest(g)
 	delivered := q.events * tokensPerEvent(q)
 	req.size.PromptTokens = float64(q.meta.PromptTokens + delivered)
@@ -55,6 +58,13 @@
 	return true
 }
 
+// releaseReserved frees the chain of a stream whose caller has left as it was handed over.
+func (g *Gateway) releaseReserved(s *streamState) {
+	if chain, ok := s.takeReserved(); ok {
+		g.scheduler.release(chain, s.size.TotalTokens)
+	}
+}
+
 // takeReserved returns the chain that was reserved for the next attempt, if any.
 func (s *streamState) takeReserved() (chain kwchainsearch.Chain, ok bool) {
 	if s.reserved == nil {
--- a/io/kwdirectentry/handover_test.go
+++ b/io/kwdirectentry/handover_test.go
@@ -1,6 +1,7 @@
 package kwdirectentry
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -9,15 +10,101 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr/funcr"
+
 	"knapweedproxy/core/kwdispatch"
+	"knapweedproxy/core/kwhlc"
 	"knapweedproxy/core/kwid"
 	"knapweedproxy/core/kwmembership"
+	"knapweedproxy/core/kwquarantine"
+	"knapweedproxy/io/kwevent"
+	"knapweedproxy/io/kwupstream"
 )
 
+// TestHandOverOfCallerThatLeaves guards against a chain that stays reserved for a caller that leaves as its stream is handed over.
+func TestHandOverOfCallerThatLeaves(t *testing.T) {
+	ctx, leave := context.WithCancel(t.Context())
+	model := serveSlowStream(t, new(atomic.Int64))
+	g := newHandOverGateway(t, model)
+	handedOver := make(chan struct{}, 1)
+	g.deps.Events = kwevent.New(kwevent.Config{Node: "g", Clock: kwhlc.New(kwhlc.Config{}), MaxRecords: 16, Log: funcr.New(func(_, line string) {
+		if strings.Contains(line, "stream-handed-over") {
+			leave()
+			// The entry sees that the connection has closed.
+			time.Sleep(200 * time.Millisecond)
+			handedOver <- struct{}{}
+		}
+	}, funcr.Options{Verbosity: 1})})
+	address, _ := g.Addresses()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/notes/x", strings.NewReader("body"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h"
+	req.Header.Set("Id", "s")
+	go func() {
+		if resp, err := http.DefaultClient.Do(req); err == nil {
+			_, _ = io.Copy(io.Discard, resp.Body)
+			_ = resp.Body.Close()
+		}
+	}()
+	awaitTrue(t, "the stream has begun", func() bool { return g.metrics.eventWrites.Count() > 0 })
+	now := time.Now()
+	go g.drain(now, now.Add(handOverTestDrain), now.Add(handOverTestDrain+time.Second))
+	<-handedOver
+	awaitTrue(t, "the request ends", func() bool { return g.inFlight.Load() == 0 })
+	if own := g.scheduler.ownLoads(); len(own) != 0 {
+		t.Errorf("got loads %v after the caller has left, want none", own)
+	}
+}
+
+// partDialect gives all prompts the same shared part.
+type partDialect struct{ testDialect }
+
+func (d partDialect) ReadRequest(h http.Header) kwupstream.RequestMeta {
+	meta := d.testDialect.ReadRequest(h)
+	meta.SharedParts = []kwid.PromptPartID{"part"}
+	return meta
+}
+
+// handOverTestDrain is too short for a stream of serveSlowStream.
+const handOverTestDrain = 2 * time.Second
+
+// serveSlowStream runs a model server that takes 4 s for the first answer, and no time for those that follow.
+func serveSlowStream(t *testing.T, arrivals *atomic.Int64) string {
+	const interval = 20 * time.Millisecond
+	return serveRaw(t, func(w io.Writer, id string) bool {
+		n := arrivals.Add(1)
+		_, err := fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id)
+		if n > 1 {
+			writeEvent(w, 200)
+			_, _ = io.WriteString(w, "0\r\n\r\n")
+			return true
+		}
+		for event := 1; err == nil && event <= 200; event++ {
+			time.Sleep(interval)
+			_, err = fmt.Fprintf(w, "f\r\nid: %03d\ndata:\n\n\r\n", event)
+		}
+		return false
+	})
+}
+
+// newHandOverGateway returns a gateway with two model servers that has learned how long answers take.
+func newHandOverGateway(t *testing.T, model string) *Gateway {
+	g := newTestGateway(t, model, "127.0.0.1:1")
+	setModelServers(
+		g, kwmembership.Announcement{ID: "m1", Address: model, Layers: kwid.LayerRange{To: 8}},
+		kwmembership.Announcement{ID: "m2", Address: model, Layers: kwid.LayerRange{To: 8}},
+	)
+	for i := range 50 {
+		g.scheduler.observe(kwdispatch.Answer{EstimatedTokens: 200, Tokens: 150 + 2*i, ExpectedTokenTime: time.Millisecond, TokenTime: time.Millisecond})
+	}
+	return g
+}
+
 // TestStoppingEntryHandsOverSlowStream has a stream run so slowly that the drain would end it. It must go on on another chain and
 // reach its caller whole, if the route allows that and the retry budget has room.
 func TestStoppingEntryHandsOverSlowStream(t *testing.T) {
-	const slowInterval, left = 20 * time.Millisecond, 2 * time.Second
 	cases := []struct {
 		name         string
 		prepare      func(g *Gateway)
@@ -31,36 +118,24 @@
 			for g.retryBudgets.ForService("llm").TrySpend(time.Now()) {
 			}
 		}, 1, false},
+		{"part of the prompt is quarantined meanwhile", func(g *Gateway) {
+			g.deps.Dialect = partDialect{}
+			g.goBackground(func() {
+				for g.metrics.eventWrites.Count() == 0 {
+					time.Sleep(time.Millisecond)
+				}
+				g.partGuard.Apply(time.Now(), nil, []kwquarantine.Quarantine{{Part: "part", Remaining: time.Minute}}, false)
+			})
+		}, 1, false},
 	}
 	for _, c := range cases {
 		var arrivals atomic.Int64
-		model := serveRaw(t, func(w io.Writer, id string) bool {
-			n := arrivals.Add(1)
-			_, err := fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id)
-			if n > 1 {
-				writeEvent(w, 200)
-				_, _ = io.WriteString(w, "0\r\n\r\n")
-				return true
-			}
-			for event := 1; err == nil && event <= 200; event++ {
-				time.Sleep(slowInterval)
-				_, err = fmt.Fprintf(w, "f\r\nid: %03d\ndata:\n\n\r\n", event)
-			}
-			return false
-		})
-		g := newTestGateway(t, model, "127.0.0.1:1")
-		setModelServers(
-			g, kwmembership.Announcement{ID: "m1", Address: model, Layers: kwid.LayerRange{To: 8}},
-			kwmembership.Announcement{ID: "m2", Address: model, Layers: kwid.LayerRange{To: 8}},
-		)
-		for i := range 50 {
-			g.scheduler.observe(kwdispatch.Answer{EstimatedTokens: 200, Tokens: 150 + 2*i, ExpectedTokenTime: time.Millisecond, TokenTime: time.Millisecond})
-		}
+		g := newHandOverGateway(t, serveSlowStream(t, &arrivals))
 		c.prepare(g)
 		response := postInBackground(t, g, "/notes/x", "s")
 		awaitTrue(t, "the stream has begun", func() bool { return g.metrics.eventWrites.Count() > 0 })
 		now := time.Now()
-		go g.drain(now, now.Add(left), now.Add(left+time.Second))
+		go g.drain(now, now.Add(handOverTestDrain), now.Add(handOverTestDrain+time.Second))
 		got := <-response
 		if whole := strings.HasSuffix(got.body, "id: 200\ndata: x\n\n"); got.status != http.StatusOK || whole != c.wantWhole || arrivals.Load() != c.wantArrivals {
 			t.Errorf("%s: got status %d, a whole stream %v and %d arrivals, want 200, %v and %d",
--- a/io/kwdirectentry/stream.go
+++ b/io/kwdirectentry/stream.go
@@ -63,6 +63,7 @@
 		return
 	}
 	s := &streamState{q: q, size: estimateSize(q), attempts: attemptState{exclude: make(endpointSet)}, lastEventID: q.meta.LastEventID}
+	defer g.releaseReserved(s)
 	for {
 		chain, ok := s.takeReserved()
 		if !ok {
