--- a/io/kwdirectentry/scheduler.go
+++ b/io/kwdirectentry/scheduler.go
@@ -152,7 +152,7 @@
 func (s *scheduler) observe(a kwdispatch.Answer) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.dispatcher.Observe(a)
+	s.dispatcher.Observe(time.Now(), a)
 }
 
 // endsInTime reports whether a chain can be expected to end the answer to a request before the entry exits.
