Allow for late heartbeats in the leases of silent endpoints

TestSilentEndpointsEndNoAnswer failed in one of two runs beside other work: an endpoint that was silent for 1.3 s was lost 1.750 s after its last heartbeat. By its sequence numbers one heartbeat had been missed before the silence, and the first one after it came 0.4 s late; the lease allowed for 0.05 s, a quarter of the interval.

A heartbeat may now take 0.5 s to arrive: its sender tries another control process after a failure.

--- a/io/kwdirectcontrol/config.go
+++ b/io/kwdirectcontrol/config.go
@@ -45,8 +45,9 @@
 	// maxSoundSilence is how long a sound endpoint may send nothing and then go on. It may fall silent just before a heartbeat is due,
 	// which it sends when it goes on.
 	maxSoundSilence = 1500 * time.Millisecond
-	// lateHeartbeatShare is the share of the heartbeat interval by which a heartbeat may be late besides.
-	lateHeartbeatShare = 0.25
+	// maxHeartbeatDelay is how long a heartbeat may take to reach the leader besides: its sender may have to try another control process,
+	// and a lost packet is sent again after 200 ms.
+	maxHeartbeatDelay = 500 * time.Millisecond
 	// goneRetention is how long endpoints that left are remembered, so that heartbeats which a partition delayed do not
 	// revive them.
 	goneRetention = 2 * time.Minute
@@ -162,7 +163,7 @@
 }
 
 func (c Config) rosterConfig() kwmembership.RosterConfig {
-	leastLease := maxSoundSilence + time.Duration((1+lateHeartbeatShare)*float64(c.Heartbeat))
+	leastLease := c.Heartbeat + maxSoundSilence + maxHeartbeatDelay
 	return kwmembership.RosterConfig{
 		Lease:        max(leaseHeartbeats*c.Heartbeat, leastLease),
 		SuspectLease: max(time.Duration(suspectLeaseHeartbeats*float64(c.Heartbeat)), leastLease),
