Go on connecting to an endpoint that opens no connection for a while

Requests of all kinds were refused with 503 if the only endpoint of their route opened no connection within 0.3 s, as a VM does that is silent for a second; a stream waited in the queue for a chain without that endpoint first, 7 s in the test.

An endpoint that neither accepts nor refuses is now avoided rather than excluded: it is tried again where there is no other, for up to 1.5 s (kwretry.MaxSoundSilence, by which the leases at control go too). Nothing has been sent by then, so this holds for requests that may run once as well. A refused connection excludes an endpoint as before.

--- a/core/kwdispatch/dispatcher.go
+++ b/core/kwdispatch/dispatcher.go
@@ -53,6 +53,8 @@
 	DeclaredPriority int
 	// Excluded holds the endpoints that have failed or refused the request.
 	Excluded map[kwid.EndpointID]bool
+	// Unreached holds the endpoints that have opened no connection for the request in time, which count as silent.
+	Unreached map[kwid.EndpointID]bool
 }
 
 func (r Request) urgency(now time.Time) kwqueue.Urgency {
@@ -201,7 +203,7 @@
 // reserve reserves room on the best chain. A chain whose first event would come too late counts as full. If allowLate is set, or
 // if the request is late or broken already, a late answer is better than none, and only the first-event timeout bounds it.
 func (d *Dispatcher) reserve(now time.Time, fleet Fleet, r Request, allowLate bool) (kwchainsearch.Chain, bool) {
-	excluded := func(id kwid.EndpointID) bool { return r.Excluded[id] || d.cfg.Unavailable(now, id) }
+	excluded := func(id kwid.EndpointID) bool { return r.Excluded[id] || r.Unreached[id] || d.cfg.Unavailable(now, id) }
 	if chain, ok := d.reserveFrom(now, fleet, r, allowLate, excluded); ok {
 		return chain, true
 	}
--- a/core/kwdispatch/silence.go
+++ b/core/kwdispatch/silence.go
@@ -7,23 +7,23 @@
 	"knapweedproxy/core/kwid"
 )
 
-// reserveSilent reserves room on the best chain if endpoints that are out of use only because they were silent may be part of it, which
+// reserveSilent reserves room on the best chain if endpoints that are avoided only because they were silent may be part of it, which
 // they may where every chain needs one of them (panic threshold). It answers servers that fall silent together: they may go on at any
 // moment, and to refuse all requests until then would make a short silence a long one.
 func (d *Dispatcher) reserveSilent(now time.Time, fleet Fleet, r Request, allowLate bool) (kwchainsearch.Chain, bool) {
-	if d.cfg.Silent == nil {
-		return kwchainsearch.Chain{}, false
-	}
 	silent := make(map[kwid.EndpointID]bool)
 	for _, server := range fleet.Servers {
-		if d.cfg.Silent(now, server.ID) && !r.Excluded[server.ID] {
-			silent[server.ID] = true
+		id := server.ID
+		ejected := d.cfg.Silent != nil && d.cfg.Silent(now, id)
+		unreached := r.Unreached[id] && !d.cfg.Unavailable(now, id)
+		if (ejected || unreached) && !r.Excluded[id] {
+			silent[id] = true
 		}
 	}
 	if len(silent) == 0 {
 		return kwchainsearch.Chain{}, false
 	}
-	excluded := func(id kwid.EndpointID) bool { return r.Excluded[id] || d.cfg.Unavailable(now, id) }
+	excluded := func(id kwid.EndpointID) bool { return r.Excluded[id] || r.Unreached[id] || d.cfg.Unavailable(now, id) }
 	if d.chainExists(fleet, r, excluded) {
 		return kwchainsearch.Chain{}, false
 	}
--- a/core/kwretry/attempts.go
+++ b/core/kwretry/attempts.go
@@ -23,6 +23,9 @@
 	return a.Sent < a.Limit+a.Extra
 }
 
+// MaxSoundSilence is how long a sound endpoint may send nothing, not even accept a connection, and then go on.
+const MaxSoundSilence = 1500 * time.Millisecond
+
 // hedgeShare is the share of the remaining time after which an attempt is added beside one without an answer. It leaves the added one
 // more time than the first one has had.
 const hedgeShare = 0.45
--- a/io/kwdirectcontrol/config.go
+++ b/io/kwdirectcontrol/config.go
@@ -42,10 +42,7 @@
 	// suspectLeaseHeartbeats is how many missed heartbeats make an endpoint lost that several entries cannot reach. A copy of a
 	// model stops without each of its endpoints, so that its layers are needed elsewhere soon.
 	suspectLeaseHeartbeats = 1.3
-	// maxSoundSilence is how long a sound endpoint may send nothing and then go on. It may fall silent just before a heartbeat is due,
-	// which it sends when it goes on.
-	maxSoundSilence = 1500 * time.Millisecond
-	// maxHeartbeatDelay is how long a heartbeat may take to reach the leader besides: its sender may have to try another control process,
+	// maxHeartbeatDelay is how long a heartbeat may take to reach the leader: its sender may have to try another control process,
 	// and a lost packet is sent again after 200 ms.
 	maxHeartbeatDelay = 500 * time.Millisecond
 	// goneRetention is how long endpoints that left are remembered, so that heartbeats which a partition delayed do not
@@ -163,7 +160,8 @@
 }
 
 func (c Config) rosterConfig() kwmembership.RosterConfig {
-	leastLease := c.Heartbeat + maxSoundSilence + maxHeartbeatDelay
+	// An endpoint may fall silent just before a heartbeat is due, which it sends when it goes on.
+	leastLease := c.Heartbeat + kwretry.MaxSoundSilence + maxHeartbeatDelay
 	return kwmembership.RosterConfig{
 		Lease:        max(leaseHeartbeats*c.Heartbeat, leastLease),
 		SuspectLease: max(time.Duration(suspectLeaseHeartbeats*float64(c.Heartbeat)), leastLease),
--- a/io/kwdirectentry/queue.go
+++ b/io/kwdirectentry/queue.go
@@ -15,6 +15,7 @@
 	r           *request
 	size        kwchainsearch.RequestSize
 	exclude     endpointSet
+	unreached   endpointSet
 	currentView func() *view
 	// exitTime returns when the entry ends its requests in progress, zero if it is not stopping.
 	exitTime func() time.Time
@@ -36,6 +37,7 @@
 		Broken:              c.r.broken,
 		DeclaredPriority:    c.r.basePriority(),
 		Excluded:            c.exclude,
+		Unreached:           c.unreached,
 	}
 }
 
--- a/io/kwdirectentry/scheduler.go
+++ b/io/kwdirectentry/scheduler.go
@@ -150,8 +150,9 @@
 // crossZonePenalty is added to the load of an endpoint outside this entry's availability zone, to prefer local ones.
 const crossZonePenalty = 2
 
-// pickUnary picks the endpoint with the lowest load for a unary request and counts the request as in flight there.
-func (s *scheduler) pickUnary(now time.Time, candidates []kwmembership.Announcement, exclude endpointSet) (kwmembership.Announcement, bool) {
+// pickUnary picks the endpoint with the lowest load for a unary request, other than those that are excluded or were not reached, and
+// counts the request as in flight there.
+func (s *scheduler) pickUnary(now time.Time, candidates []kwmembership.Announcement, exclude, unreached endpointSet) (kwmembership.Announcement, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	best, found, lowest := kwmembership.Announcement{}, false, 0
@@ -160,7 +161,7 @@
 			// The second pass admits ejected endpoints, since one of them is better than none, but not those that leave or
 			// want no requests.
 			closed := s.leavers.Leaving(a.Process()) || s.pauses.Remaining(now, a.Process()) > 0
-			if exclude[a.ID] || closed || pass == 0 && s.ejector.Ejected(now, a.ID) {
+			if exclude[a.ID] || unreached[a.ID] || closed || pass == 0 && s.ejector.Ejected(now, a.ID) {
 				continue
 			}
 			load := 2*s.inFlight[a.ID] + s.reportedInFlight[a.ID]
--- a/io/kwdirectentry/stream.go
+++ b/io/kwdirectentry/stream.go
@@ -103,7 +103,7 @@
 
 // chainRequest returns the request for a chain for the next attempt.
 func (s *streamState) chainRequest(g *Gateway) chainRequest {
-	return chainRequest{r: s.q, size: s.size, exclude: s.attempts.exclude, currentView: g.view.Load, exitTime: g.exitTime}
+	return chainRequest{r: s.q, size: s.size, exclude: s.attempts.exclude, unreached: s.attempts.unreached, currentView: g.view.Load, exitTime: g.exitTime}
 }
 
 // recordNoChain records that no chain was found, unless an earlier attempt may have run: its error is the one to
--- a/io/kwdirectentry/stream_failure.go
+++ b/io/kwdirectentry/stream_failure.go
@@ -19,7 +19,7 @@
 // connection while the request was sent.
 func (g *Gateway) firstEndpointFailed(s *streamState, chain kwchainsearch.Chain, err error, sent bool) attemptResult {
 	first := chain.First()
-	s.attempts.exclude[first.Endpoint] = true
+	s.attempts.excludeFailed(time.Now(), first.Endpoint, err)
 	s.attempts.lastErr = kwcode.New(kwcode.StreamCut, "endpoint %s: %v", first.Endpoint, err)
 	if !s.q.stopped() {
 		g.eject(s.q.meta.ID, first.Endpoint, first.Address, errors.Is(err, kwupstream.ErrNoConnection), err.Error())
--- a/io/kwdirectentry/stream_move.go
+++ b/io/kwdirectentry/stream_move.go
@@ -25,7 +25,7 @@
 	q := *s.q
 	a := silentAttempt{req: s.chainRequest(g), attempts: s.attempts.count(s.q), begun: s.begun}
 	a.req.r = &q
-	a.req.exclude = maps.Clone(s.attempts.exclude)
+	a.req.exclude, a.req.unreached = maps.Clone(s.attempts.exclude), maps.Clone(s.attempts.unreached)
 	a.attempts.InProgress = 1
 	return a
 }
--- a/io/kwdirectentry/unary.go
+++ b/io/kwdirectentry/unary.go
@@ -9,6 +9,7 @@
 
 	"knapweedproxy/core/kwcode"
 	"knapweedproxy/core/kwdeclaration"
+	"knapweedproxy/core/kwid"
 	"knapweedproxy/core/kwmembership"
 	"knapweedproxy/core/kwretry"
 	"knapweedproxy/io/kwevent"
@@ -19,6 +20,10 @@
 type attemptState struct {
 	// exclude holds the endpoints that later attempts must avoid.
 	exclude endpointSet
+	// unreached holds the endpoints that have opened no connection in time; they may be silent for a while and go on, so they are
+	// used again where there is no other. unreachedSince is when the first one was found.
+	unreached      endpointSet
+	unreachedSince time.Time
 	// mayHaveRun counts the attempts that may have run the request, notRun those whose endpoint promised not to have
 	// run it.
 	mayHaveRun, notRun int
@@ -65,6 +70,25 @@
 	return a
 }
 
+// excludeFailed excludes an endpoint at which an attempt has failed from later ones. One that has only opened no connection is avoided
+// instead, until it has been silent for too long.
+func (a *attemptState) excludeFailed(now time.Time, id kwid.EndpointID, err error) {
+	if a.unreached == nil {
+		a.unreached = make(endpointSet)
+	}
+	if errors.Is(err, kwupstream.ErrNoConnection) {
+		if a.unreachedSince.IsZero() {
+			a.unreachedSince = now
+		}
+		if now.Sub(a.unreachedSince) < kwretry.MaxSoundSilence {
+			a.unreached[id] = true
+			delete(a.exclude, id)
+			return
+		}
+	}
+	a.exclude[id] = true
+}
+
 // startUnary starts an attempt, the first one or one beside or after others; it reports false if there is none to make.
 func (g *Gateway) startUnary(ctx context.Context, u *unaryState) bool {
 	q := u.q
@@ -72,11 +96,15 @@
 		u.attempts.refusal = err
 		return false
 	}
-	endpoint, ok := g.scheduler.pickUnary(time.Now(), q.view.live[q.service], u.attempts.exclude)
+	live := q.view.live[q.service]
+	endpoint, ok := g.scheduler.pickUnary(time.Now(), live, u.attempts.exclude, u.attempts.unreached)
+	if !ok && len(u.attempts.unreached) > 0 && ctx.Err() == nil {
+		endpoint, ok = g.scheduler.pickUnary(time.Now(), live, u.attempts.exclude, nil)
+	}
 	if !ok {
 		return false
 	}
-	if len(u.attempts.exclude) > 0 && !g.mayRetry(ctx, q, u.count()) {
+	if len(u.attempts.exclude)+len(u.attempts.unreached) > 0 && !g.mayRetry(ctx, q, u.count()) {
 		g.scheduler.finishUnary(endpoint.ID, -1)
 		return false
 	}
@@ -138,6 +166,7 @@
 func (g *Gateway) recordAttempt(q *request, attempts *attemptState, endpoint kwmembership.Announcement, res kwupstream.Result) bool {
 	switch {
 	case res.Err != nil:
+		attempts.excludeFailed(time.Now(), endpoint.ID, res.Err)
 		if res.Sent {
 			attempts.mayHaveRun++
 			g.checkForCrash(q, endpoint.ID, endpoint.Address)
