--- a/io/kwdirectentry/relay_test.go
+++ b/io/kwdirectentry/relay_test.go
@@ -25,14 +25,19 @@
 	"knapweedproxy/io/kwupstream"
 )
 
-// testDialect maps the request ID, the not-run promise and the notices that a server leaves or wants no requests.
+// testDialect maps the request ID, the last event, the not-run promise and the notices that a server leaves or wants no requests.
 type testDialect struct{}
 
 func (testDialect) ReadRequest(h http.Header) kwupstream.RequestMeta {
 	return kwupstream.RequestMeta{ID: kwid.RequestID(h.Get("Id")), PromptTokens: 700, EstimatedAnswerTokens: 200, Timeout: time.Minute}
 }
-func (testDialect) WriteRequest(http.Header, kwupstream.ForwardMeta) {}
-func (testDialect) WriteRetryAfter(http.Header, time.Duration)       {}
+
+func (testDialect) WriteRequest(h http.Header, meta kwupstream.ForwardMeta) {
+	h.Set("Last-Event-Id", meta.LastEventID)
+}
+
+func (testDialect) WriteRetryAfter(http.Header, time.Duration) {}
+
 func (testDialect) ReadResponse(_ int, h http.Header) kwupstream.ResponseMeta {
 	pause, _ := time.ParseDuration(h.Get("Pause"))
 	return kwupstream.ResponseMeta{
--- a/io/kwdirectentry/silence_test.go
+++ b/io/kwdirectentry/silence_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -14,6 +16,7 @@
 	"knapweedproxy/core/kwdeclaration"
 	"knapweedproxy/core/kwid"
 	"knapweedproxy/core/kwmembership"
+	"knapweedproxy/core/kwretry"
 )
 
 const (
@@ -268,6 +271,7 @@
 			if took := time.Since(begin); got.status != http.StatusOK || got.body != c.want || took > 2*time.Second {
 				t.Errorf("got %d %q after %v, want 200 %q within 2s", got.status, got.body, took, c.want)
 			}
+			checkNothingReserved(t, g)
 		})
 	}
 }
@@ -300,3 +304,84 @@
 		}
 	}
 }
+
+// checkNothingReserved checks that no chain is reserved for requests that have ended.
+func checkNothingReserved(t *testing.T, g *Gateway) {
+	t.Helper()
+	awaitTrue(t, "all reservations of chains are released", func() bool { return len(g.scheduler.ownLoads()) == 0 })
+}
+
+// TestSilenceWithoutRetryBudgetEndsNoAnswer guards against an attempt that is given up while no retry is left to follow it.
+func TestSilenceWithoutRetryBudgetEndsNoAnswer(t *testing.T) {
+	for _, c := range silentRequests() {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s := newSilence(testSilence)
+			var arrivals atomic.Int32
+			var seen sync.Map
+			addresses := []string{serveRaw(t, c.answer(s, &arrivals, &seen)), serveRaw(t, c.answer(s, &arrivals, &seen))}
+			g := newTestGateway(t, addresses[0], addresses[0])
+			g.retryBudgets = kwretry.NewSharedBudgets(kwretry.SharedBudgetsConfig{Window: time.Minute})
+			if c.path == "/notes/x" {
+				setServers(g, addresses, nil)
+			} else {
+				setServers(g, nil, addresses)
+			}
+			setRoutes(g, func(r *kwdeclaration.Route) {
+				r.Timeout, r.LatencyObjective, r.EventGapObjective = 2*time.Second, 250*time.Millisecond, 100*time.Millisecond
+			})
+			status, body := post(t, http.DefaultClient, g, c.path, "q")
+			if status != http.StatusOK || body != c.want || arrivals.Load() != 1 {
+				t.Errorf("got %d %q after %d attempts, want 200 %q after 1", status, body, arrivals.Load(), c.want)
+			}
+			checkNothingReserved(t, g)
+		})
+	}
+}
+
+// TestMovesRaceWithEvents has servers go on at about the time at which their streams move to another one. Callers must get every event
+// once, and no chain may stay reserved.
+func TestMovesRaceWithEvents(t *testing.T) {
+	t.Parallel()
+	const streams, events = 60, 12
+	var pauses atomic.Int32
+	server := func() string {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Id", r.Header.Get("Id"))
+			last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+			for event := last + 1; event <= events; event++ {
+				if event%4 == 0 {
+					time.Sleep(minEventTimeout + time.Duration(pauses.Add(1)%41-20)*time.Millisecond)
+				}
+				_, _ = fmt.Fprintf(w, "id: %d\n\n", event)
+				if http.NewResponseController(w).Flush() != nil {
+					return
+				}
+			}
+		}))
+		t.Cleanup(s.Close)
+		return s.Listener.Addr().String()
+	}
+	g := newTestGateway(t, "127.0.0.1:1", "127.0.0.1:1")
+	setServers(g, []string{server(), server(), server()}, nil)
+	setRoutes(g, func(r *kwdeclaration.Route) { r.MaxAttempts, r.EventGapObjective = 4, 100*time.Millisecond })
+	want := ""
+	for event := 1; event <= events; event++ {
+		want += fmt.Sprintf("id: %d\n\n", event)
+	}
+	var responses []<-chan postedResponse
+	for i := range streams {
+		responses = append(responses, postInBackground(t, g, "/notes/x", fmt.Sprint("q", i)))
+		time.Sleep(7 * time.Millisecond)
+	}
+	for i, response := range responses {
+		if got := <-response; got.status != http.StatusOK || got.body != want {
+			t.Errorf("stream %d: got %d %q, want 200 %q", i, got.status, got.body, want)
+		}
+	}
+	checkNothingReserved(t, g)
+	if g.metrics.resumed.Count() == 0 {
+		t.Error("got no stream that has moved, want some")
+	}
+	t.Logf("%d streams moved %d times", streams, g.metrics.resumed.Count())
+}
