Seek another chain only where there is one

A silent stream waited in the queue for another chain even if all servers were part of its own, and new streams waited behind it for chains that had room: 0.6 s in TestSilentStreamHoldsUpNoOthers, which failed before with a second stream that its idle server could serve at once.

The search now begins only if a chain would serve the stream once it has room (Dispatcher.HasChain). TestHasChain.

--- a/core/kwdispatch/silence.go
+++ b/core/kwdispatch/silence.go
@@ -30,6 +30,12 @@
 	return d.reserveFrom(now, fleet, r, allowLate, func(id kwid.EndpointID) bool { return !silent[id] && excluded(id) })
 }
 
+// HasChain reports whether there is a chain that the request may use once it has room. A request without one waits in vain, and keeps
+// those behind it in the queue from the chains that they may use.
+func (d *Dispatcher) HasChain(now time.Time, fleet Fleet, r Request) bool {
+	return d.chainExists(fleet, r, func(id kwid.EndpointID) bool { return r.Excluded[id] || r.Unreached[id] || d.cfg.Unavailable(now, id) })
+}
+
 // chainExists reports whether there is a chain without the excluded endpoints if none of the others had any load.
 func (d *Dispatcher) chainExists(fleet Fleet, r Request, excluded func(kwid.EndpointID) bool) bool {
 	_, ok := kwchainsearch.Choose(fleet.Engine, fleet.Servers, excluded, kwchainsearch.Criteria{
--- a/core/kwdispatch/silence_test.go
+++ b/core/kwdispatch/silence_test.go
@@ -48,3 +48,38 @@
 		}
 	}
 }
+
+// TestHasChain checks that the endpoints that a request may not use count, and the load of the others does not.
+func TestHasChain(t *testing.T) {
+	fleet := testFleet(1)
+	now := time.Unix(1000, 0)
+	exclude := func(part string) map[kwid.EndpointID]bool {
+		out := make(map[kwid.EndpointID]bool)
+		for _, server := range fleet.Servers {
+			if strings.Contains(string(server.ID), part) {
+				out[server.ID] = true
+			}
+		}
+		return out
+	}
+	cases := []struct {
+		name string
+		set  func(*Request)
+		want bool
+	}{
+		{"none excluded", func(*Request) {}, true},
+		{"one zone excluded", func(r *Request) { r.Excluded = exclude("a-") }, true},
+		{"all first servers excluded", func(r *Request) { r.Excluded = exclude("-0") }, false},
+		{"no first server reached", func(r *Request) { r.Unreached = exclude("-0") }, false},
+	}
+	for _, c := range cases {
+		d := newDispatcher()
+		for d.Dispatch(now, fleet, request(now)).Granted {
+		}
+		r := request(now)
+		c.set(&r)
+		if got := d.HasChain(now, fleet, r); got != c.want {
+			t.Errorf("%s: got %t, want %t", c.name, got, c.want)
+		}
+	}
+}
--- a/io/kwdirectentry/queue.go
+++ b/io/kwdirectentry/queue.go
@@ -61,6 +61,14 @@
 	return kwdispatch.Fleet{Engine: service.Engine, Servers: v.servers[name], Incomplete: v.gathering}, nil
 }
 
+// hasChain reports whether there is a chain that the request may use once it has room.
+func (s *scheduler) hasChain(ctx context.Context, req chainRequest) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fleet, err := req.fleet()
+	return err == nil && s.dispatcher.HasChain(time.Now(), fleet, req.dispatchRequest(ctx))
+}
+
 // acquireChain reserves capacity on a chain, waiting in the queue if necessary, and returns how long that took. The
 // error is a rejection or the error of the context.
 func (s *scheduler) acquireChain(ctx context.Context, req chainRequest) (kwchainsearch.Chain, time.Duration, error) {
--- a/io/kwdirectentry/silence_test.go
+++ b/io/kwdirectentry/silence_test.go
@@ -204,6 +204,11 @@
 					if late := time.Since(s.began) - testSilence; late > silenceSlack {
 						t.Errorf("got the answers %v after the end of the silence, want them within %v", late, silenceSlack)
 					}
+					if t.Failed() {
+						for _, r := range g.deps.Events.Records() {
+							t.Log(r)
+						}
+					}
 					limit := 6
 					if c.path == "/alerts/x" {
 						limit = 3
@@ -385,3 +390,36 @@
 	}
 	t.Logf("%d streams moved %d times", streams, g.metrics.resumed.Count())
 }
+
+// TestSilentStreamHoldsUpNoOthers guards against a silent stream that waits for another chain where there is none, and keeps the
+// requests behind it in the queue from the chain that has room for them.
+func TestSilentStreamHoldsUpNoOthers(t *testing.T) {
+	t.Parallel()
+	s := newSilence(testSilence)
+	var arrivals atomic.Int32
+	var seen sync.Map
+	silent := silentStream(s, 1, false, &arrivals, &seen)
+	address := serveRaw(t, func(w io.Writer, id string) bool {
+		if id == "silent" {
+			return silent(w, id)
+		}
+		_, err := fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n7\r\nid: 1\n\n\r\n0\r\n\r\n", id)
+		return err == nil
+	})
+	g := newTestGateway(t, address, address)
+	setServers(g, []string{address}, nil)
+	setRoutes(g, func(r *kwdeclaration.Route) {
+		r.LatencyObjective, r.EventGapObjective = 5*time.Second, 100*time.Millisecond
+	})
+	response := postInBackground(t, g, "/notes/x", "silent")
+	awaitTrue(t, "the request arrives", func() bool { return arrivals.Load() > 0 })
+	time.Sleep(minEventTimeout + 100*time.Millisecond)
+	begin := time.Now()
+	status, body := post(t, http.DefaultClient, g, "/notes/x", "other")
+	if took := time.Since(begin); status != http.StatusOK || took > testSilence/4 {
+		t.Errorf("other stream: got %d %q after %v, want 200 at once", status, body, took)
+	}
+	if got := <-response; got.status != http.StatusOK {
+		t.Errorf("silent stream: got %d %q, want 200", got.status, got.body)
+	}
+}
--- a/io/kwdirectentry/stream_move.go
+++ b/io/kwdirectentry/stream_move.go
@@ -102,6 +102,9 @@
 	broken := *q
 	broken.broken = broken.broken || a.begun || w.begun.Load()
 	req.r = &broken
+	if !g.scheduler.hasChain(ctx, req) {
+		return kwchainsearch.Chain{}, false
+	}
 	chain, _, err := g.scheduler.acquireChain(ctx, req)
 	if err != nil {
 		return kwchainsearch.Chain{}, false
