Bound what a silent endpoint teaches, keep searches off pooled connections

TestSilentServersEndNoAnswer failed once in a full run of its package beside other work (load over 25): a new stream was refused with 503 in the silence, and in one case just after it. It was not seen again in 8 further runs of all its cases, nor in 6 of the two. The wait that had exceeded its patience was recorded when the timer ran, late under load, and so exceeded the limit for new streams by as much; it is now recorded as the patience itself. That this was the cause is inferred from the times, not shown by a run.

The watch of an attempt ended after its connection had gone back to the pool, so a search for another chain could have closed the connection under the next request. It ends before that now. Found by reading; no test reaches that moment.

--- a/io/kwdirectentry/scheduler.go
+++ b/io/kwdirectentry/scheduler.go
@@ -140,10 +140,10 @@
 }
 
 // endFirstEventWait records that a request no longer waits for its first event, and whether it received one.
-func (s *scheduler) endFirstEventWait(id kwid.EndpointID, began time.Time, received bool) {
+func (s *scheduler) endFirstEventWait(id kwid.EndpointID, now, began time.Time, received bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.dispatcher.EndFirstEventWait(time.Now(), id, began, received)
+	s.dispatcher.EndFirstEventWait(now, id, began, received)
 	s.wakeNext()
 }
 
--- a/io/kwdirectentry/stream.go
+++ b/io/kwdirectentry/stream.go
@@ -170,7 +170,7 @@
 	silent := s.silentAttempt(g)
 	s.watched = g.activeStreams.watch(q.meta.ID, c, chain, silenceLimitsFor(q, chain, patience), silenceActions{
 		probe: g.probeChain, queryStalls: g.queryStalls, replace: func(w *watchedStream) { g.replaceChain(ctx, w, silent) },
-		firstEventLate: func() { firstWait.end(false) },
+		firstEventLate: func() { firstWait.exceeded(patience) },
 	})
 	defer g.activeStreams.unwatch(q.meta.ID, s.watched)
 	resp, meta, err := c.Receive(upstreamReq, g.deps.Dialect)
@@ -185,6 +185,8 @@
 		result = g.relay(ctx, s, chain, resp, firstWait)
 		reusable = result == resultComplete
 	}
+	// No search for another chain may close the connection once it is in the pool.
+	g.activeStreams.unwatch(q.meta.ID, s.watched)
 	if reusable = reusable && stopClose(); reusable {
 		g.upstreamPool.Put(c, resp)
 	}
@@ -227,11 +229,18 @@
 	return &firstEventWait{scheduler: g.scheduler, endpoint: id, began: began}
 }
 
-// end records the end of the wait, or that it has taken longer than it may. Only the first call counts: how long a silent endpoint
-// keeps its requests waiting beyond that tells nothing of how long later ones will wait.
+// end records the end of the wait, unless it has exceeded its patience before.
 func (f *firstEventWait) end(received bool) {
 	if !f.ended.Swap(true) {
-		f.scheduler.endFirstEventWait(f.endpoint, f.began, received)
+		f.scheduler.endFirstEventWait(f.endpoint, time.Now(), f.began, received)
+	}
+}
+
+// exceeded records that the wait takes longer than its patience. How long a silent endpoint keeps its requests waiting beyond that
+// tells nothing of how long later ones will wait.
+func (f *firstEventWait) exceeded(patience time.Duration) {
+	if !f.ended.Swap(true) {
+		f.scheduler.endFirstEventWait(f.endpoint, f.began.Add(patience), f.began, false)
 	}
 }
 
