--- a/core/kwdispatch/dispatcher.go
+++ b/core/kwdispatch/dispatcher.go
@@ -57,6 +57,8 @@
 	DeclaredPriority int
 	// Excluded holds the endpoints that have failed or refused the request.
 	Excluded map[kwid.EndpointID]bool
+	// Unreached holds the endpoints that have opened no connection for the request in time, which count as silent.
+	Unreached map[kwid.EndpointID]bool
 }
 
 func (r Request) urgency(now time.Time) kwqueue.Urgency {
@@ -229,7 +231,7 @@
 
 // excludedFor returns which endpoints a request must not use.
 func (d *Dispatcher) excludedFor(now time.Time, r Request) func(kwid.EndpointID) bool {
-	return func(id kwid.EndpointID) bool { return r.Excluded[id] || d.cfg.Unavailable(now, id) }
+	return func(id kwid.EndpointID) bool { return r.Excluded[id] || r.Unreached[id] || d.cfg.Unavailable(now, id) }
 }
 
 // choose returns the best chain that has room, without the excluded endpoints, and that accept, if it is set, allows.
--- a/core/kwdispatch/silence.go
+++ b/core/kwdispatch/silence.go
@@ -7,19 +7,19 @@
 	"knapweedproxy/core/kwid"
 )
 
-// chooseSilent returns the best chain that has room if endpoints that are out of use only because they were silent may be part of it, which
+// chooseSilent returns the best chain that has room if endpoints that are avoided only because they were silent may be part of it, which
 // they may where every chain needs one of them (panic threshold). It answers servers that fall silent together: they may go on at any
 // moment, and to refuse all requests until then would make a short silence a long one.
 func (d *Dispatcher) chooseSilent(
 	now time.Time, fleet Fleet, r Request, allowLate bool, accept func(kwchainsearch.Chain) bool,
 ) (kwchainsearch.Chain, bool) {
-	if d.cfg.Silent == nil {
-		return kwchainsearch.Chain{}, false
-	}
 	silent := make(map[kwid.EndpointID]bool)
 	for _, server := range fleet.Servers {
-		if d.cfg.Silent(now, server.ID) && !r.Excluded[server.ID] {
-			silent[server.ID] = true
+		id := server.ID
+		ejected := d.cfg.Silent != nil && d.cfg.Silent(now, id)
+		unreached := r.Unreached[id] && !d.cfg.Unavailable(now, id)
+		if (ejected || unreached) && !r.Excluded[id] {
+			silent[id] = true
 		}
 	}
 	if len(silent) == 0 {
@@ -32,6 +32,12 @@
 	return d.choose(now, fleet, r, allowLate, func(id kwid.EndpointID) bool { return !silent[id] && excluded(id) }, accept)
 }
 
+// HasChain reports whether there is a chain that the request may use once it has room. A request without one waits in vain, and keeps
+// those behind it in the queue from the chains that they may use.
+func (d *Dispatcher) HasChain(now time.Time, fleet Fleet, r Request) bool {
+	return d.chainExists(fleet, r, d.excludedFor(now, r))
+}
+
 // chainExists reports whether there is a chain without the excluded endpoints if none of the others had any load.
 func (d *Dispatcher) chainExists(fleet Fleet, r Request, excluded func(kwid.EndpointID) bool) bool {
 	_, ok := kwchainsearch.Choose(fleet.Engine, fleet.Servers, excluded, kwchainsearch.Criteria{
--- a/io/kwdirectentry/queue.go
+++ b/io/kwdirectentry/queue.go
@@ -15,6 +15,7 @@
 	r           *request
 	size        kwchainsearch.RequestSize
 	exclude     endpointSet
+	unreached   endpointSet
 	currentView func() *view
 	// exitTime returns when the entry ends its requests in progress, zero if it is not stopping.
 	exitTime func() time.Time
@@ -38,6 +39,7 @@
 		AnswerTokens:        c.r.answerTokens(),
 		DeclaredPriority:    c.r.basePriority(),
 		Excluded:            c.exclude,
+		Unreached:           c.unreached,
 	}
 }
 
@@ -63,6 +65,14 @@
 	return kwdispatch.Fleet{Engine: engine, Servers: servers, Incomplete: v.gathering}, nil
 }
 
+// hasChain reports whether there is a chain that the request may use once it has room.
+func (s *scheduler) hasChain(ctx context.Context, req chainRequest) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fleet, err := req.fleet()
+	return err == nil && s.dispatcher.HasChain(time.Now(), fleet, req.dispatchRequest(ctx))
+}
+
 // acquireChain reserves capacity on a chain, waiting in the queue if necessary, and returns how long that took. The
 // error is a rejection or the error of the context.
 func (s *scheduler) acquireChain(ctx context.Context, req chainRequest) (kwchainsearch.Chain, time.Duration, error) {
--- a/io/kwdirectentry/scheduler.go
+++ b/io/kwdirectentry/scheduler.go
@@ -141,10 +141,10 @@
 }
 
 // endFirstEventWait records that a request no longer waits for its first event, and whether it received one.
-func (s *scheduler) endFirstEventWait(id kwid.EndpointID, began time.Time, received bool) {
+func (s *scheduler) endFirstEventWait(id kwid.EndpointID, now, began time.Time, received bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.dispatcher.EndFirstEventWait(time.Now(), id, began, received)
+	s.dispatcher.EndFirstEventWait(now, id, began, received)
 	s.wakeNext()
 }
 
@@ -176,8 +176,9 @@
 // crossZonePenalty is added to the load of an endpoint outside this entry's availability zone, to prefer local ones.
 const crossZonePenalty = 2
 
-// pickUnary picks the endpoint with the lowest load for a unary request and counts the request as in flight there.
-func (s *scheduler) pickUnary(now time.Time, candidates []kwmembership.Announcement, exclude endpointSet) (kwmembership.Announcement, bool) {
+// pickUnary picks the endpoint with the lowest load for a unary request, other than those that are excluded or were not reached, and
+// counts the request as in flight there.
+func (s *scheduler) pickUnary(now time.Time, candidates []kwmembership.Announcement, exclude, unreached endpointSet) (kwmembership.Announcement, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	best, found, lowest := kwmembership.Announcement{}, false, 0
@@ -186,7 +187,7 @@
 			// The second pass admits ejected endpoints, since one of them is better than none, but not those that leave or
 			// want no requests.
 			closed := s.leavers.Leaving(a.Process()) || s.pauses.Remaining(now, a.Process()) > 0
-			if exclude[a.ID] || closed || pass == 0 && s.ejector.Ejected(now, a.ID) {
+			if exclude[a.ID] || unreached[a.ID] || closed || pass == 0 && s.ejector.Ejected(now, a.ID) {
 				continue
 			}
 			load := 2*s.inFlight[a.ID] + s.reportedInFlight[a.ID]
--- a/io/kwdirectentry/stream_move.go
+++ b/io/kwdirectentry/stream_move.go
@@ -24,7 +24,7 @@
 	q := *s.q
 	a := silentAttempt{req: s.chainRequest(g), attempts: s.attempts.count(s.q), begun: s.begun}
 	a.req.r = &q
-	a.req.exclude = maps.Clone(s.attempts.exclude)
+	a.req.exclude, a.req.unreached = maps.Clone(s.attempts.exclude), maps.Clone(s.attempts.unreached)
 	a.attempts.InProgress = 1
 	return a
 }
@@ -101,6 +101,9 @@
 	broken := *q
 	broken.broken = broken.broken || a.begun || w.begun.Load()
 	req.r = &broken
+	if !g.scheduler.hasChain(ctx, req) {
+		return kwchainsearch.Chain{}, false
+	}
 	chain, _, err := g.scheduler.acquireChain(ctx, req)
 	if err != nil {
 		return kwchainsearch.Chain{}, false
