--- a/io/kwdirectentry/declaration_change_test.go
+++ b/io/kwdirectentry/declaration_change_test.go
@@ -575,3 +575,47 @@
 		}
 	}
 }
+
+// TestRequestsOutliveTheirServiceInEachPhase removes the service of requests in progress while the entry loses its view, stops, or
+// both. Requests that arrive then must be rejected with a promise that they have not run.
+func TestRequestsOutliveTheirServiceInEachPhase(t *testing.T) {
+	expire := func(g *Gateway) {
+		v := *g.view.Load()
+		v.confirmedAt = time.Now().Add(-g.cfg.ViewLease - viewLossGrace)
+		setView(g, &v)
+	}
+	stop := func(g *Gateway) {
+		end := time.Now().Add(time.Minute)
+		g.drainEnd.Store(&end)
+		g.stopping.Store(true)
+		g.viewChanged.broadcast()
+	}
+	phases := map[string]struct {
+		begin func(g *Gateway)
+		// later is the error of a request that arrives afterwards.
+		later string
+	}{
+		"view expired":              {expire, "view-expired"},
+		"stopping":                  {stop, "no-rule"},
+		"stopping and view expired": {func(g *Gateway) { stop(g); expire(g) }, "entry-stopping"},
+	}
+	for name, phase := range phases {
+		for place, b := range places {
+			t.Run(place+", "+name, func(t *testing.T) {
+				t.Parallel()
+				var later string
+				status, body := b.run(t, func(g *Gateway) {
+					declare(g, removeServices)
+					phase.begin(g)
+					_, later = post(t, http.DefaultClient, g, b.path, "later")
+				})
+				if want := b.wantBody(); status != http.StatusOK || body != want {
+					t.Errorf("got %d %q, want 200 %q", status, body, want)
+				}
+				if !strings.Contains(later, phase.later) || !strings.Contains(later, "not-run") {
+					t.Errorf("request that arrives afterwards: got %q, want %s and not-run", later, phase.later)
+				}
+			})
+		}
+	}
+}
