Keep callers' idle connections open for as long as the declaration says

Entries closed callers' connections after 60 s without a request, also where the declaration lets callers reuse them for longer. A request that crossed the close got neither an answer nor a refusal, and a caller that may not repeat it could not go on.

The idle timeout of http.Server is fixed while it serves, so the connection itself now sets the deadline when it becomes idle, from the declaration then in force and never less than before. TestIdleConnectionsStayAsDeclared failed before (60 s where 10 minutes were declared).

--- a/io/kwdirectentry/config.go
+++ b/io/kwdirectentry/config.go
@@ -60,7 +60,7 @@
 	defaultMaxBodyBytes = 4 << 20
 	// headerTimeout bounds the time in which a caller sends its request header.
 	headerTimeout = 10 * time.Second
-	// idleTimeout closes idle caller connections; it is longer than callers reuse a connection for.
+	// idleTimeout closes idle caller connections, unless the declaration lets callers reuse them for longer.
 	idleTimeout = 60 * time.Second
 	// maxHeaderBytes bounds a caller's request header.
 	maxHeaderBytes = 64 << 10
--- a/io/kwdirectentry/gateway.go
+++ b/io/kwdirectentry/gateway.go
@@ -93,6 +93,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         trackIdle,
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+g.cfg.ReadyPath, g.handleReady)
@@ -109,7 +110,7 @@
 func (g *Gateway) Start() {
 	g.goBackground(func() { g.watchControl(g.ctx) })
 	g.goBackground(g.sweepIdleConnections)
-	g.goBackground(func() { g.serve(g.server, g.listener) })
+	g.goBackground(func() { g.serve(g.server, g.acceptCallers(g.listener)) })
 	g.goBackground(func() { g.serve(g.readyServer, g.readyListener) })
 }
 
--- a/io/kwdirectentry/relay_test.go
+++ b/io/kwdirectentry/relay_test.go
@@ -86,7 +86,7 @@
 	v.confirmedAt = time.Now()
 	g.view.Store(v)
 	g.scheduler.applyView(v, nil)
-	g.goBackground(func() { g.serve(g.server, g.listener) })
+	g.goBackground(func() { g.serve(g.server, g.acceptCallers(g.listener)) })
 	tb.Cleanup(func() {
 		_ = g.server.Close()
 		_ = g.readyServer.Close()
