kwdirectentry: late evidence of a crash comes with a second report

Requests whose connections ended more than 30 ms after the first one on a crashed server started further reports, each after another 30 ms. They are collected for 300 ms now, so that a crash makes two reports at most.

--- a/io/kwdirectentry/crash_reports.go
+++ b/io/kwdirectentry/crash_reports.go
@@ -17,8 +17,10 @@
 )
 
 const (
-	// crashReportDelay is how long an entry collects the requests that a crash has ended before it reports them.
+	// crashReportDelay is how long an entry collects the requests that a crash has ended before it reports them, and lateReportDelay how
+	// long it then collects those that it learns of later.
 	crashReportDelay = 30 * time.Millisecond
+	lateReportDelay  = 300 * time.Millisecond
 	// maxReportedRequests bounds the requests under way in one report, and those that were answered before.
 	maxReportedRequests = 256
 	// crashReportAttempts is how often a report is sent at most, crashReportRetryDelay apart.
@@ -26,7 +28,8 @@
 	crashReportRetryDelay = 300 * time.Millisecond
 )
 
-// crashReports collects the requests that the crash of a process has ended, for one report of each crash. It is safe for concurrent use.
+// crashReports collects the requests that the crash of a process has ended, for one or two reports of each crash. It is safe for
+// concurrent use.
 type crashReports struct {
 	mu      sync.Mutex
 	pending map[kwmembership.Process][]kwdirectproto.CrashedRequest
@@ -44,12 +47,15 @@
 	return !ok
 }
 
-// take ends the collection for a process.
-func (c *crashReports) take(process kwmembership.Process) []kwdirectproto.CrashedRequest {
+// take returns what was collected for a process; the collection goes on unless last is set.
+func (c *crashReports) take(process kwmembership.Process, last bool) []kwdirectproto.CrashedRequest {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	requests := c.pending[process]
-	delete(c.pending, process)
+	c.pending[process] = nil
+	if last {
+		delete(c.pending, process)
+	}
 	return requests
 }
 
@@ -58,7 +64,9 @@
 	if g.crashReports.add(process, requests) {
 		g.goBackground(func() {
 			kwtime.Sleep(g.ctx, crashReportDelay)
-			g.sendCrashReport(process, g.crashReports.take(process))
+			g.sendCrashReport(process, g.crashReports.take(process, false))
+			kwtime.Sleep(g.ctx, lateReportDelay)
+			g.sendCrashReport(process, g.crashReports.take(process, true))
 		})
 	}
 }
