Control: drop calls on the control goroutine that their caller has given up

runAsLeader returns when its context ends, as when an entry's connection closes during a watch, but its function stayed queued and later wrote the results of a call that had returned. The race detector found it in a run of all platform tests beside load (load average 33): TestDeclarationChanges, TestHangupDuringStopCutsNoStream, TestClosedLogPipeEndsNoProcess, TestHealthyFleet and TestPartThatCrashesAfterAnEventIsKeptFromServers ran while it was reported. No caller saw an effect: the results of a call that is given up are not used.

Such a function is now dropped, or awaited if it has begun.

--- a/io/kwdirectcontrol/server.go
+++ b/io/kwdirectcontrol/server.go
@@ -243,7 +243,10 @@
 		return kwcode.New(kwcode.NotLeader, "%s has no replicated log", s.cfg.Address)
 	}
 	out := make(chan error, 1)
-	go func() { out <- m.loop.DoAsLeader(f) }()
+	var call abandonableCall
+	go func() {
+		out <- m.loop.DoAsLeader(func(now time.Time, t *kwreconcile.Tables) { call.run(func() { f(now, t) }) })
+	}()
 	select {
 	case err := <-out:
 		if e := kwcode.FromError(err); e != nil {
@@ -251,10 +254,33 @@
 		}
 		return nil
 	case <-ctx.Done():
+		call.abandon()
 		return kwcode.New(kwcode.DiskFailed, "the control goroutine of %s does not respond", s.cfg.Address)
 	}
 }
 
+// abandonableCall is a call whose caller may stop waiting for it. From then on the variables that it uses are the caller's alone.
+type abandonableCall struct {
+	mu        sync.Mutex
+	abandoned bool
+}
+
+// run calls f unless the call has been abandoned.
+func (a *abandonableCall) run(f func()) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.abandoned {
+		f()
+	}
+}
+
+// abandon keeps f from being called, or waits for its end if it has begun.
+func (a *abandonableCall) abandon() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.abandoned = true
+}
+
 // callLeader runs local if this process leads, and otherwise sends the request to the leader.
 func (s *Server) callLeader(ctx context.Context, kind kwtcprpc.Kind, local func(context.Context) error, req, resp any) error {
 	err := local(ctx)
