The search of a silent stream does not queue

It waited at the head of the queue for one of the few chains that it may use, and all fresh requests waited behind it although its own server had room. It now reserves a chain at once or tries again at the next check, and no longer moves to a chain that is known to be silent.

TestTryReserve takes the place of TestHasChain, with its cases of excluded endpoints: the stream no longer asks whether a chain exists before it waits for one, and HasChain had no other caller.

--- a/core/kwdispatch/silence.go
+++ b/core/kwdispatch/silence.go
@@ -32,10 +32,19 @@
 	return d.choose(now, fleet, r, allowLate, func(id kwid.EndpointID) bool { return !silent[id] && excluded(id) }, accept)
 }
 
-// HasChain reports whether there is a chain that the request may use once it has room. A request without one waits in vain, and keeps
-// those behind it in the queue from the chains that they may use.
-func (d *Dispatcher) HasChain(now time.Time, fleet Fleet, r Request) bool {
-	return d.chainExists(fleet, r, d.excludedFor(now, r))
+// TryReserve reserves the best chain that has room for a stream to move to, if there is one on which its answer ends before the entry
+// exits. It never queues: a stream that waits for one of the few chains that it may use would keep the requests behind it from all
+// others. Nor does it use endpoints that are known to be silent, since the stream is on such a chain already.
+func (d *Dispatcher) TryReserve(now time.Time, fleet Fleet, r Request) (kwchainsearch.Chain, bool) {
+	if d.queue.Len() > 0 && !r.Broken {
+		return kwchainsearch.Chain{}, false
+	}
+	accept := func(chain kwchainsearch.Chain) bool { return d.EndsInTime(now, chain, r) }
+	chain, ok := d.choose(now, fleet, r, false, d.excludedFor(now, r), accept)
+	if ok {
+		d.loads.Reserve(chain, r.Size.TotalTokens)
+	}
+	return chain, ok
 }
 
 // chainExists reports whether there is a chain without the excluded endpoints if none of the others had any load.
--- a/core/kwdispatch/silence_test.go
+++ b/core/kwdispatch/silence_test.go
@@ -49,8 +49,8 @@
 	}
 }
 
-// TestHasChain checks that the endpoints that a request may not use count, and the load of the others does not.
-func TestHasChain(t *testing.T) {
+// TestTryReserve checks that a stream that is to move gets a sound chain with room, or nothing at once.
+func TestTryReserve(t *testing.T) {
 	fleet := testFleet(1)
 	now := time.Unix(1000, 0)
 	exclude := func(part string) map[kwid.EndpointID]bool {
@@ -62,24 +62,54 @@
 		}
 		return out
 	}
+	running := func(d *Dispatcher) (n int) {
+		for _, load := range d.Loads().Own() {
+			n += load.Running
+		}
+		return n
+	}
+	never := func(*Dispatcher) {}
+	fill := func(d *Dispatcher) {
+		for d.Dispatch(now, fleet, request(now)).Granted {
+		}
+	}
+	// queue leaves a chain free and a request waiting.
+	queue := func(d *Dispatcher) {
+		first := d.Dispatch(now, fleet, request(now))
+		fill(d)
+		d.Release(now, first.Chain, requestTokens)
+	}
 	cases := []struct {
-		name string
-		set  func(*Request)
-		want bool
+		name    string
+		silent  string
+		prepare func(*Dispatcher)
+		set     func(*Request)
+		want    bool
 	}{
-		{"none excluded", func(*Request) {}, true},
-		{"one zone excluded", func(r *Request) { r.Excluded = exclude("a-") }, true},
-		{"all first servers excluded", func(r *Request) { r.Excluded = exclude("-0") }, false},
-		{"no first server reached", func(r *Request) { r.Unreached = exclude("-0") }, false},
+		{"none excluded", "none", never, func(*Request) {}, true},
+		{"one zone excluded", "none", never, func(r *Request) { r.Excluded = exclude("a-") }, true},
+		{"all first servers excluded", "none", never, func(r *Request) { r.Excluded = exclude("-0") }, false},
+		{"no first server reached", "none", never, func(r *Request) { r.Unreached = exclude("-0") }, false},
+		{"all first servers silent", "-0", never, func(*Request) {}, false},
+		{"no room", "none", fill, func(r *Request) { r.Broken = true }, false},
+		{"requests wait", "none", queue, func(*Request) {}, false},
+		{"requests wait, the answer has begun", "none", queue, func(r *Request) { r.Broken = true }, true},
 	}
 	for _, c := range cases {
-		d := newDispatcher()
-		for d.Dispatch(now, fleet, request(now)).Granted {
-		}
+		silent := func(_ time.Time, id kwid.EndpointID) bool { return strings.Contains(string(id), c.silent) }
+		d := New(Config{Zone: "a", Queue: kwqueue.DefaultConfig(), Silent: silent, Unavailable: silent})
+		c.prepare(d)
+		waiting, reserved := d.Waiting(), running(d)
 		r := request(now)
 		c.set(&r)
-		if got := d.HasChain(now, fleet, r); got != c.want {
+		if _, got := d.TryReserve(now, fleet, r); got != c.want {
 			t.Errorf("%s: got %t, want %t", c.name, got, c.want)
 		}
+		if got := d.Waiting(); got != waiting {
+			t.Errorf("%s: got %d requests in the queue, want %d", c.name, got, waiting)
+		}
+		if got := running(d) > reserved; got != c.want {
+			t.Errorf("%s: got a reservation %t, want %t", c.name, got, c.want)
+		}
 	}
 }
--- a/io/kwdirectentry/queue.go
+++ b/io/kwdirectentry/queue.go
@@ -65,12 +65,15 @@
 	return kwdispatch.Fleet{Engine: engine, Servers: servers, Incomplete: v.gathering}, nil
 }
 
-// hasChain reports whether there is a chain that the request may use once it has room.
-func (s *scheduler) hasChain(ctx context.Context, req chainRequest) bool {
+// tryChain reserves capacity on a chain for a stream to move to, without waiting; it returns false if there is none.
+func (s *scheduler) tryChain(ctx context.Context, req chainRequest) (kwchainsearch.Chain, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	fleet, err := req.fleet()
-	return err == nil && s.dispatcher.HasChain(time.Now(), fleet, req.dispatchRequest(ctx))
+	if err != nil {
+		return kwchainsearch.Chain{}, false
+	}
+	return s.dispatcher.TryReserve(time.Now(), fleet, req.dispatchRequest(ctx))
 }
 
 // acquireChain reserves capacity on a chain, waiting in the queue if necessary, and returns how long that took. The
--- a/io/kwdirectentry/scheduler.go
+++ b/io/kwdirectentry/scheduler.go
@@ -155,13 +155,6 @@
 	s.dispatcher.Observe(time.Now(), a)
 }
 
-// endsInTime reports whether a chain can be expected to end the answer to a request before the entry exits.
-func (s *scheduler) endsInTime(ctx context.Context, req chainRequest, chain kwchainsearch.Chain) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.dispatcher.EndsInTime(time.Now(), chain, req.dispatchRequest(ctx))
-}
-
 // handOver reserves a faster chain for a stream that may not end before the entry exits, if there is one.
 func (s *scheduler) handOver(ctx context.Context, req chainRequest, present kwchainsearch.Chain, p kwdispatch.Progress) (kwchainsearch.Chain, bool) {
 	s.mu.Lock()
--- a/io/kwdirectentry/silence_test.go
+++ b/io/kwdirectentry/silence_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"knapweedproxy/core/kwchainsearch"
 	"knapweedproxy/core/kwdeclaration"
 	"knapweedproxy/core/kwid"
 	"knapweedproxy/core/kwmembership"
@@ -423,3 +424,42 @@
 		t.Errorf("silent stream: got %d %q, want 200", got.status, got.body)
 	}
 }
+
+// TestSearchOfSilentStreamDoesNotQueue guards against a silent stream that waits in the queue for the only other server, which is full,
+// while the stream's own server has room for the requests behind it.
+func TestSearchOfSilentStreamDoesNotQueue(t *testing.T) {
+	t.Parallel()
+	s := newSilence(testSilence)
+	var arrivals atomic.Int32
+	silent := silentStream(s, 1, false, &arrivals, new(sync.Map))
+	address := serveRaw(t, func(w io.Writer, id string) bool {
+		if id == "silent" {
+			return silent(w, id)
+		}
+		_, err := fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n7\r\nid: 1\n\n\r\n0\r\n\r\n", id)
+		return err == nil
+	})
+	g := newTestGateway(t, address, address)
+	setServers(g, []string{address}, nil)
+	setRoutes(g, func(r *kwdeclaration.Route) {
+		r.LatencyObjective, r.EventGapObjective = 5*time.Second, 100*time.Millisecond
+	})
+	response := postInBackground(t, g, "/notes/x", "silent")
+	awaitTrue(t, "the request arrives", func() bool { return arrivals.Load() > 0 })
+	setServers(g, []string{address, address}, nil)
+	full := kwchainsearch.Chain{Stages: []kwchainsearch.Stage{{Endpoint: "m1", Layers: kwid.LayerRange{To: 8}}}}
+	g.scheduler.mu.Lock()
+	for range g.view.Load().modelEngine("llm").Slots {
+		g.scheduler.dispatcher.Loads().Reserve(full, 1)
+	}
+	g.scheduler.mu.Unlock()
+	time.Sleep(minEventTimeout + 100*time.Millisecond)
+	begin := time.Now()
+	status, body := post(t, http.DefaultClient, g, "/notes/x", "other")
+	if took := time.Since(begin); status != http.StatusOK || took > testSilence/4 {
+		t.Errorf("other stream: got %d %q after %v, want 200 at once", status, body, took)
+	}
+	if got := <-response; got.status != http.StatusOK {
+		t.Errorf("silent stream: got %d %q, want 200", got.status, got.body)
+	}
+}
--- a/io/kwdirectentry/stream_move.go
+++ b/io/kwdirectentry/stream_move.go
@@ -101,14 +101,11 @@
 	broken := *q
 	broken.broken = broken.broken || a.begun || w.begun.Load()
 	req.r = &broken
-	if !g.scheduler.hasChain(ctx, req) {
-		return kwchainsearch.Chain{}, false
-	}
-	chain, _, err := g.scheduler.acquireChain(ctx, req)
-	if err != nil {
+	chain, ok := g.scheduler.tryChain(ctx, req)
+	if !ok {
 		return kwchainsearch.Chain{}, false
 	}
-	if !g.scheduler.endsInTime(ctx, req, chain) || !g.spendRetryBudget(ctx, q) {
+	if !g.spendRetryBudget(ctx, q) {
 		g.scheduler.release(chain, req.size.TotalTokens)
 		return kwchainsearch.Chain{}, false
 	}
