A hung plain server is ejected once its requests are hedged

Its requests were answered by the hedged ones, so that nobody read its own results, and each further request was sent to it first. The endpoints in progress are now ejected as silent when the hedge timer fires. They are still used where there is no other.

A retry that is not allowed no longer erases the load that the endpoint picked for it has reported.

TestHungServerIsEjected failed before with 6 of 6 requests at the hung server, want 1; TestRefusedRetryKeepsReportedLoad with 0 reported requests in flight, want 5.

--- /dev/null
+++ b/io/kwdirectentry/hedge_test.go
@@ -0,0 +1,82 @@
+package kwdirectentry
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"knapweedproxy/core/kwdeclaration"
+)
+
+// answerPlain answers a plain request.
+func answerPlain(w io.Writer, id string) bool {
+	_, err := fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 2\r\n\r\nok", id)
+	return err == nil
+}
+
+// serveHung runs a server that counts its requests and answers none until the test ends.
+func serveHung(t *testing.T, arrivals *atomic.Int32) string {
+	stop := make(chan struct{})
+	t.Cleanup(func() { close(stop) })
+	return serveRaw(t, func(io.Writer, string) bool {
+		arrivals.Add(1)
+		<-stop
+		return false
+	})
+}
+
+// preferFirst moves the records server r1 to another zone, so that requests are sent to r0 first.
+func preferFirst(g *Gateway) {
+	v := *g.view.Load()
+	v.endpoints = maps.Clone(v.endpoints)
+	row := v.endpoints["r1"]
+	row.Announcement.Zone = "b"
+	v.endpoints["r1"] = row
+	v.indexEndpoints()
+	g.view.Store(&v)
+	g.scheduler.applyView(&v, nil)
+}
+
+// TestHungServerIsEjected guards against a hung server that each request is sent to first, since the hedged request is answered before
+// the server's failure is known.
+func TestHungServerIsEjected(t *testing.T) {
+	t.Parallel()
+	var arrivals atomic.Int32
+	g := newTestGateway(t, "127.0.0.1:1", "127.0.0.1:1")
+	setServers(g, nil, []string{serveHung(t, &arrivals), serveRaw(t, answerPlain)})
+	setRoutes(g, func(r *kwdeclaration.Route) { r.Timeout = time.Second })
+	preferFirst(g)
+	for i := range 6 {
+		if status, body := post(t, http.DefaultClient, g, "/lookups/x", fmt.Sprint("q", i)); status != http.StatusOK || body != "ok" {
+			t.Errorf("request %d: got %d %q, want 200 %q", i, status, body, "ok")
+		}
+	}
+	if got := arrivals.Load(); got != 1 {
+		t.Errorf("got %d of 6 requests at the hung server, want 1", got)
+	}
+}
+
+// TestRefusedRetryKeepsReportedLoad guards against an endpoint that seems idle because a retry was not sent to it.
+func TestRefusedRetryKeepsReportedLoad(t *testing.T) {
+	const load = 5
+	g := newTestGateway(t, "127.0.0.1:1", "127.0.0.1:1")
+	setServers(g, nil, []string{serveRaw(t, func(io.Writer, string) bool { return false }), serveRaw(t, answerPlain)})
+	setRoutes(g, func(r *kwdeclaration.Route) { r.MaxAttempts = 1 })
+	preferFirst(g)
+	g.scheduler.reportedInFlight["r1"] = load
+	if status, body := post(t, http.DefaultClient, g, "/lookups/x", "q"); status != http.StatusBadGateway {
+		t.Errorf("got %d %q, want 502", status, body)
+	}
+	g.scheduler.mu.Lock()
+	defer g.scheduler.mu.Unlock()
+	if got := g.scheduler.reportedInFlight["r1"]; got != load {
+		t.Errorf("got %d reported requests in flight, want %d", got, load)
+	}
+	if got := g.scheduler.inFlight["r1"]; got != 0 {
+		t.Errorf("got %d requests in flight, want none", got)
+	}
+}
--- a/io/kwdirectentry/scheduler.go
+++ b/io/kwdirectentry/scheduler.go
@@ -203,9 +203,7 @@
 func (s *scheduler) finishUnary(id kwid.EndpointID, reported int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.inFlight[id]--; s.inFlight[id] <= 0 {
-		delete(s.inFlight, id)
-	}
+	s.removeUnary(id)
 	if reported > 0 {
 		s.reportedInFlight[id] = reported
 	} else {
@@ -213,6 +211,20 @@
 	}
 }
 
+// withdrawUnary ends a unary request that was not sent to its endpoint, which leaves what the endpoint last reported.
+func (s *scheduler) withdrawUnary(id kwid.EndpointID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.removeUnary(id)
+}
+
+// removeUnary counts a unary request as no longer in flight; the caller holds the lock.
+func (s *scheduler) removeUnary(id kwid.EndpointID) {
+	if s.inFlight[id]--; s.inFlight[id] <= 0 {
+		delete(s.inFlight, id)
+	}
+}
+
 // eject takes an endpoint out of use for a while; one that is only silent is still used where there is no other.
 func (s *scheduler) eject(now time.Time, id kwid.EndpointID, silent bool) {
 	if silent {
--- a/io/kwdirectentry/unary.go
+++ b/io/kwdirectentry/unary.go
@@ -38,7 +38,7 @@
 func (g *Gateway) serveUnary(ctx context.Context, q *request) {
 	u := &unaryState{
 		q: q, attempts: attemptState{exclude: make(endpointSet)},
-		results: make(chan unaryResult, q.route.MaxAttempts+extraAttempts+1),
+		results: make(chan unaryResult, q.route.MaxAttempts+extraAttempts+1), awaited: make(map[kwid.EndpointID]kwmembership.Announcement),
 	}
 	attemptsCtx, endAttempts := context.WithCancel(ctx)
 	defer endAttempts()
@@ -60,6 +60,8 @@
 	// results delivers the result of each attempt, inProgress counts those whose results are missing.
 	results    chan unaryResult
 	inProgress int
+	// awaited holds the endpoints of the attempts in progress that have not been found silent.
+	awaited map[kwid.EndpointID]kwmembership.Announcement
 }
 
 // unaryResult is the result of an attempt at an endpoint.
@@ -110,11 +112,12 @@
 		return false
 	}
 	if len(u.attempts.exclude)+len(u.attempts.unreached) > 0 && !g.mayRetry(ctx, q, u.count()) {
-		g.scheduler.finishUnary(endpoint.ID, -1)
+		g.scheduler.withdrawUnary(endpoint.ID)
 		return false
 	}
 	u.attempts.exclude[endpoint.ID] = true
 	u.inProgress++
+	u.awaited[endpoint.ID] = endpoint
 	q.sends++
 	q.endpoint = endpoint.ID
 	// An at-most-once request needs a new connection: if the endpoint has closed a reused one unnoticed, it is unknown
@@ -143,6 +146,7 @@
 	for {
 		select {
 		case <-hedge.C:
+			g.ejectSilent(u)
 			if u.count().MayAdd() && g.startUnary(ctx, u) {
 				g.metrics.hedged.Inc(1)
 			}
@@ -150,6 +154,7 @@
 			continue
 		case res := <-u.results:
 			u.inProgress--
+			delete(u.awaited, res.endpoint.ID)
 			if !res.Sent {
 				q.sends--
 			}
@@ -167,6 +172,15 @@
 	}
 }
 
+// ejectSilent ejects the endpoints of the attempts in progress. If a hedged request is answered first, nobody learns how the others
+// end, and each later request would be sent to the silent endpoint again.
+func (g *Gateway) ejectSilent(u *unaryState) {
+	for id, endpoint := range u.awaited {
+		g.eject(u.q.meta.ID, id, endpoint.Address, true, "silent since a request was sent")
+		delete(u.awaited, id)
+	}
+}
+
 // recordAttempt records the outcome of an attempt; it returns true if the request has its final response.
 func (g *Gateway) recordAttempt(q *request, attempts *attemptState, endpoint kwmembership.Announcement, res kwupstream.Result) bool {
 	if res.Err == nil && answeredInFull(res.Response.StatusCode, res.Meta.NotRun) {
