A held request is not sent on by a move or a hand-over

A request that was held after its first attempt, or whose part was quarantined, was still sent to the next server when its silent stream moved, and a held one also when it was handed over. Both now check it, and each attempt of a stream once more just before it is sent, since the news may come while the connection is opened.

--- a/io/kwdirectentry/handover.go
+++ b/io/kwdirectentry/handover.go
@@ -26,7 +26,8 @@
 	if events < minPacedEvents || s.lastEventID == "" || !q.route.Retryable() || s.attempts.mayHaveRun+1 >= q.route.MaxAttempts {
 		return false
 	}
-	if _, held := g.partGuard.Check(now, q.guardedParts()); held {
+	// A trial of a part is made on one chain only.
+	if _, held := g.partGuard.Check(now, q.guardedParts()); held || g.kept(q) != nil {
 		return false
 	}
 	req := s.chainRequest(g)
--- a/io/kwdirectentry/handover_test.go
+++ b/io/kwdirectentry/handover_test.go
@@ -127,6 +127,14 @@
 				g.partGuard.Apply(time.Now(), nil, []kwquarantine.Quarantine{{Part: "part", Remaining: time.Minute}}, false)
 			})
 		}, 1, false},
+		{"request is held meanwhile", func(g *Gateway) {
+			g.goBackground(func() {
+				for g.metrics.eventWrites.Count() == 0 {
+					time.Sleep(time.Millisecond)
+				}
+				hold(g, "/notes/x", 20*time.Second)
+			})
+		}, 1, false},
 	}
 	for _, c := range cases {
 		var arrivals atomic.Int64
--- a/io/kwdirectentry/held_requests.go
+++ b/io/kwdirectentry/held_requests.go
@@ -42,8 +42,12 @@
 	g.metrics.held.Inc(1)
 	g.deps.Events.Emit(kwevent.RequestHeld, q.meta.ID, kwevent.F("digest", q.digest.String()),
 		kwevent.F("remaining-ms", held.Remaining.Milliseconds()), kwevent.F("sends", q.sends))
-	return kwcode.New(kwcode.RequestQuarantined, "servers crash under this request, digest %s", q.digest).
-		After(max(held.Remaining, minQuarantineRetryAfter))
+	return heldError(q.digest, held.Remaining)
+}
+
+func heldError(digest kwid.RequestDigest, remaining time.Duration) *kwcode.Error {
+	return kwcode.New(kwcode.RequestQuarantined, "servers crash under this request, digest %s", digest).
+		After(max(remaining, minQuarantineRetryAfter))
 }
 
 // startRequestTrial reports whether the leader allows this entry to send one request that is kept from servers.
--- a/io/kwdirectentry/held_requests_test.go
+++ b/io/kwdirectentry/held_requests_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strings"
 	"sync"
@@ -16,6 +17,8 @@
 	"testing"
 	"time"
 
+	"knapweedproxy/core/kwcode"
+	"knapweedproxy/core/kwdeclaration"
 	"knapweedproxy/core/kwid"
 	"knapweedproxy/core/kwmembership"
 	"knapweedproxy/core/kwquarantine"
@@ -267,6 +270,78 @@
 	}
 }
 
+// TestHeldStreamDoesNotMove has a request be held while its server is silent. It must not be sent to a sound one.
+func TestHeldStreamDoesNotMove(t *testing.T) {
+	t.Parallel()
+	var silent, other atomic.Int32
+	first, second := serveHung(t, &silent), serveHung(t, &other)
+	g := newTestGateway(t, first, first)
+	setServers(g, []string{first}, nil)
+	setRoutes(g, func(r *kwdeclaration.Route) {
+		r.Timeout, r.LatencyObjective, r.EventGapObjective = 2*time.Second, 250*time.Millisecond, 100*time.Millisecond
+	})
+	response := postInBackground(t, g, "/notes/x", "q")
+	awaitTrue(t, "the request arrives", func() bool { return silent.Load() > 0 })
+	hold(g, "/notes/x", 20*time.Second)
+	setServers(g, []string{first, second}, nil)
+	<-response
+	if got := other.Load(); got != 0 {
+		t.Errorf("got %d requests at the other server, want none", got)
+	}
+	checkNothingReserved(t, g)
+}
+
+// TestRequestHeldBeforeItIsSent has a request, or a part of its prompt, be kept from servers after its chain was granted.
+func TestRequestHeldBeforeItIsSent(t *testing.T) {
+	cases := []struct {
+		name     string
+		keep     func(g *Gateway)
+		trial    bool
+		wantCode kwcode.Code
+	}{
+		{"request", func(g *Gateway) { hold(g, "/notes/x", 20*time.Second) }, false, kwcode.RequestQuarantined},
+		{"part", func(g *Gateway) {
+			g.partGuard.Apply(time.Now(), nil, []kwquarantine.Quarantine{{Part: "part", Remaining: time.Minute}}, false)
+		}, false, kwcode.PromptQuarantined},
+		{"trial of both", func(g *Gateway) {
+			hold(g, "/notes/x", 20*time.Second)
+			g.partGuard.Apply(time.Now(), nil, []kwquarantine.Quarantine{{Part: "part", Remaining: time.Minute}}, false)
+		}, true, 0},
+	}
+	for _, c := range cases {
+		var arrivals atomic.Int32
+		address := serveRaw(t, func(io.Writer, string) bool {
+			arrivals.Add(1)
+			return false
+		})
+		g := newTestGateway(t, address, "127.0.0.1:1")
+		v := g.view.Load()
+		q := &request{
+			r: httptest.NewRequest(http.MethodPost, "http://h/notes/x", nil), view: v, arrived: time.Now(), deadline: time.Now().Add(time.Minute), service: "llm", route: v.index.Route("h", "/notes/x"),
+			digest: digestOf("/notes/x"), trial: c.trial, requestTrial: c.trial,
+		}
+		q.meta.SharedParts = []kwid.PromptPartID{"part"}
+		s := &streamState{q: q, size: estimateSize(q), attempts: attemptState{exclude: make(endpointSet)}}
+		chain, ok := g.acquireStreamChain(t.Context(), s)
+		if !ok {
+			t.Fatal(s.attempts.lastErr)
+		}
+		c.keep(g)
+		result := g.attemptStream(t.Context(), s, chain)
+		if c.trial {
+			if arrivals.Load() != 1 {
+				t.Errorf("%s: got %d arrivals, want 1", c.name, arrivals.Load())
+			}
+			continue
+		}
+		if result != resultNotRun || arrivals.Load() != 0 || q.sends != 0 || s.attempts.lastErr == nil || s.attempts.lastErr.Code != c.wantCode {
+			t.Errorf("%s: got result %d, %d arrivals, %d sends and %v, want %d, none, none and code %d",
+				c.name, result, arrivals.Load(), q.sends, s.attempts.lastErr, resultNotRun, c.wantCode)
+		}
+		checkNothingReserved(t, g)
+	}
+}
+
 // TestSuspectRequestIsNotSentAgain guards against a request that has crashed two servers before and crashes two more by one call. The
 // first crash of a request costs no second attempt.
 func TestSuspectRequestIsNotSentAgain(t *testing.T) {
--- a/io/kwdirectentry/quarantine.go
+++ b/io/kwdirectentry/quarantine.go
@@ -10,6 +10,7 @@
 	"knapweedproxy/core/kwcode"
 	"knapweedproxy/core/kwid"
 	"knapweedproxy/core/kwmembership"
+	"knapweedproxy/core/kwquarantine"
 	"knapweedproxy/io/kwdirectproto"
 	"knapweedproxy/io/kwevent"
 	"knapweedproxy/io/kwupstream"
@@ -43,6 +44,23 @@
 		return nil
 	}
 	g.metrics.quarantined.Inc(1)
+	return quarantinedError(held)
+}
+
+// kept returns an error if the request, or a part of its prompt, is kept from servers. Unlike checkQuarantine it asks for no trial and
+// counts nothing, so that an attempt that has begun can be checked often.
+func (g *Gateway) kept(q *request) *kwcode.Error {
+	now := time.Now()
+	if held, ok := g.partGuard.CheckRequest(now, q.digest); ok && !q.requestTrial {
+		return heldError(q.digest, held.Remaining)
+	}
+	if held, ok := g.partGuard.Check(now, q.guardedParts()); ok && !q.trial {
+		return quarantinedError(held)
+	}
+	return nil
+}
+
+func quarantinedError(held kwquarantine.Quarantine) *kwcode.Error {
 	return kwcode.New(kwcode.PromptQuarantined, "model servers crash under part %s of the prompt", held.Part).
 		After(max(held.Remaining, minQuarantineRetryAfter))
 }
--- a/io/kwdirectentry/stream.go
+++ b/io/kwdirectentry/stream.go
@@ -183,6 +183,10 @@
 		s.attempts.lastErr = kwcode.New(kwcode.NoChain, "endpoint %s leaves or wants no requests", id)
 		return resultNotRun
 	}
+	if err := g.kept(q); err != nil {
+		s.attempts.lastErr = err
+		return resultNotRun
+	}
 	q.sends++
 	s.reads = 0
 	q.endpoint = first.Endpoint
--- a/io/kwdirectentry/stream_move.go
+++ b/io/kwdirectentry/stream_move.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"time"
 
 	"knapweedproxy/core/kwchainsearch"
 	"knapweedproxy/core/kwretry"
@@ -92,7 +91,7 @@
 // acquireReplacement reserves capacity on another chain for a silent attempt and spends the retry budget for it.
 func (g *Gateway) acquireReplacement(ctx context.Context, w *watchedStream, a silentAttempt) (kwchainsearch.Chain, bool) {
 	q := a.req.r
-	if _, held := g.partGuard.Check(time.Now(), q.guardedParts()); held && !q.trial {
+	if g.kept(q) != nil {
 		return kwchainsearch.Chain{}, false
 	}
 	req := a.req
