A chain granted to a caller that leaves is released

If the caller left between the grant and the check for that, the abort left its chain reserved for good. The chain of a hand-over was released already (releaseReserved).

TestGrantOfCallerThatLeaves failed before with a load of 1 at the endpoint, want none.

--- a/io/kwdirectentry/handover_test.go
+++ b/io/kwdirectentry/handover_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -58,6 +59,30 @@
 	}
 }
 
+// TestGrantOfCallerThatLeaves guards against a chain that stays reserved for a caller that leaves as it is granted.
+func TestGrantOfCallerThatLeaves(t *testing.T) {
+	g := newTestGateway(t, "127.0.0.1:1", "127.0.0.1:1")
+	ctx, leave := context.WithCancel(t.Context())
+	leave()
+	v := g.view.Load()
+	q := &request{
+		r: httptest.NewRequestWithContext(ctx, http.MethodPost, "http://h/notes/x", nil), view: v, arrived: time.Now(), service: "llm",
+		route: v.index.Route("h", "/notes/x"),
+	}
+	s := &streamState{q: q, size: estimateSize(q), attempts: attemptState{exclude: make(endpointSet)}}
+	func() {
+		defer func() {
+			if got := recover(); got != http.ErrAbortHandler {
+				t.Errorf("got panic %v, want %v", got, http.ErrAbortHandler)
+			}
+		}()
+		g.acquireStreamChain(t.Context(), s)
+	}()
+	if own := g.scheduler.ownLoads(); len(own) != 0 {
+		t.Errorf("got loads %v after the caller has left, want none", own)
+	}
+}
+
 // partDialect gives all prompts the same shared part.
 type partDialect struct{ testDialect }
 
--- a/io/kwdirectentry/stream.go
+++ b/io/kwdirectentry/stream.go
@@ -107,6 +107,9 @@
 		q.waited += waited
 		g.metrics.queueWait.Update(waited)
 		if q.callerLeft() {
+			if err == nil {
+				g.scheduler.release(chain, s.size.TotalTokens)
+			}
 			g.abortCallerGone(q)
 		}
 		if err != nil && heldInQueue {
