A hand-over counts attempts as every other retry does

Its own rule did not bound the attempts that were sent, so that a stream that had used up its refused attempts was still sent on.

The second case of TestHandOverLimits failed before with a hand-over, want none.

--- a/io/kwdirectentry/handover.go
+++ b/io/kwdirectentry/handover.go
@@ -23,7 +23,9 @@
 	}
 	s.nextHandOverCheck = now.Add(handOverInterval)
 	events := q.events - eventsBefore
-	if events < minPacedEvents || s.lastEventID == "" || !q.route.Retryable() || s.attempts.mayHaveRun+1 >= q.route.MaxAttempts {
+	attempts := s.attempts.count(q)
+	attempts.InProgress = 1
+	if events < minPacedEvents || s.lastEventID == "" || !attempts.MayAdd() {
 		return false
 	}
 	// A trial of a part is made on one chain only.
--- a/io/kwdirectentry/handover_test.go
+++ b/io/kwdirectentry/handover_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/go-logr/logr/funcr"
 
+	"knapweedproxy/core/kwchainsearch"
 	"knapweedproxy/core/kwdispatch"
 	"knapweedproxy/core/kwhlc"
 	"knapweedproxy/core/kwid"
@@ -127,6 +128,51 @@
 	return g
 }
 
+// newSlowStream returns a gateway that stops in handOverTestDrain, and a stream on a chain of it that will not have ended by then.
+func newSlowStream(t *testing.T) (*Gateway, *streamState, kwchainsearch.Chain) {
+	t.Helper()
+	const events, interval = 20, 20 * time.Millisecond
+	g := newHandOverGateway(t, "127.0.0.1:1")
+	v := g.view.Load()
+	now := time.Now()
+	r := httptest.NewRequest(http.MethodPost, "http://h/notes/x", nil)
+	q := &request{
+		r: r, meta: testDialect{}.ReadRequest(r.Header), view: v, arrived: now.Add(-events * interval), service: "llm", route: v.index.Route("h", "/notes/x"),
+		sends: 1, events: events, lastEventAt: now,
+	}
+	s := &streamState{
+		q: q, size: estimateSize(q), attempts: attemptState{exclude: make(endpointSet)}, begun: true, lastEventID: "20", reads: events,
+		attemptFirstEvent: now.Add(-(events - 1) * interval),
+	}
+	chain, _, err := g.scheduler.acquireChain(t.Context(), s.chainRequest(g))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.watched = &watchedStream{chain: chain}
+	exit := now.Add(handOverTestDrain)
+	g.drainEnd.Store(&exit)
+	return g, s, chain
+}
+
+// TestHandOverLimits checks which streams are not handed over although they may not end in time.
+func TestHandOverLimits(t *testing.T) {
+	cases := []struct {
+		name string
+		set  func(g *Gateway, s *streamState)
+		want bool
+	}{
+		{"slow stream", func(*Gateway, *streamState) {}, true},
+		{"all attempts sent", func(_ *Gateway, s *streamState) { s.q.sends = s.q.route.MaxAttempts + extraAttempts }, false},
+	}
+	for _, c := range cases {
+		g, s, chain := newSlowStream(t)
+		c.set(g, s)
+		if got := g.handOver(t.Context(), s, chain, 0); got != c.want {
+			t.Errorf("%s: got hand-over %t, want %t", c.name, got, c.want)
+		}
+	}
+}
+
 // TestStoppingEntryHandsOverSlowStream has a stream run so slowly that the drain would end it. It must go on on another chain and
 // reach its caller whole, if the route allows that and the retry budget has room.
 func TestStoppingEntryHandsOverSlowStream(t *testing.T) {
