--- a/io/kwdirectentry/handover_test.go
+++ b/io/kwdirectentry/handover_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -12,6 +13,7 @@
 
 	"github.com/go-logr/logr/funcr"
 
+	"knapweedproxy/core/kwchainsearch"
 	"knapweedproxy/core/kwdispatch"
 	"knapweedproxy/core/kwhlc"
 	"knapweedproxy/core/kwid"
@@ -58,6 +60,30 @@
 	}
 }
 
+// TestGrantOfCallerThatLeaves guards against a chain that stays reserved for a caller that leaves as it is granted.
+func TestGrantOfCallerThatLeaves(t *testing.T) {
+	g := newTestGateway(t, "127.0.0.1:1", "127.0.0.1:1")
+	ctx, leave := context.WithCancel(t.Context())
+	leave()
+	v := g.view.Load()
+	q := &request{
+		r: httptest.NewRequestWithContext(ctx, http.MethodPost, "http://h/notes/x", nil), view: v, arrived: time.Now(), service: "llm",
+		route: v.index.Route("h", "/notes/x"),
+	}
+	s := &streamState{q: q, size: estimateSize(q), attempts: attemptState{exclude: make(endpointSet)}}
+	func() {
+		defer func() {
+			if got := recover(); got != http.ErrAbortHandler {
+				t.Errorf("got panic %v, want %v", got, http.ErrAbortHandler)
+			}
+		}()
+		g.acquireStreamChain(t.Context(), s)
+	}()
+	if own := g.scheduler.ownLoads(); len(own) != 0 {
+		t.Errorf("got loads %v after the caller has left, want none", own)
+	}
+}
+
 // partDialect gives all prompts the same shared part.
 type partDialect struct{ testDialect }
 
@@ -102,6 +128,51 @@
 	return g
 }
 
+// newSlowStream returns a gateway that stops in handOverTestDrain, and a stream on a chain of it that will not have ended by then.
+func newSlowStream(t *testing.T) (*Gateway, *streamState, kwchainsearch.Chain) {
+	t.Helper()
+	const events, interval = 20, 20 * time.Millisecond
+	g := newHandOverGateway(t, "127.0.0.1:1")
+	v := g.view.Load()
+	now := time.Now()
+	r := httptest.NewRequest(http.MethodPost, "http://h/notes/x", nil)
+	q := &request{
+		r: r, meta: testDialect{}.ReadRequest(r.Header), view: v, arrived: now.Add(-events * interval), service: "llm", route: v.index.Route("h", "/notes/x"),
+		sends: 1, events: events, lastEventAt: now,
+	}
+	s := &streamState{
+		q: q, size: estimateSize(q), attempts: attemptState{exclude: make(endpointSet)}, begun: true, lastEventID: "20", reads: events,
+		attemptFirstEvent: now.Add(-(events - 1) * interval),
+	}
+	chain, _, err := g.scheduler.acquireChain(t.Context(), s.chainRequest(g))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.watched = &watchedStream{chain: chain}
+	exit := now.Add(handOverTestDrain)
+	g.drainEnd.Store(&exit)
+	return g, s, chain
+}
+
+// TestHandOverLimits checks which streams are not handed over although they may not end in time.
+func TestHandOverLimits(t *testing.T) {
+	cases := []struct {
+		name string
+		set  func(g *Gateway, s *streamState)
+		want bool
+	}{
+		{"slow stream", func(*Gateway, *streamState) {}, true},
+		{"all attempts sent", func(_ *Gateway, s *streamState) { s.q.sends = s.q.route.MaxAttempts + extraAttempts }, false},
+	}
+	for _, c := range cases {
+		g, s, chain := newSlowStream(t)
+		c.set(g, s)
+		if got := g.handOver(t.Context(), s, chain, 0); got != c.want {
+			t.Errorf("%s: got hand-over %t, want %t", c.name, got, c.want)
+		}
+	}
+}
+
 // TestStoppingEntryHandsOverSlowStream has a stream run so slowly that the drain would end it. It must go on on another chain and
 // reach its caller whole, if the route allows that and the retry budget has room.
 func TestStoppingEntryHandsOverSlowStream(t *testing.T) {
@@ -127,6 +198,14 @@
 				g.partGuard.Apply(time.Now(), nil, []kwquarantine.Quarantine{{Part: "part", Remaining: time.Minute}}, false)
 			})
 		}, 1, false},
+		{"request is held meanwhile", func(g *Gateway) {
+			g.goBackground(func() {
+				for g.metrics.eventWrites.Count() == 0 {
+					time.Sleep(time.Millisecond)
+				}
+				hold(g, "/notes/x", 20*time.Second)
+			})
+		}, 1, false},
 	}
 	for _, c := range cases {
 		var arrivals atomic.Int64
--- a/io/kwdirectentry/scheduler.go
+++ b/io/kwdirectentry/scheduler.go
@@ -155,13 +155,6 @@
 	s.dispatcher.Observe(time.Now(), a)
 }
 
-// endsInTime reports whether a chain can be expected to end the answer to a request before the entry exits.
-func (s *scheduler) endsInTime(ctx context.Context, req chainRequest, chain kwchainsearch.Chain) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.dispatcher.EndsInTime(time.Now(), chain, req.dispatchRequest(ctx))
-}
-
 // handOver reserves a faster chain for a stream that may not end before the entry exits, if there is one.
 func (s *scheduler) handOver(ctx context.Context, req chainRequest, present kwchainsearch.Chain, p kwdispatch.Progress) (kwchainsearch.Chain, bool) {
 	s.mu.Lock()
@@ -210,9 +203,7 @@
 func (s *scheduler) finishUnary(id kwid.EndpointID, reported int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.inFlight[id]--; s.inFlight[id] <= 0 {
-		delete(s.inFlight, id)
-	}
+	s.removeUnary(id)
 	if reported > 0 {
 		s.reportedInFlight[id] = reported
 	} else {
@@ -220,6 +211,20 @@
 	}
 }
 
+// withdrawUnary ends a unary request that was not sent to its endpoint, which leaves what the endpoint last reported.
+func (s *scheduler) withdrawUnary(id kwid.EndpointID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.removeUnary(id)
+}
+
+// removeUnary counts a unary request as no longer in flight; the caller holds the lock.
+func (s *scheduler) removeUnary(id kwid.EndpointID) {
+	if s.inFlight[id]--; s.inFlight[id] <= 0 {
+		delete(s.inFlight, id)
+	}
+}
+
 // eject takes an endpoint out of use for a while; one that is only silent is still used where there is no other.
 func (s *scheduler) eject(now time.Time, id kwid.EndpointID, silent bool) {
 	if silent {
--- a/io/kwdirectentry/stream.go
+++ b/io/kwdirectentry/stream.go
@@ -107,6 +107,9 @@
 		q.waited += waited
 		g.metrics.queueWait.Update(waited)
 		if q.callerLeft() {
+			if err == nil {
+				g.scheduler.release(chain, s.size.TotalTokens)
+			}
 			g.abortCallerGone(q)
 		}
 		if err != nil && heldInQueue {
@@ -183,6 +186,10 @@
 		s.attempts.lastErr = kwcode.New(kwcode.NoChain, "endpoint %s leaves or wants no requests", id)
 		return resultNotRun
 	}
+	if err := g.kept(q); err != nil {
+		s.attempts.lastErr = err
+		return resultNotRun
+	}
 	q.sends++
 	s.reads = 0
 	q.endpoint = first.Endpoint
--- a/io/kwdirectentry/stream_move.go
+++ b/io/kwdirectentry/stream_move.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"time"
 
 	"knapweedproxy/core/kwchainsearch"
 	"knapweedproxy/core/kwretry"
@@ -92,7 +91,7 @@
 // acquireReplacement reserves capacity on another chain for a silent attempt and spends the retry budget for it.
 func (g *Gateway) acquireReplacement(ctx context.Context, w *watchedStream, a silentAttempt) (kwchainsearch.Chain, bool) {
 	q := a.req.r
-	if _, held := g.partGuard.Check(time.Now(), q.guardedParts()); held && !q.trial {
+	if g.kept(q) != nil {
 		return kwchainsearch.Chain{}, false
 	}
 	req := a.req
@@ -101,14 +100,11 @@
 	broken := *q
 	broken.broken = broken.broken || a.begun || w.begun.Load()
 	req.r = &broken
-	if !g.scheduler.hasChain(ctx, req) {
-		return kwchainsearch.Chain{}, false
-	}
-	chain, _, err := g.scheduler.acquireChain(ctx, req)
-	if err != nil {
+	chain, ok := g.scheduler.tryChain(ctx, req)
+	if !ok {
 		return kwchainsearch.Chain{}, false
 	}
-	if !g.scheduler.endsInTime(ctx, req, chain) || !g.spendRetryBudget(ctx, q) {
+	if !g.spendRetryBudget(ctx, q) {
 		g.scheduler.release(chain, req.size.TotalTokens)
 		return kwchainsearch.Chain{}, false
 	}
