Forecast bounds what absurd estimates of callers do to it

An estimate counts as four times as far off as usual at most, where the usual error follows the median of all. One estimate of 2^50 tokens for an answer of 10 had a stopping entry reject the streams of all callers. An endless estimate is late also where nothing is learned: its expected time overflowed.

TestForecastBoundsAbsurdEstimates failed before: after one such answer in a hundred the probability that an answer of 0.2 s takes longer than 4 s was 0.17, want 0.01 at most. TestForecastLearnsBias passed before and keeps the bound from hiding a common error.

--- a/core/kwdispatch/forecast.go
+++ b/core/kwdispatch/forecast.go
@@ -17,6 +17,10 @@
 	minForecastAge = 2
 	// minVariance bounds the variance of a learned logarithm, for fleets in which all answers are alike.
 	minVariance = 1e-4
+	// maxEstimateDeviation is how many times as far off as usual an estimate may be; one that is further off counts as this far.
+	maxEstimateDeviation = 4
+	// usualErrorStep is by how much one answer moves the logarithm of the usual error of estimates.
+	usualErrorStep = 0.05
 )
 
 // trend is a linear relation between the logarithms of two quantities, with the spread around it. Old observations fade.
@@ -54,6 +58,8 @@
 type Forecast struct {
 	// length relates the length of an answer to its estimate, pace the time per token to the expected one.
 	length, pace trend
+	// usualError follows the median of the logarithm of estimate to length, which single answers hardly move.
+	usualError float64
 	// began is when the first answer was observed.
 	began time.Time
 }
@@ -76,12 +82,21 @@
 	if f.began.IsZero() {
 		f.began = now
 	}
-	f.length.observe(float64(a.EstimatedTokens), float64(a.Tokens))
+	f.length.observe(f.plausibleEstimate(a), float64(a.Tokens))
 	if a.TokenTime > 0 && a.ExpectedTokenTime > 0 {
 		f.pace.observe(float64(a.ExpectedTokenTime), float64(a.TokenTime))
 	}
 }
 
+// plausibleEstimate returns the estimate of an answer within bounds. It answers callers that estimate anything: their answers must not
+// tell how long those of others take.
+func (f *Forecast) plausibleEstimate(a Answer) float64 {
+	limit, usual := math.Log(maxEstimateDeviation), f.usualError
+	deviation := math.Log(float64(a.EstimatedTokens)/float64(a.Tokens)) - usual
+	f.usualError += max(-usualErrorStep, min(usualErrorStep, deviation))
+	return float64(a.Tokens) * math.Exp(usual+max(-limit, min(limit, deviation)))
+}
+
 func (f *Forecast) learned() bool {
 	return f.length.weight >= minForecastWeight && f.pace.weight >= minForecastWeight
 }
@@ -96,7 +111,7 @@
 		return 0
 	}
 	if !f.learned() || now.Sub(f.began) < minForecastAge*left {
-		if time.Duration(unlearnedTimeFactor*float64(chain.TokenTime)*float64(estimatedTokens)) > writing {
+		if unlearnedTimeFactor*float64(chain.TokenTime)*float64(estimatedTokens) > float64(writing) {
 			return 1
 		}
 		return 0
--- /dev/null
+++ b/core/kwdispatch/forecast_test.go
@@ -0,0 +1,83 @@
+package kwdispatch
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"knapweedproxy/core/kwchainsearch"
+)
+
+// usualChain has the time per token that the answers of these tests take.
+var usualChain = kwchainsearch.Chain{TokenTime: 10 * time.Millisecond}
+
+// soundAnswer returns an answer whose length is right in the median.
+func soundAnswer(rng *rand.Rand) Answer {
+	estimate := 50 + rng.IntN(400)
+	return Answer{
+		EstimatedTokens: estimate, ExpectedTokenTime: usualChain.TokenTime, TokenTime: usualChain.TokenTime,
+		Tokens: max(1, int(float64(estimate)*math.Exp(0.4*rng.NormFloat64()))),
+	}
+}
+
+// TestForecastBoundsAbsurdEstimates guards against callers whose estimates are absurd and spoil the forecast for all others.
+func TestForecastBoundsAbsurdEstimates(t *testing.T) {
+	now := time.Unix(1000, 0)
+	huge, tiny := Answer{EstimatedTokens: 1 << 50, Tokens: 10}, Answer{EstimatedTokens: 1, Tokens: 600}
+	cases := []struct {
+		name   string
+		absurd Answer
+		// first, last and beside are the numbers of absurd answers before, after and between 100 sound ones.
+		first, last, beside int
+	}{
+		{"none", huge, 0, 0, 0},
+		{"huge estimate, first", huge, 1, 0, 0},
+		{"huge estimate, last", huge, 0, 1, 0},
+		{"huge estimate, every sixth", huge, 0, 0, 20},
+		{"huge estimate, every second", huge, 0, 0, 100},
+		{"tiny estimate, first", tiny, 1, 0, 0},
+		{"tiny estimate, last", tiny, 0, 1, 0},
+		{"tiny estimate, every sixth", tiny, 0, 0, 20},
+	}
+	for _, c := range cases {
+		var f Forecast
+		observe := func(a Answer, n int) {
+			a.ExpectedTokenTime, a.TokenTime = usualChain.TokenTime, usualChain.TokenTime
+			for range n {
+				f.Observe(now.Add(-time.Hour), a)
+			}
+		}
+		rng := rand.New(rand.NewPCG(1, 2))
+		observe(c.absurd, c.first)
+		for i := range 100 {
+			observe(soundAnswer(rng), 1)
+			observe(c.absurd, c.beside*(i+1)/100-c.beside*i/100)
+		}
+		observe(c.absurd, c.last)
+		if got := f.LateProbability(now, usualChain, 20, 0, 4*time.Second); got > maxLateProbability {
+			t.Errorf("%s: got probability %.4f that an answer of 0.2 s takes longer than 4 s, want %v at most", c.name, got, maxLateProbability)
+		}
+		if got := f.LateProbability(now, usualChain, 600, 0, 4*time.Second); got < 0.1 {
+			t.Errorf("%s: got probability %.4f that an answer of 6 s takes longer than 4 s, want 0.1 at least", c.name, got)
+		}
+	}
+	if got := new(Forecast).LateProbability(now, usualChain, math.MaxInt, 0, time.Second); got != 1 {
+		t.Errorf("nothing learned, endless answer: got probability %v, want 1", got)
+	}
+}
+
+// TestForecastLearnsBias checks that estimates that are all wrong by the same large factor are learned from nevertheless.
+func TestForecastLearnsBias(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var f Forecast
+	rng := rand.New(rand.NewPCG(1, 2))
+	for range 300 {
+		a := soundAnswer(rng)
+		a.EstimatedTokens *= 40
+		f.Observe(now.Add(-time.Hour), a)
+	}
+	if got := f.LateProbability(now, usualChain, 4000, 0, 4*time.Second); got > maxLateProbability {
+		t.Errorf("got probability %.4f that an answer of 1 s takes longer than 4 s, want %v at most", got, maxLateProbability)
+	}
+}
