A stopping entry accepts streams by the longest answer allowed

The probability that an answer takes too long is no larger than that of the longest answer that its caller allows. A hand-over went by that bound, the acceptance of a stream did not.

TestMaxAnswerTokensBoundsLateness failed before: a stream of 200 tokens at most and 10 ms each was rejected with 4 s left.

--- a/core/kwdispatch/dispatcher.go
+++ b/core/kwdispatch/dispatcher.go
@@ -53,6 +53,8 @@
 	Exit time.Time
 	// AnswerTokens is the caller's estimate of the length of the answer.
 	AnswerTokens int
+	// MaxAnswerTokens bounds the length of the answer; zero means that the caller has set no bound.
+	MaxAnswerTokens int
 	// DeclaredPriority is the priority that the declaration gives the request; 0 is the highest.
 	DeclaredPriority int
 	// Excluded holds the endpoints that have failed or refused the request.
--- a/core/kwdispatch/drain.go
+++ b/core/kwdispatch/drain.go
@@ -15,8 +15,10 @@
 // EndsInTime reports whether an answer can be expected to end before the entry exits. It answers a planned stop under load, in
 // which the load balancer goes on sending callers for some seconds: a long stream that begins then would be cut off at the end of
 // the grace period, while another entry can serve it whole. A zero exit time means that the entry keeps running.
-func (f *Forecast) EndsInTime(now time.Time, chain kwchainsearch.Chain, estimatedTokens int, firstEvent time.Duration, exit time.Time) bool {
-	return exit.IsZero() || f.LateProbability(now, chain, estimatedTokens, firstEvent, exit.Sub(now)) <= maxLateProbability
+func (f *Forecast) EndsInTime(
+	now time.Time, chain kwchainsearch.Chain, estimatedTokens, maxTokens int, firstEvent time.Duration, exit time.Time,
+) bool {
+	return exit.IsZero() || f.LateProbability(now, chain, estimatedTokens, maxTokens, firstEvent, exit.Sub(now)) <= maxLateProbability
 }
 
 // minHandOverGain is by how much the probability of being cut off must fall for a stream to be handed over, which costs a retry and
@@ -65,7 +67,7 @@
 // EndsInTime reports whether a chain can be expected to end the answer to a request before the entry exits.
 func (d *Dispatcher) EndsInTime(now time.Time, chain kwchainsearch.Chain, r Request) bool {
 	firstEvent := d.latencyOf(chain.First().Endpoint).Estimate(now, chain.PrefillTime+chain.TokenTime)
-	return d.forecast.EndsInTime(now, chain, r.AnswerTokens, firstEvent, r.Exit)
+	return d.forecast.EndsInTime(now, chain, r.AnswerTokens, r.MaxAnswerTokens, firstEvent, r.Exit)
 }
 
 // endsLate reports whether chains have room for a request, but none would end its answer before the entry exits.
--- a/core/kwdispatch/drain_test.go
+++ b/core/kwdispatch/drain_test.go
@@ -40,14 +40,14 @@
 	}
 	for name, f := range map[string]*Forecast{"nothing learned": {}, "learned": &learned} {
 		for _, c := range cases {
-			if got := f.EndsInTime(now, chain, c.tokens, firstEvent, now.Add(c.left)); got != c.want {
+			if got := f.EndsInTime(now, chain, c.tokens, 0, firstEvent, now.Add(c.left)); got != c.want {
 				t.Errorf("%s, %s: got %v, want %v", name, c.name, got, c.want)
 			}
 		}
-		if !f.EndsInTime(now, chain, 1_000_000, firstEvent, time.Time{}) {
+		if !f.EndsInTime(now, chain, 1_000_000, 0, firstEvent, time.Time{}) {
 			t.Errorf("%s, entry that keeps running: got false, want true", name)
 		}
-		if f.EndsInTime(now, chain, 10, 2*time.Second, now.Add(time.Second)) {
+		if f.EndsInTime(now, chain, 10, 0, 2*time.Second, now.Add(time.Second)) {
 			t.Errorf("%s, prompt that waits at its server until the end: got true, want false", name)
 		}
 	}
@@ -98,7 +98,7 @@
 
 func forecastRule(f *Forecast, chain kwchainsearch.Chain, estimate int, left time.Duration) bool {
 	now := time.Unix(1000, 0)
-	return f.EndsInTime(now, chain, estimate, chain.PrefillTime+chain.TokenTime, now.Add(left))
+	return f.EndsInTime(now, chain, estimate, 0, chain.PrefillTime+chain.TokenTime, now.Add(left))
 }
 
 // simulateStops plays stops of an entry, with the answers before each to learn from.
@@ -185,8 +185,8 @@
 func TestForecastFollowsChains(t *testing.T) {
 	f := learnedForecast()
 	const tokens, left = 200, 4 * time.Second
-	usual := f.LateProbability(time.Unix(1000, 0), kwchainsearch.Chain{TokenTime: 10 * time.Millisecond}, tokens, 0, left)
-	slow := f.LateProbability(time.Unix(1000, 0), kwchainsearch.Chain{TokenTime: 40 * time.Millisecond}, tokens, 0, left)
+	usual := f.LateProbability(time.Unix(1000, 0), kwchainsearch.Chain{TokenTime: 10 * time.Millisecond}, tokens, 0, 0, left)
+	slow := f.LateProbability(time.Unix(1000, 0), kwchainsearch.Chain{TokenTime: 40 * time.Millisecond}, tokens, 0, 0, left)
 	if usual > 0.2 || slow < 0.8 {
 		t.Errorf("got probabilities %.3f on a usual chain and %.3f on one four times as slow, want 0.2 at most and 0.8 at least", usual, slow)
 	}
--- a/core/kwdispatch/forecast.go
+++ b/core/kwdispatch/forecast.go
@@ -101,8 +101,11 @@
 	return f.length.weight >= minForecastWeight && f.pace.weight >= minForecastWeight
 }
 
-// LateProbability returns the probability that an answer of a chain that begins after firstEvent takes longer than left.
-func (f *Forecast) LateProbability(now time.Time, chain kwchainsearch.Chain, estimatedTokens int, firstEvent, left time.Duration) float64 {
+// LateProbability returns the probability that an answer of a chain that begins after firstEvent takes longer than left. A maxTokens of
+// zero means that the caller has set no bound.
+func (f *Forecast) LateProbability(
+	now time.Time, chain kwchainsearch.Chain, estimatedTokens, maxTokens int, firstEvent, left time.Duration,
+) float64 {
 	writing := left - firstEvent
 	if writing <= 0 {
 		return 1
@@ -118,7 +121,11 @@
 	}
 	length, lengthVariance := f.length.at(float64(estimatedTokens))
 	pace, paceVariance := f.pace.at(float64(chain.TokenTime))
-	return normalExceeds((math.Log(float64(writing)) - length - pace) / math.Sqrt(lengthVariance+paceVariance))
+	late := normalExceeds((math.Log(float64(writing)) - length - pace) / math.Sqrt(lengthVariance+paceVariance))
+	if maxTokens > 0 {
+		late = min(late, normalExceeds((math.Log(float64(writing)/float64(maxTokens))-pace)/math.Sqrt(paceVariance)))
+	}
+	return late
 }
 
 // Progress is how far an answer has come.
--- a/core/kwdispatch/forecast_test.go
+++ b/core/kwdispatch/forecast_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"knapweedproxy/core/kwchainsearch"
+	"knapweedproxy/core/kwqueue"
 )
 
 // usualChain has the time per token that the answers of these tests take.
@@ -55,14 +56,14 @@
 			observe(c.absurd, c.beside*(i+1)/100-c.beside*i/100)
 		}
 		observe(c.absurd, c.last)
-		if got := f.LateProbability(now, usualChain, 20, 0, 4*time.Second); got > maxLateProbability {
+		if got := f.LateProbability(now, usualChain, 20, 0, 0, 4*time.Second); got > maxLateProbability {
 			t.Errorf("%s: got probability %.4f that an answer of 0.2 s takes longer than 4 s, want %v at most", c.name, got, maxLateProbability)
 		}
-		if got := f.LateProbability(now, usualChain, 600, 0, 4*time.Second); got < 0.1 {
+		if got := f.LateProbability(now, usualChain, 600, 0, 0, 4*time.Second); got < 0.1 {
 			t.Errorf("%s: got probability %.4f that an answer of 6 s takes longer than 4 s, want 0.1 at least", c.name, got)
 		}
 	}
-	if got := new(Forecast).LateProbability(now, usualChain, math.MaxInt, 0, time.Second); got != 1 {
+	if got := new(Forecast).LateProbability(now, usualChain, math.MaxInt, 0, 0, time.Second); got != 1 {
 		t.Errorf("nothing learned, endless answer: got probability %v, want 1", got)
 	}
 }
@@ -77,7 +78,36 @@
 		a.EstimatedTokens *= 40
 		f.Observe(now.Add(-time.Hour), a)
 	}
-	if got := f.LateProbability(now, usualChain, 4000, 0, 4*time.Second); got > maxLateProbability {
+	if got := f.LateProbability(now, usualChain, 4000, 0, 0, 4*time.Second); got > maxLateProbability {
 		t.Errorf("got probability %.4f that an answer of 1 s takes longer than 4 s, want %v at most", got, maxLateProbability)
 	}
 }
+
+// TestMaxAnswerTokensBoundsLateness guards against rejections of streams that even the longest answer that their caller allows would
+// let end in time.
+func TestMaxAnswerTokensBoundsLateness(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := learnedForecast()
+	cases := []struct {
+		name           string
+		estimate, most int
+		left           time.Duration
+		want           bool
+	}{
+		{"no bound", 200, 0, 4 * time.Second, false},
+		{"bound at the estimate", 200, 200, 4 * time.Second, true},
+		{"bound at the estimate, too little time", 200, 200, 1900 * time.Millisecond, false},
+		{"bound above the time left", 200, 600, 4 * time.Second, false},
+		{"short answer with a high bound", 20, 4000, 4 * time.Second, true},
+	}
+	for _, c := range cases {
+		d := New(Config{Entry: "e", Queue: kwqueue.DefaultConfig()})
+		d.forecast = f
+		r := Request{AnswerTokens: c.estimate, MaxAnswerTokens: c.most, Exit: now.Add(c.left)}
+		chain := usualChain
+		chain.Stages = []kwchainsearch.Stage{{Endpoint: "z0-fast-0"}}
+		if got := d.EndsInTime(now, chain, r); got != c.want {
+			t.Errorf("%s: got %v, want %v", c.name, got, c.want)
+		}
+	}
+}
--- a/io/kwdirectentry/queue.go
+++ b/io/kwdirectentry/queue.go
@@ -37,6 +37,7 @@
 		Broken:              c.r.broken,
 		Exit:                c.exitTime(),
 		AnswerTokens:        c.r.answerTokens(),
+		MaxAnswerTokens:     c.r.meta.MaxAnswerTokens,
 		DeclaredPriority:    c.r.basePriority(),
 		Excluded:            c.exclude,
 		Unreached:           c.unreached,
--- a/io/kwdirectentry/scheduler_test.go
+++ b/io/kwdirectentry/scheduler_test.go
@@ -266,3 +266,13 @@
 		}
 	}
 }
+
+// TestDispatchRequestHasAnswerBounds checks that the dispatcher learns what the caller says of the length of the answer.
+func TestDispatchRequestHasAnswerBounds(t *testing.T) {
+	f := newSchedulerFixture(1)
+	q := &request{route: f.route, service: testService, meta: kwupstream.RequestMeta{EstimatedAnswerTokens: 200, MaxAnswerTokens: 300}}
+	got := f.chainRequest(q).dispatchRequest(t.Context())
+	if got.AnswerTokens != 200 || got.MaxAnswerTokens != 300 {
+		t.Errorf("got %d tokens expected and %d at most, want 200 and 300", got.AnswerTokens, got.MaxAnswerTokens)
+	}
+}
