Forecasts are kept per service

A forecast for all services of an entry averaged their spreads, so that answers of a service with exact estimates were rejected for those of another. A forecast is forgotten when its service has left the view.

TestForecastPerService doesn't compile before; with one forecast for all services behind the same functions it failed: an answer of 2 s with exact estimates was not expected to end within 2.5 s. TestForecastOutlivesServiceInView failed without RetainServices: what was learned of a removed service was still used.

--- a/core/kwdispatch/dispatcher.go
+++ b/core/kwdispatch/dispatcher.go
@@ -38,7 +38,8 @@
 
 // Request is a request for capacity on a chain.
 type Request struct {
-	Size kwchainsearch.RequestSize
+	Service kwid.ServiceName
+	Size    kwchainsearch.RequestSize
 	// FirstEventObjective is the desired time to the first event, EventGapObjective the longest desired gap between two events.
 	FirstEventObjective, EventGapObjective time.Duration
 	// FirstEventTimeout is how long the first event may take before another chain is tried.
@@ -89,15 +90,16 @@
 	queue *kwqueue.Queue
 	// latency estimates the time to the first event, by the first endpoint of a chain.
 	latency map[kwid.EndpointID]*kwqueue.LatencyEstimator
-	// forecast tells how long answers take.
-	forecast Forecast
+	// forecasts tell how long answers take, by service.
+	forecasts map[kwid.ServiceName]*Forecast
 }
 
 // New returns a Dispatcher without load.
 func New(cfg Config) *Dispatcher {
 	return &Dispatcher{
 		cfg: cfg, loads: NewLoads(cfg.Entry), queue: kwqueue.NewQueue(cfg.Queue),
-		latency: make(map[kwid.EndpointID]*kwqueue.LatencyEstimator),
+		latency:   make(map[kwid.EndpointID]*kwqueue.LatencyEstimator),
+		forecasts: make(map[kwid.ServiceName]*Forecast),
 	}
 }
 
@@ -109,6 +111,11 @@
 	maps.DeleteFunc(d.latency, func(id kwid.EndpointID, _ *kwqueue.LatencyEstimator) bool { return !known(id) })
 }
 
+// RetainServices forgets the services that are no longer known.
+func (d *Dispatcher) RetainServices(known func(kwid.ServiceName) bool) {
+	maps.DeleteFunc(d.forecasts, func(name kwid.ServiceName, _ *Forecast) bool { return !known(name) })
+}
+
 // Dispatch decides on a request. It is granted the best chain that has room and can be expected to send its first event in time,
 // so that requests wait here, where the most urgent goes first, and not inside the engines. Under a load that all chains together
 // cannot serve, a request waits only if it can expect its turn before its wait limit; any other is rejected at once, unless some
--- a/core/kwdispatch/drain.go
+++ b/core/kwdispatch/drain.go
@@ -29,11 +29,12 @@
 // more likely to. It answers streams that turn out longer than estimated, or whose chain has become slow since it was chosen. The
 // first endpoint of the present chain is not used again, since it may still be at work on the stream.
 func (d *Dispatcher) HandOver(now time.Time, fleet Fleet, r Request, present kwchainsearch.Chain, p Progress) (kwchainsearch.Chain, bool) {
-	if r.Exit.IsZero() || !d.forecast.learned() || p.EstimatedTokens <= 0 || p.Tokens <= 0 || p.TokenTime <= 0 {
+	forecast := d.forecastFor(r.Service)
+	if r.Exit.IsZero() || !forecast.learned() || p.EstimatedTokens <= 0 || p.Tokens <= 0 || p.TokenTime <= 0 {
 		return kwchainsearch.Chain{}, false
 	}
 	left := r.Exit.Sub(now)
-	here := d.forecast.lateProbabilityHere(p, left)
+	here := forecast.lateProbabilityHere(p, left)
 	if here < minHandOverGain {
 		return kwchainsearch.Chain{}, false
 	}
@@ -44,7 +45,7 @@
 	r.Excluded[present.First().Endpoint] = true
 	chain, ok := d.choose(now, fleet, r, true, d.excludedFor(now, r), func(chain kwchainsearch.Chain) bool {
 		firstEvent := d.latencyOf(chain.First().Endpoint).Estimate(now, chain.PrefillTime+chain.TokenTime)
-		return here-d.forecast.lateProbabilityOn(chain, p, firstEvent, left) >= minHandOverGain
+		return here-forecast.lateProbabilityOn(chain, p, firstEvent, left) >= minHandOverGain
 	})
 	if ok {
 		d.loads.Reserve(chain, r.Size.TotalTokens)
@@ -52,8 +53,23 @@
 	return chain, ok
 }
 
-// Observe records how long an answer was and took.
-func (d *Dispatcher) Observe(now time.Time, a Answer) { d.forecast.Observe(now, a) }
+// Observe records how long an answer of a service was and took.
+func (d *Dispatcher) Observe(now time.Time, service kwid.ServiceName, a Answer) {
+	f, ok := d.forecasts[service]
+	if !ok {
+		f = new(Forecast)
+		d.forecasts[service] = f
+	}
+	f.Observe(now, a)
+}
+
+// forecastFor returns the forecast for a service, without observations if there are none.
+func (d *Dispatcher) forecastFor(service kwid.ServiceName) *Forecast {
+	if f, ok := d.forecasts[service]; ok {
+		return f
+	}
+	return new(Forecast)
+}
 
 // acceptChain returns what keeps a request from chains that would not end its answer before the entry exits, or nil. A broken
 // stream is served as far as possible.
@@ -67,7 +83,7 @@
 // EndsInTime reports whether a chain can be expected to end the answer to a request before the entry exits.
 func (d *Dispatcher) EndsInTime(now time.Time, chain kwchainsearch.Chain, r Request) bool {
 	firstEvent := d.latencyOf(chain.First().Endpoint).Estimate(now, chain.PrefillTime+chain.TokenTime)
-	return d.forecast.EndsInTime(now, chain, r.AnswerTokens, r.MaxAnswerTokens, firstEvent, r.Exit)
+	return d.forecastFor(r.Service).EndsInTime(now, chain, r.AnswerTokens, r.MaxAnswerTokens, firstEvent, r.Exit)
 }
 
 // endsLate reports whether chains have room for a request, but none would end its answer before the entry exits.
--- a/core/kwdispatch/drain_test.go
+++ b/core/kwdispatch/drain_test.go
@@ -236,7 +236,8 @@
 			Entry: "e", Zone: "z0", Queue: kwqueue.DefaultConfig(),
 			Unavailable: func(_ time.Time, id kwid.EndpointID) bool { return c.unavailable != nil && c.unavailable(id) },
 		})
-		d.forecast = learnedForecast()
+		learned := learnedForecast()
+		d.forecasts[""] = &learned
 		r := request(now)
 		r.Size = kwchainsearch.RequestSize{TotalTokens: 1000, PromptTokens: 800}
 		if c.left > 0 {
@@ -249,7 +250,7 @@
 		if got && (!isFast(chain.First().Endpoint) || len(d.Loads().Own()) == 0) {
 			t.Errorf("%s: got chain %v with loads %v, want a fast chain that is reserved", c.name, chain, d.Loads().Own())
 		}
-		d.forecast = Forecast{}
+		delete(d.forecasts, "")
 		if _, got := d.HandOver(now, zonedFleet(), r, present, c.progress); got {
 			t.Errorf("%s, nothing learned: got a hand-over, want none", c.name)
 		}
--- a/core/kwdispatch/forecast_test.go
+++ b/core/kwdispatch/forecast_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"knapweedproxy/core/kwchainsearch"
+	"knapweedproxy/core/kwid"
 	"knapweedproxy/core/kwqueue"
 )
 
@@ -102,7 +103,7 @@
 	}
 	for _, c := range cases {
 		d := New(Config{Entry: "e", Queue: kwqueue.DefaultConfig()})
-		d.forecast = f
+		d.forecasts[""] = &f
 		r := Request{AnswerTokens: c.estimate, MaxAnswerTokens: c.most, Exit: now.Add(c.left)}
 		chain := usualChain
 		chain.Stages = []kwchainsearch.Stage{{Endpoint: "z0-fast-0"}}
@@ -111,3 +112,31 @@
 		}
 	}
 }
+
+// TestForecastPerService guards against a service whose estimates are far off and that spoils the forecast for the others, and against
+// forecasts of services that are no longer there.
+func TestForecastPerService(t *testing.T) {
+	now := time.Unix(1000, 0)
+	const exact, vague = kwid.ServiceName("exact"), kwid.ServiceName("vague")
+	d := New(Config{Entry: "e", Queue: kwqueue.DefaultConfig()})
+	rng := rand.New(rand.NewPCG(1, 2))
+	for range 200 {
+		a := soundAnswer(rng)
+		a.Tokens = max(1, int(float64(a.EstimatedTokens)*math.Exp(rng.NormFloat64())))
+		d.Observe(now.Add(-time.Hour), vague, a)
+		a.Tokens = a.EstimatedTokens
+		d.Observe(now.Add(-time.Hour), exact, a)
+	}
+	chain := usualChain
+	chain.Stages = []kwchainsearch.Stage{{Endpoint: "z0-fast-0"}}
+	for service, want := range map[kwid.ServiceName]bool{exact: true, vague: false, "other": false} {
+		r := Request{Service: service, AnswerTokens: 200, Exit: now.Add(2500 * time.Millisecond)}
+		if got := d.EndsInTime(now, chain, r); got != want {
+			t.Errorf("%s: got %v that an answer of 2 s ends within 2.5 s, want %v", service, got, want)
+		}
+	}
+	d.RetainServices(func(name kwid.ServiceName) bool { return name == vague })
+	if _, ok := d.forecasts[vague]; !ok || len(d.forecasts) != 1 {
+		t.Errorf("got %d forecasts, with the known service %v, want only its own", len(d.forecasts), ok)
+	}
+}
--- a/io/kwdirectentry/handover_test.go
+++ b/io/kwdirectentry/handover_test.go
@@ -97,7 +97,7 @@
 		kwmembership.Announcement{ID: "m2", Address: model, Layers: kwid.LayerRange{To: 8}},
 	)
 	for i := range 50 {
-		g.scheduler.observe(kwdispatch.Answer{EstimatedTokens: 200, Tokens: 150 + 2*i, ExpectedTokenTime: time.Millisecond, TokenTime: time.Millisecond})
+		g.scheduler.observe("llm", kwdispatch.Answer{EstimatedTokens: 200, Tokens: 150 + 2*i, ExpectedTokenTime: time.Millisecond, TokenTime: time.Millisecond})
 	}
 	return g
 }
--- a/io/kwdirectentry/queue.go
+++ b/io/kwdirectentry/queue.go
@@ -28,6 +28,7 @@
 		deadline = exit
 	}
 	return kwdispatch.Request{
+		Service:             c.r.service,
 		Size:                c.size,
 		FirstEventObjective: c.r.route.LatencyObjective,
 		EventGapObjective:   c.r.route.EventGapObjective,
--- a/io/kwdirectentry/scheduler.go
+++ b/io/kwdirectentry/scheduler.go
@@ -81,6 +81,7 @@
 	s.leavers.SetProcesses(time.Now(), processes)
 	known := func(id kwid.EndpointID) bool { _, ok := v.endpoints[id]; return ok }
 	s.dispatcher.Retain(known)
+	s.dispatcher.RetainServices(v.hasService)
 	s.stallQueries.retain(known)
 	s.probes.retain(known)
 	others := make(map[kwid.EndpointID]kwdispatch.Load, len(loads))
@@ -148,11 +149,11 @@
 	s.wakeNext()
 }
 
-// observe records how long an answer was and took.
-func (s *scheduler) observe(a kwdispatch.Answer) {
+// observe records how long an answer of a service was and took.
+func (s *scheduler) observe(service kwid.ServiceName, a kwdispatch.Answer) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.dispatcher.Observe(time.Now(), a)
+	s.dispatcher.Observe(time.Now(), service, a)
 }
 
 // endsInTime reports whether a chain can be expected to end the answer to a request before the entry exits.
--- a/io/kwdirectentry/scheduler_test.go
+++ b/io/kwdirectentry/scheduler_test.go
@@ -9,6 +9,7 @@
 	"knapweedproxy/core/kwchainsearch"
 	"knapweedproxy/core/kwcode"
 	"knapweedproxy/core/kwdeclaration"
+	"knapweedproxy/core/kwdispatch"
 	"knapweedproxy/core/kwid"
 	"knapweedproxy/core/kwmembership"
 	"knapweedproxy/core/kwqueue"
@@ -276,3 +277,38 @@
 		t.Errorf("got %d tokens expected and %d at most, want 200 and 300", got.AnswerTokens, got.MaxAnswerTokens)
 	}
 }
+
+// TestForecastOutlivesServiceInView checks that what is learned of a service is kept while the declaration or an endpoint has it, and
+// forgotten afterwards.
+func TestForecastOutlivesServiceInView(t *testing.T) {
+	const left = 250 * time.Millisecond
+	f := newSchedulerFixture(1)
+	for i := range 100 {
+		f.scheduler.observe(testService, kwdispatch.Answer{EstimatedTokens: 200, Tokens: 10 + i%2, ExpectedTokenTime: time.Millisecond, TokenTime: time.Millisecond})
+	}
+	chain, _, err := f.acquire(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	chain.TokenTime = time.Millisecond
+	time.Sleep(2 * left)
+	undeclared, gone := *f.view, emptyView()
+	undeclared.index = kwdeclaration.NewIndex(&kwdeclaration.Declaration{Number: 2})
+	undeclared.indexEndpoints()
+	r := &request{route: f.route, service: testService, meta: kwupstream.RequestMeta{EstimatedAnswerTokens: 200}}
+	cases := []struct {
+		name string
+		view *view
+		want bool
+	}{{"same view", f.view, true}, {"endpoints of an undeclared service", &undeclared, true}, {"no service", gone, false}}
+	for _, c := range cases {
+		f.scheduler.applyView(c.view, nil)
+		req := f.chainRequest(r)
+		exit := time.Now().Add(left)
+		req.exitTime = func() time.Time { return exit }
+		chain.PrefillTime = 0
+		if got := f.scheduler.endsInTime(t.Context(), req, chain); got != c.want {
+			t.Errorf("%s: got %v that an answer of 10 ms, estimated at 200 ms, ends in time, want %v", c.name, got, c.want)
+		}
+	}
+}
--- a/io/kwdirectentry/stream.go
+++ b/io/kwdirectentry/stream.go
@@ -356,7 +356,7 @@
 	if q.events >= minPacedEvents {
 		answer.TokenTime = q.lastEventAt.Sub(q.arrived.Add(q.firstEvent)) / time.Duration((q.events-1)*tokensPerEvent(q))
 	}
-	g.scheduler.observe(answer)
+	g.scheduler.observe(q.service, answer)
 }
 
 // tokensPerEvent returns how many tokens an event of an answer holds.
--- a/io/kwdirectentry/view.go
+++ b/io/kwdirectentry/view.go
@@ -257,6 +257,11 @@
 	}
 }
 
+// hasService reports whether a service is declared or has live endpoints.
+func (v *view) hasService(name kwid.ServiceName) bool {
+	return len(v.live[name]) > 0 || v.index != nil && v.index.Service(name) != nil
+}
+
 // modelEngine returns the engine of a service whose servers hold layers of a model, nil for any other service.
 func (v *view) modelEngine(name kwid.ServiceName) *kwdeclaration.Engine {
 	if v.index == nil {
