Streams far longer than estimated count as late again

Where answers are alike, both the probability of having come so far and that of going on underflowed, so that the forecast took the end of a stream at twice its estimate to be imminent and never handed it over. Such an answer now goes on for as long again in the median. That keeps the hand-over comparable: with a fixed probability of 1, no other chain would be better.

TestForecastOfUnusualAnswer failed before with probability 0.0000 that an answer at 1.1 to 10 times its estimate takes longer than 0.1 s, want 0.9 at least, and no gain by a chain five times as fast.

--- a/core/kwdispatch/forecast.go
+++ b/core/kwdispatch/forecast.go
@@ -19,6 +19,8 @@
 	minVariance = 1e-4
 	// maxEstimateDeviation is how many times as far off as usual an estimate may be; one that is further off counts as this far.
 	maxEstimateDeviation = 4
+	// minReachProbability is the probability of having come so far below which an answer is unlike all that was learned.
+	minReachProbability = 1e-6
 	// usualErrorStep is by how much one answer moves the logarithm of the usual error of estimates.
 	usualErrorStep = 0.05
 )
@@ -160,9 +162,13 @@
 		return 0
 	}
 	length, lengthVariance := f.length.at(float64(p.EstimatedTokens))
-	longer := normalExceeds((math.Log(end) - length) / math.Sqrt(lengthVariance+variance))
 	soFar := normalExceeds((math.Log(float64(p.Tokens)) - length) / math.Sqrt(lengthVariance))
-	return min(1, longer/max(soFar, math.SmallestNonzeroFloat64))
+	if soFar < minReachProbability {
+		// What was learned says nothing of such an answer: it goes on for as long again in the median.
+		return float64(p.Tokens) / end
+	}
+	longer := normalExceeds((math.Log(end) - length) / math.Sqrt(lengthVariance+variance))
+	return min(1, longer/soFar)
 }
 
 // unlearnedTimeFactor is how many times its expected time an answer may take until answers have been observed.
--- a/core/kwdispatch/forecast_test.go
+++ b/core/kwdispatch/forecast_test.go
@@ -140,3 +140,33 @@
 		t.Errorf("got %d forecasts, with the known service %v, want only its own", len(d.forecasts), ok)
 	}
 }
+
+// TestForecastOfUnusualAnswer guards against streams that have come so far beyond their estimates that the forecast takes their end to
+// be imminent.
+func TestForecastOfUnusualAnswer(t *testing.T) {
+	var f Forecast
+	for i := range 50 {
+		f.Observe(time.Unix(0, 0), Answer{EstimatedTokens: 100, Tokens: 100 + i%2, ExpectedTokenTime: usualChain.TokenTime, TokenTime: usualChain.TokenTime})
+	}
+	for _, tokens := range []int{110, 150, 200, 300, 1000} {
+		p := Progress{EstimatedTokens: 100, Tokens: tokens, TokenTime: usualChain.TokenTime}
+		if got := f.lateProbabilityHere(p, 100*time.Millisecond); got < 0.9 {
+			t.Errorf("%d tokens of 100: got probability %.4f that the answer takes longer than 0.1 s, want 0.9 at least", tokens, got)
+		}
+		slow := p
+		slow.TokenTime = 5 * usualChain.TokenTime
+		left := time.Duration(tokens) * usualChain.TokenTime
+		here, there := f.lateProbabilityHere(slow, left), f.lateProbabilityOn(usualChain, slow, 0, left)
+		if here-there < minHandOverGain {
+			t.Errorf("%d tokens of 100: got probability %.4f to be late here and %.4f on a chain five times as fast, want a gain of %v", tokens, here, there, minHandOverGain)
+		}
+		p.MaxTokens = tokens + 5
+		if got := f.lateProbabilityHere(p, 100*time.Millisecond); got != 0 {
+			t.Errorf("%d tokens of at most %d: got probability %.4f that the answer takes longer than 0.1 s, want 0", tokens, p.MaxTokens, got)
+		}
+	}
+	p := Progress{EstimatedTokens: 100, Tokens: 90, TokenTime: usualChain.TokenTime}
+	if got := f.lateProbabilityHere(p, 200*time.Millisecond); got > maxLateProbability {
+		t.Errorf("usual answer: got probability %.4f that it takes longer than 0.2 s, want %v at most", got, maxLateProbability)
+	}
+}
