An entry asks for the whole declaration after one it can't decode

A delta that applied but gave a declaration that can't be decoded came again with each watch until the view lease ended. TestMergeDeclarationDelta failed before on such a delta: no request for the whole declaration.

--- a/io/kwdirectentry/gateway.go
+++ b/io/kwdirectentry/gateway.go
@@ -42,7 +42,7 @@
 	readyServer    *http.Server
 	metrics        gatewayMetrics
 	viewChanged    notifier
-	// needsWholeDeclaration is set after a delta could not be applied; only watchControl uses it.
+	// needsWholeDeclaration is set after a declaration could not be taken over; only watchControl uses it.
 	needsWholeDeclaration bool
 	started               time.Time
 	stopping              atomic.Bool
--- a/io/kwdirectentry/view.go
+++ b/io/kwdirectentry/view.go
@@ -154,6 +154,7 @@
 	}
 	if content != nil {
 		decl, err := g.deps.Decoder.Decode(content)
+		g.needsWholeDeclaration = err != nil
 		if err != nil {
 			return nil, err
 		}
--- a/io/kwdirectentry/view_test.go
+++ b/io/kwdirectentry/view_test.go
@@ -51,6 +51,7 @@
 		{"delta", kwdirectproto.View{DeclarationDelta: deltaOf(t, 5, 7, "5 {a}{b}", "7 {a}{c}")}, "7 {a}{c}", false},
 		{"delta to an older declaration", kwdirectproto.View{DeclarationDelta: deltaOf(t, 5, 8, "5 {a}{b}", "8 {a}{d}")}, "7 {a}{c}", true},
 		{"delta to a different text", kwdirectproto.View{DeclarationDelta: deltaOf(t, 7, 8, "7 {a}{x}", "8 {a}{x}{x}")}, "7 {a}{c}", true},
+		{"delta to a declaration that cannot be decoded", kwdirectproto.View{DeclarationDelta: deltaOf(t, 7, 8, "7 {a}{c}", "{a}{c}")}, "7 {a}{c}", true},
 		{"older delta, again", kwdirectproto.View{DeclarationDelta: deltaOf(t, 5, 6, "5 {a}{b}", "6 {a}{d}")}, "7 {a}{c}", false},
 		{"whole declaration afterwards", kwdirectproto.View{Declaration: &kwdirectproto.CompressedDeclaration{Number: 5, Content: whole}}, "7 {a}{c}", false},
 	}
