Requests outlive a change of their engine that leaves no chain

A request that was accepted before a change of the layer count found servers under the new engine, but no chain. It goes by the engine it was accepted under as long as the present one has no chain and that one has. Servers with more layers than an engine run another model, so a partly restarted fleet isn't used with the old layer count.

The case "more layers" failed before: 503 no-chain for a stream that was refused and one in the queue, 502 before the first event, and a cut stream after it. "fewer layers" got an answer, but by half of the servers' layers (TestFleetAfterChangeOfLayers). Only requests from before a change of the declaration pay for the search.

--- a/io/kwdirectentry/declaration_change_test.go
+++ b/io/kwdirectentry/declaration_change_test.go
@@ -201,6 +201,12 @@
 	"engine without layers": func(d *kwdeclaration.Declaration) {
 		changeEngine(d, func(e *kwdeclaration.Engine) { e.Layers = 0 })
 	},
+	"more layers": func(d *kwdeclaration.Declaration) {
+		changeEngine(d, func(e *kwdeclaration.Engine) { e.Layers *= 2 })
+	},
+	"fewer layers": func(d *kwdeclaration.Declaration) {
+		changeEngine(d, func(e *kwdeclaration.Engine) { e.Layers /= 2 })
+	},
 	"accelerator removed": func(d *kwdeclaration.Declaration) {
 		changeEngine(d, func(e *kwdeclaration.Engine) { e.Accelerators = nil })
 	},
@@ -261,6 +267,42 @@
 	}
 }
 
+// TestFleetAfterChangeOfLayers checks which declaration describes the servers of a request that was accepted under 8 layers, when the
+// present one has another number of them.
+func TestFleetAfterChangeOfLayers(t *testing.T) {
+	cases := []struct {
+		name    string
+		present int
+		servers []kwid.LayerRange
+		want    int
+	}{
+		{"more layers, servers as before", 16, []kwid.LayerRange{{To: 8}}, 8},
+		{"more layers, a server restarted", 16, []kwid.LayerRange{{To: 8}, {To: 16}}, 16},
+		{"more layers, servers restarted and one lost", 16, []kwid.LayerRange{{To: 8}, {From: 12, To: 16}}, 16},
+		{"more layers, servers that have a chain under neither", 16, []kwid.LayerRange{{To: 4}}, 16},
+		{"fewer layers, servers as before", 4, []kwid.LayerRange{{To: 8}}, 8},
+		{"fewer layers, servers restarted", 4, []kwid.LayerRange{{To: 4}}, 4},
+	}
+	for _, c := range cases {
+		g := newTestGateway(t, "127.0.0.1:1", "127.0.0.1:1")
+		accepted := g.view.Load()
+		declare(g, func(d *kwdeclaration.Declaration) {
+			changeEngine(d, func(e *kwdeclaration.Engine) { e.Layers = c.present })
+		})
+		var servers []kwmembership.Announcement
+		for i, layers := range c.servers {
+			servers = append(servers, kwmembership.Announcement{ID: kwid.EndpointID(fmt.Sprint("m", i)), Address: "127.0.0.1:1", Layers: layers})
+		}
+		setModelServers(g, servers...)
+		q := &request{view: accepted, arrived: time.Now(), service: "llm", route: accepted.index.Route("h", "/notes/x")}
+		fleet, err := (&streamState{q: q, size: estimateSize(q)}).chainRequest(g).fleet()
+		if err != nil || fleet.Engine.Layers != c.want || len(fleet.Servers) != len(c.servers) {
+			t.Errorf("%s: got engine %+v with %d servers, error %v, want %d layers and %d servers",
+				c.name, fleet.Engine, len(fleet.Servers), err, c.want, len(c.servers))
+		}
+	}
+}
+
 // TestAcceptedTimeoutStays lengthens the timeout of a route while requests are served. They must end at the timeout they were
 // accepted under.
 func TestAcceptedTimeoutStays(t *testing.T) {
--- a/io/kwdirectentry/queue.go
+++ b/io/kwdirectentry/queue.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"knapweedproxy/core/kwchainsearch"
 	"knapweedproxy/core/kwcode"
+	"knapweedproxy/core/kwdeclaration"
 	"knapweedproxy/core/kwdispatch"
 	"knapweedproxy/core/kwqueue"
 )
@@ -53,13 +55,15 @@
 }
 
 // fleet returns the servers of the request's service in the present view, or an error if none of them holds model layers. Where the
-// present declaration does not describe them, the one that the request was accepted under does: it may be the older one.
+// present declaration does not describe them, or has no chain of them, the one that the request was accepted under is used: it may be
+// what they still run.
 func (c chainRequest) fleet() (kwdispatch.Fleet, error) {
 	v, name := c.currentView(), c.r.service
 	engine, servers := v.modelEngine(name), v.servers[name]
-	if engine == nil || len(servers) == 0 {
-		engine = c.r.view.modelEngine(name)
-		servers = v.modelServers(name, engine)
+	if accepted := c.r.view.modelEngine(name); engine != accepted && !holdsChain(engine, servers, c.size) {
+		if s := v.modelServers(name, accepted); len(servers) == 0 || holdsChain(accepted, s, c.size) {
+			engine, servers = accepted, s
+		}
 	}
 	if engine == nil || len(servers) == 0 && !v.gathering {
 		return kwdispatch.Fleet{}, kwcode.New(kwcode.NoChain, "no endpoint of service %q holds model layers", name)
@@ -67,6 +71,18 @@
 	return kwdispatch.Fleet{Engine: engine, Servers: servers, Incomplete: v.gathering}, nil
 }
 
+// holdsChain reports whether servers without load have a chain for a request. Servers with more layers than the engine run another model.
+func holdsChain(engine *kwdeclaration.Engine, servers []kwchainsearch.Server, size kwchainsearch.RequestSize) bool {
+	if engine == nil || len(servers) == 0 {
+		return false
+	}
+	if slices.ContainsFunc(servers, func(s kwchainsearch.Server) bool { return int(s.Layers.To) > engine.Layers }) {
+		return false
+	}
+	_, ok := kwchainsearch.NewSearch(engine, servers).Best(size)
+	return ok
+}
+
 // hasChain reports whether there is a chain that the request may use once it has room.
 func (s *scheduler) hasChain(ctx context.Context, req chainRequest) bool {
 	s.mu.Lock()
