--- a/core/kwdispatch/drain_test.go
+++ b/core/kwdispatch/drain_test.go
@@ -46,14 +46,14 @@
 			if f != &learned {
 				want = c.wantUnlearned
 			}
-			if got := f.EndsInTime(now, chain, c.tokens, firstEvent, now.Add(c.left)); got != want {
+			if got := f.EndsInTime(now, chain, c.tokens, 0, firstEvent, now.Add(c.left)); got != want {
 				t.Errorf("%s, %s: got %v, want %v", name, c.name, got, want)
 			}
 		}
-		if !f.EndsInTime(now, chain, 1_000_000, firstEvent, time.Time{}) {
+		if !f.EndsInTime(now, chain, 1_000_000, 0, firstEvent, time.Time{}) {
 			t.Errorf("%s, entry that keeps running: got false, want true", name)
 		}
-		if f.EndsInTime(now, chain, 10, 2*time.Second, now.Add(time.Second)) {
+		if f.EndsInTime(now, chain, 10, 0, 2*time.Second, now.Add(time.Second)) {
 			t.Errorf("%s, prompt that waits at its server until the end: got true, want false", name)
 		}
 	}
@@ -104,7 +104,7 @@
 
 func forecastRule(f *Forecast, chain kwchainsearch.Chain, estimate int, left time.Duration) bool {
 	now := time.Unix(1000, 0)
-	return f.EndsInTime(now, chain, estimate, chain.PrefillTime+chain.TokenTime, now.Add(left))
+	return f.EndsInTime(now, chain, estimate, 0, chain.PrefillTime+chain.TokenTime, now.Add(left))
 }
 
 // simulateStops plays stops of an entry, with the answers before each to learn from.
@@ -191,8 +191,8 @@
 func TestForecastFollowsChains(t *testing.T) {
 	f := learnedForecast()
 	const tokens, left = 200, 4 * time.Second
-	usual := f.LateProbability(time.Unix(1000, 0), kwchainsearch.Chain{TokenTime: 10 * time.Millisecond}, tokens, 0, left)
-	slow := f.LateProbability(time.Unix(1000, 0), kwchainsearch.Chain{TokenTime: 40 * time.Millisecond}, tokens, 0, left)
+	usual := f.LateProbability(time.Unix(1000, 0), kwchainsearch.Chain{TokenTime: 10 * time.Millisecond}, tokens, 0, 0, left)
+	slow := f.LateProbability(time.Unix(1000, 0), kwchainsearch.Chain{TokenTime: 40 * time.Millisecond}, tokens, 0, 0, left)
 	if usual > 0.2 || slow < 0.8 {
 		t.Errorf("got probabilities %.3f on a usual chain and %.3f on one four times as slow, want 0.2 at most and 0.8 at least", usual, slow)
 	}
@@ -242,7 +242,8 @@
 			Entry: "e", Zone: "z0", Queue: kwqueue.DefaultConfig(),
 			Unavailable: func(_ time.Time, id kwid.EndpointID) bool { return c.unavailable != nil && c.unavailable(id) },
 		})
-		d.forecast = learnedForecast()
+		learned := learnedForecast()
+		d.forecasts[""] = &learned
 		r := request(now)
 		r.Size = kwchainsearch.RequestSize{TotalTokens: 1000, PromptTokens: 800}
 		if c.left > 0 {
@@ -255,7 +256,7 @@
 		if got && (!isFast(chain.First().Endpoint) || len(d.Loads().Own()) == 0) {
 			t.Errorf("%s: got chain %v with loads %v, want a fast chain that is reserved", c.name, chain, d.Loads().Own())
 		}
-		d.forecast = Forecast{}
+		delete(d.forecasts, "")
 		if _, got := d.HandOver(now, zonedFleet(), r, present, c.progress); got {
 			t.Errorf("%s, nothing learned: got a hand-over, want none", c.name)
 		}
--- a/core/kwdispatch/forecast.go
+++ b/core/kwdispatch/forecast.go
@@ -17,6 +17,12 @@
 	minForecastAge = 2
 	// minVariance bounds the variance of a learned logarithm, for fleets in which all answers are alike.
 	minVariance = 1e-4
+	// maxEstimateDeviation is how many times as far off as usual an estimate may be; one that is further off counts as this far.
+	maxEstimateDeviation = 4
+	// minReachProbability is the probability of having come so far below which an answer is unlike all that was learned.
+	minReachProbability = 1e-6
+	// usualErrorStep is by how much one answer moves the logarithm of the usual error of estimates.
+	usualErrorStep = 0.05
 )
 
 // trend is a linear relation between the logarithms of two quantities, with the spread around it. Old observations fade.
@@ -54,6 +60,8 @@
 type Forecast struct {
 	// length relates the length of an answer to its estimate, pace the time per token to the expected one.
 	length, pace trend
+	// usualError follows the median of the logarithm of estimate to length, which single answers hardly move.
+	usualError float64
 	// began is when the first answer was observed.
 	began time.Time
 }
@@ -76,18 +84,30 @@
 	if f.began.IsZero() {
 		f.began = now
 	}
-	f.length.observe(float64(a.EstimatedTokens), float64(a.Tokens))
+	f.length.observe(f.plausibleEstimate(a), float64(a.Tokens))
 	if a.TokenTime > 0 && a.ExpectedTokenTime > 0 {
 		f.pace.observe(float64(a.ExpectedTokenTime), float64(a.TokenTime))
 	}
 }
 
+// plausibleEstimate returns the estimate of an answer within bounds. It answers callers that estimate anything: their answers must not
+// tell how long those of others take.
+func (f *Forecast) plausibleEstimate(a Answer) float64 {
+	limit, usual := math.Log(maxEstimateDeviation), f.usualError
+	deviation := math.Log(float64(a.EstimatedTokens)/float64(a.Tokens)) - usual
+	f.usualError += max(-usualErrorStep, min(usualErrorStep, deviation))
+	return float64(a.Tokens) * math.Exp(usual+max(-limit, min(limit, deviation)))
+}
+
 func (f *Forecast) learned() bool {
 	return f.length.weight >= minForecastWeight && f.pace.weight >= minForecastWeight
 }
 
-// LateProbability returns the probability that an answer of a chain that begins after firstEvent takes longer than left.
-func (f *Forecast) LateProbability(now time.Time, chain kwchainsearch.Chain, estimatedTokens int, firstEvent, left time.Duration) float64 {
+// LateProbability returns the probability that an answer of a chain that begins after firstEvent takes longer than left. A maxTokens of
+// zero means that the caller has set no bound.
+func (f *Forecast) LateProbability(
+	now time.Time, chain kwchainsearch.Chain, estimatedTokens, maxTokens int, firstEvent, left time.Duration,
+) float64 {
 	writing := left - firstEvent
 	if writing <= 0 {
 		return 1
@@ -96,14 +116,18 @@
 		return 0
 	}
 	if !f.learned() || now.Sub(f.began) < minForecastAge*left {
-		if time.Duration(unlearnedTimeFactor*float64(chain.TokenTime)*float64(estimatedTokens)) > writing {
+		if unlearnedTimeFactor*float64(chain.TokenTime)*float64(estimatedTokens) > float64(writing) {
 			return 1
 		}
 		return 0
 	}
 	length, lengthVariance := f.length.at(float64(estimatedTokens))
 	pace, paceVariance := f.pace.at(float64(chain.TokenTime))
-	return normalExceeds((math.Log(float64(writing)) - length - pace) / math.Sqrt(lengthVariance+paceVariance))
+	late := normalExceeds((math.Log(float64(writing)) - length - pace) / math.Sqrt(lengthVariance+paceVariance))
+	if maxTokens > 0 {
+		late = min(late, normalExceeds((math.Log(float64(writing)/float64(maxTokens))-pace)/math.Sqrt(paceVariance)))
+	}
+	return late
 }
 
 // Progress is how far an answer has come.
@@ -138,9 +162,13 @@
 		return 0
 	}
 	length, lengthVariance := f.length.at(float64(p.EstimatedTokens))
-	longer := normalExceeds((math.Log(end) - length) / math.Sqrt(lengthVariance+variance))
 	soFar := normalExceeds((math.Log(float64(p.Tokens)) - length) / math.Sqrt(lengthVariance))
-	return min(1, longer/max(soFar, math.SmallestNonzeroFloat64))
+	if soFar < minReachProbability {
+		// What was learned says nothing of such an answer: it goes on for as long again in the median.
+		return float64(p.Tokens) / end
+	}
+	longer := normalExceeds((math.Log(end) - length) / math.Sqrt(lengthVariance+variance))
+	return min(1, longer/soFar)
 }
 
 // unlearnedTimeFactor is how many times its expected time an answer may take until answers have been observed.
