A new leader adopts no counts of its own

Entries forget the epoch of their view once a new leader has gathered, and handed it its own counts back with the next watch, entry by entry: a crash counted once more for each of them. Parts were adopted in the same way.

TestLeaderDoesNotAdoptItsOwnCounts failed before: "one crash and four entries: got [{0100... 58s 1m0s}] held and suspects [], want none held".

--- a/io/kwdirectcontrol/crashing_requests.go
+++ b/io/kwdirectcontrol/crashing_requests.go
@@ -34,9 +34,15 @@
 	return len(req.SoundRequests) > 0 || len(req.HeldRequests) > 0 || len(req.SuspectRequests) > 0
 }
 
+// fromEarlierLeader reports whether the view of an entry comes from an earlier leader. Without an epoch it comes from this one, or the
+// entry has none yet.
+func fromEarlierLeader(req kwdirectproto.Watch, epoch uint64) bool {
+	return req.Epoch != 0 && req.Epoch != epoch
+}
+
 // recordRequests takes over what an entry reports of requests. Those of its view are adopted only if that comes from an earlier leader.
 func (p *promptParts) recordRequests(now time.Time, r *kwquarantine.Registry, epoch uint64, req kwdirectproto.Watch) {
-	if req.Epoch != epoch {
+	if fromEarlierLeader(req, epoch) {
 		r.AdoptRequests(now, req.HeldRequests, req.SuspectRequests)
 	}
 	r.RecordSoundRequests(now, req.SoundRequests)
--- a/io/kwdirectcontrol/crashing_requests_test.go
+++ b/io/kwdirectcontrol/crashing_requests_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"reflect"
 	"testing"
 	"time"
 
@@ -123,6 +124,28 @@
 	}
 }
 
+// TestLeaderDoesNotAdoptItsOwnCounts guards against a crash that counts once for each entry: entries forget the epoch of their view when
+// the leader has gathered, but not the counts in it.
+func TestLeaderDoesNotAdoptItsOwnCounts(t *testing.T) {
+	f := newRequestsFixture()
+	digest := kwid.RequestDigest{1}
+	f.crash(1, "m", kwdirectproto.CrashedRequest{Request: "q", Digest: digest, Parts: []kwid.PromptPartID{"p"}})
+	for range 4 {
+		v := f.view(1)
+		f.parts.recordWatch(f.now, 1, kwdirectproto.Watch{HeldRequests: v.HeldRequests, SuspectRequests: v.SuspectRequests})
+		f.now = f.now.Add(time.Second)
+	}
+	want := []kwquarantine.SuspectRequest{{Digest: digest, Crashes: 1}}
+	if v := f.view(1); len(v.HeldRequests) != 0 || !reflect.DeepEqual(v.SuspectRequests, want) {
+		t.Errorf("one crash and four entries: got %v held and suspects %v, want none held and suspects %v", v.HeldRequests, v.SuspectRequests, want)
+	}
+	held := []kwquarantine.Quarantine{{Part: "p", Remaining: time.Minute}}
+	f.parts.recordWatch(f.now, 1, kwdirectproto.Watch{QuarantinedParts: held})
+	if got := f.view(1).QuarantinedParts; len(got) != 0 {
+		t.Errorf("after a watch without an epoch: got quarantined parts %v, want none", got)
+	}
+}
+
 // TestDecisionWakesWatches guards against a hold that entries learn of only with their next watch: each crash until then costs a server.
 func TestDecisionWakesWatches(t *testing.T) {
 	f := newRequestsFixture()
--- a/io/kwdirectcontrol/prompt_parts.go
+++ b/io/kwdirectcontrol/prompt_parts.go
@@ -44,7 +44,7 @@
 // since those of this one may have been lifted meanwhile.
 func (p *promptParts) recordWatch(now time.Time, epoch uint64, req kwdirectproto.Watch) {
 	r := p.at(epoch)
-	if req.Epoch != epoch {
+	if fromEarlierLeader(req, epoch) {
 		r.Adopt(now, req.QuarantinedParts)
 	}
 	p.recordRequests(now, r, epoch, req)
