Count a crash once when two leaders have a report of it

A leader that counts a crash and dies leaves its report to be sent again to the next one, which adopted the count and added the crash. Suspects in views and watches now name up to three of the processes that crashed, and a new leader merges by process, as entries do.

TestCrashThatTwoLeadersCountIsOne failed before: "held requests: got [b28f2f...], want []" after two crashes, and TestAdoptedCrashesAddUpByProcess: two crashes of different processes in two views counted as one.

--- a/core/kwmembership/leavers.go
+++ b/core/kwmembership/leavers.go
@@ -10,8 +10,8 @@
 
 // Process is one process of an endpoint.
 type Process struct {
-	Endpoint      kwid.EndpointID
-	StartedMillis StartMillis
+	Endpoint      kwid.EndpointID `cbor:"1,keyasint"`
+	StartedMillis StartMillis     `cbor:"2,keyasint"`
 }
 
 // Process returns the process that an announcement comes from.
--- a/core/kwquarantine/adopt.go
+++ b/core/kwquarantine/adopt.go
@@ -1,7 +1,10 @@
 package kwquarantine
 
 import (
+	"slices"
 	"time"
+
+	"knapweedproxy/core/kwmembership"
 )
 
 // Adopt takes over the quarantines that an entry holds from an earlier leader; of several terms the one that ends last counts. A
@@ -61,9 +64,46 @@
 			q = &requestState{}
 			r.requests[s.Digest] = q
 		}
-		if n := min(s.Crashes, r.cfg.MinCrashes); n > q.adopted {
-			q.adopted, q.adoptedAt = n, now
+		if q.adopt(s, r.cfg.MinCrashes) {
+			q.adoptedAt = now
 			r.newEvidence, r.requestsValid = true, false
 		}
 	}
 }
+
+// adopt takes over the crashes of a suspect that are not known yet, up to a limit, and reports whether there are any. Crashes without
+// a process may be the same as known ones.
+func (q *requestState) adopt(s SuspectRequest, limit int) bool {
+	before, n := q.adopted, s.Crashes
+	for _, process := range s.Processes[:min(len(s.Processes), maxSuspectProcesses)] {
+		switch {
+		case slices.ContainsFunc(q.crashes, func(c requestCrash) bool { return c.crash.id == process }):
+			n--
+		case !slices.Contains(q.adoptedFrom, process) && len(q.adoptedFrom) < limit:
+			q.adoptedFrom = append(q.adoptedFrom, process)
+		}
+	}
+	q.adopted = max(q.adopted, min(n, limit), len(q.adoptedFrom))
+	return q.adopted > before
+}
+
+// replaceAdopted stops counting the crash of a process as one of an earlier leader, since this one has a report of it.
+func (q *requestState) replaceAdopted(process kwmembership.Process) {
+	if i := slices.Index(q.adoptedFrom, process); i >= 0 {
+		q.adoptedFrom = slices.Delete(q.adoptedFrom, i, i+1)
+		q.adopted--
+	}
+}
+
+func (q *requestState) forgetAdopted() { q.adopted, q.adoptedFrom = 0, nil }
+
+// mergeSuspects returns the crashes of a request that two sources know.
+func mergeSuspects(a, b SuspectRequest) SuspectRequest {
+	processes := slices.Clone(a.Processes[:min(len(a.Processes), maxSuspectProcesses)])
+	for _, process := range b.Processes {
+		if len(processes) < maxSuspectProcesses && !slices.Contains(processes, process) {
+			processes = append(processes, process)
+		}
+	}
+	return SuspectRequest{Digest: a.Digest, Crashes: max(a.Crashes, b.Crashes, len(processes)), Processes: processes}
+}
--- a/core/kwquarantine/guard_requests.go
+++ b/core/kwquarantine/guard_requests.go
@@ -61,7 +61,7 @@
 	sounds  *list.List
 	soundOf map[kwid.RequestDigest]*list.Element
 
-	suspects map[kwid.RequestDigest]int
+	suspects map[kwid.RequestDigest]SuspectRequest
 	held     map[kwid.RequestDigest]heldUntil
 	// appliedAt is when the last view was applied.
 	appliedAt time.Time
@@ -77,7 +77,7 @@
 		logOf:      make(map[kwmembership.Process]*list.Element),
 		sounds:     list.New(),
 		soundOf:    make(map[kwid.RequestDigest]*list.Element),
-		suspects:   make(map[kwid.RequestDigest]int),
+		suspects:   make(map[kwid.RequestDigest]SuspectRequest),
 		held:       make(map[kwid.RequestDigest]heldUntil),
 		own:        NewRegistry(DefaultConfig()),
 	}
@@ -94,8 +94,8 @@
 		clear(q.held)
 	}
 	for _, s := range suspects {
-		if _, ok := q.suspects[s.Digest]; ok || len(q.suspects) < 2*maxRequestsInView {
-			q.suspects[s.Digest] = max(q.suspects[s.Digest], s.Crashes)
+		if old, ok := q.suspects[s.Digest]; ok || len(q.suspects) < 2*maxRequestsInView {
+			q.suspects[s.Digest] = mergeSuspects(s, old)
 		}
 	}
 	for _, h := range held {
@@ -152,7 +152,7 @@
 func (g *Guard) SuspectedRequest(digest kwid.RequestDigest) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.requests.suspects[digest] >= suspectCrashes || g.requests.own.crashesOf(digest) >= suspectCrashes
+	return g.requests.suspects[digest].Crashes >= suspectCrashes || g.requests.own.crashesOf(digest) >= suspectCrashes
 }
 
 // RecordAnswered records that a process answered a request completely. The answer is sound once the process has outlived it.
@@ -351,16 +351,11 @@
 func (g *Guard) SuspectRequests(now time.Time) []SuspectRequest {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	crashes := maps.Clone(g.requests.suspects)
+	merged := maps.Clone(g.requests.suspects)
 	if g.requests.cutOff(now) {
 		for _, s := range g.requests.own.SuspectRequests(now) {
-			crashes[s.Digest] = max(crashes[s.Digest], s.Crashes)
+			merged[s.Digest] = mergeSuspects(s, merged[s.Digest])
 		}
 	}
-	suspects := make([]SuspectRequest, 0, len(crashes))
-	for digest, n := range crashes {
-		suspects = append(suspects, SuspectRequest{Digest: digest, Crashes: n})
-	}
-	slices.SortFunc(suspects, func(a, b SuspectRequest) int { return compareDigests(a.Digest, b.Digest) })
-	return suspects
+	return slices.SortedFunc(maps.Values(merged), func(a, b SuspectRequest) int { return compareDigests(a.Digest, b.Digest) })
 }
--- a/core/kwquarantine/guard_requests_test.go
+++ b/core/kwquarantine/guard_requests_test.go
@@ -38,7 +38,7 @@
 func TestGuardAppliesHeldRequests(t *testing.T) {
 	g := NewGuard(DefaultGuardConfig())
 	held := []HeldRequest{{Digest: testDigest("bad"), Remaining: 10 * time.Second, Term: time.Minute}}
-	g.ApplyRequests(testStart, []SuspectRequest{{testDigest("twice"), 2}, {testDigest("once"), 1}}, held, false)
+	g.ApplyRequests(testStart, []SuspectRequest{{Digest: testDigest("twice"), Crashes: 2}, {Digest: testDigest("once"), Crashes: 1}}, held, false)
 	for name, want := range map[string]bool{"twice": true, "once": false, "other": false} {
 		if got := g.SuspectedRequest(testDigest(name)); got != want {
 			t.Errorf("%s suspected: got %t, want %t", name, got, want)
@@ -130,7 +130,7 @@
 	for _, name := range []string{"suspect", "held", "own", "other"} {
 		g.RecordAnswered(testStart, testProcess(1), testDigest(name))
 	}
-	g.ApplyRequests(testStart, []SuspectRequest{{testDigest("suspect"), 1}}, []HeldRequest{{Digest: testDigest("held")}}, false)
+	g.ApplyRequests(testStart, []SuspectRequest{{Digest: testDigest("suspect"), Crashes: 1}}, []HeldRequest{{Digest: testDigest("held")}}, false)
 	g.RecordCrashed(testStart, testProcess(2), digestsOf("own"))
 	for _, tt := range []struct {
 		after       time.Duration
--- a/core/kwquarantine/registry.go
+++ b/core/kwquarantine/registry.go
@@ -80,6 +80,8 @@
 	maxRequestCrashes  = 32768
 	// maxRequestsInView is the number of suspect requests in a view: those with the most crashes.
 	maxRequestsInView = 128
+	// maxSuspectProcesses is the number of crashed processes in a view for each suspect request.
+	maxSuspectProcesses = 3
 	// shareTime is the time about a crash in which a request has to be on one in minShare crashes, for the crash to count against it.
 	shareTime = 300 * time.Millisecond
 	minShare  = 3
--- a/core/kwquarantine/request_crashes.go
+++ b/core/kwquarantine/request_crashes.go
@@ -7,12 +7,15 @@
 	"time"
 
 	"knapweedproxy/core/kwid"
+	"knapweedproxy/core/kwmembership"
 )
 
 // SuspectRequest is a request under which processes have crashed since its last sound run.
 type SuspectRequest struct {
 	Digest  kwid.RequestDigest `cbor:"1,keyasint"`
 	Crashes int                `cbor:"2,keyasint"`
+	// Processes are some of those that crashed, at most maxSuspectProcesses; earlier versions name none.
+	Processes []kwmembership.Process `cbor:"3,keyasint,omitempty"`
 }
 
 // SoundRequest says how long ago a request was answered by a server that outlived the answer.
@@ -36,9 +39,11 @@
 	soundAt time.Time
 	// answeredAt is the last answer, sound or not yet confirmed.
 	answeredAt time.Time
-	// adopted is the number of crashes that an earlier leader counted; it was taken over at adoptedAt.
-	adopted   int
-	adoptedAt time.Time
+	// adopted is the number of crashes that an earlier leader counted and this one has no report of; it was taken over at adoptedAt.
+	// adoptedFrom are the processes of them that are known.
+	adopted     int
+	adoptedFrom []kwmembership.Process
+	adoptedAt   time.Time
 	// held is nil unless the request is held, since heldAt.
 	held   *quarantineState
 	heldAt time.Time
@@ -67,6 +72,17 @@
 	return n
 }
 
+// processes returns the processes of the unexplained crashes, the latest first, at most maxSuspectProcesses.
+func (q *requestState) processes() []kwmembership.Process {
+	var processes []kwmembership.Process
+	for _, c := range slices.Backward(q.crashes) {
+		if c.crash.heldBy == 0 && len(processes) < maxSuspectProcesses {
+			processes = append(processes, c.crash.id)
+		}
+	}
+	return append(processes, q.adoptedFrom[:min(len(q.adoptedFrom), maxSuspectProcesses-len(processes))]...)
+}
+
 // lastAt returns when the latest crash under a request was recorded.
 func (q *requestState) lastAt() time.Time {
 	if n := len(q.crashes); n > 0 {
@@ -110,6 +126,7 @@
 	if !crash.recordedAt.After(q.soundAt) || q.on(crash) {
 		return
 	}
+	q.replaceAdopted(crash.id)
 	q.crashes = append(q.crashes, requestCrash{crash: crash, recordedAt: now})
 	crash.digests[digest] = struct{}{}
 	// The answer may be the one that the server did not outlive.
@@ -191,7 +208,7 @@
 func (r *Registry) forgetRequests(now time.Time) {
 	for _, q := range r.requests {
 		if q.adopted > 0 && now.Sub(q.adoptedAt) > r.cfg.Memory {
-			q.adopted = 0
+			q.forgetAdopted()
 			r.requestsValid = false
 		}
 	}
@@ -235,7 +252,7 @@
 	}
 	r.newEvidence = true
 	if q.adopted > 0 && at.After(q.adoptedAt) {
-		q.adopted = 0
+		q.forgetAdopted()
 	}
 	r.removeCrashes(s.Digest, q, func(c *crashState) bool { return !c.recordedAt.After(at) })
 }
@@ -250,7 +267,7 @@
 		r.suspectRequests = r.suspectRequests[:0]
 		for digest, q := range r.requests {
 			if n := q.count(); n > 0 {
-				r.suspectRequests = append(r.suspectRequests, SuspectRequest{Digest: digest, Crashes: n})
+				r.suspectRequests = append(r.suspectRequests, SuspectRequest{Digest: digest, Crashes: n, Processes: q.processes()})
 			}
 		}
 		slices.SortFunc(r.suspectRequests, func(a, b SuspectRequest) int {
--- a/core/kwquarantine/request_terms.go
+++ b/core/kwquarantine/request_terms.go
@@ -70,7 +70,8 @@
 	}
 	q.contested = r.contested(q)
 	delete(r.requests, digest)
-	q.held, q.heldAt, q.adopted = held, now, 0
+	q.held, q.heldAt = held, now
+	q.forgetAdopted()
 	r.heldRequests[digest] = q
 	delete(r.releasedRequests, digest)
 	for _, c := range q.crashes {
--- a/core/kwquarantine/requests_test.go
+++ b/core/kwquarantine/requests_test.go
@@ -394,6 +394,55 @@
 	f.wantHeld("bad")
 }
 
+// TestCrashThatTwoLeadersCountIsOne lets the report of a crash reach the next leader too, before or after the entries' views do.
+func TestCrashThatTwoLeadersCountIsOne(t *testing.T) {
+	earlier := newFixtureWith(t, DefaultConfig())
+	earlier.crashesUnder(1, 2, "bad")
+	suspects := earlier.r.SuspectRequests(earlier.now)
+	for _, reportFirst := range []bool{false, true} {
+		f := newFixtureWith(t, DefaultConfig())
+		if reportFirst {
+			f.crashUnder(2, "bad")
+		}
+		f.r.AdoptRequests(f.now, nil, suspects)
+		f.r.AdoptRequests(f.now, nil, suspects)
+		f.advance(100 * time.Millisecond)
+		f.crashUnder(2, "bad")
+		f.settleRequests()
+		f.wantHeld()
+		if got := f.r.SuspectRequests(f.now); len(got) != 1 || got[0].Crashes != 2 {
+			t.Errorf("report first %v: got suspects %v, want one with 2 crashes", reportFirst, got)
+		}
+		f.crashUnder(3, "bad")
+		f.settleRequests()
+		f.wantHeld("bad")
+	}
+}
+
+// TestAdoptedCrashesAddUpByProcess lets entries hand over counts of different crashes, as one that was cut off from control does.
+func TestAdoptedCrashesAddUpByProcess(t *testing.T) {
+	var suspects []SuspectRequest
+	for i := range 2 {
+		earlier := newFixtureWith(t, DefaultConfig())
+		earlier.crashUnder(i, "bad")
+		suspects = append(suspects, earlier.r.SuspectRequests(earlier.now)...)
+	}
+	f := newFixtureWith(t, DefaultConfig())
+	g := NewGuard(DefaultGuardConfig())
+	for _, s := range suspects {
+		f.r.AdoptRequests(f.now, nil, []SuspectRequest{s})
+		g.ApplyRequests(f.now, []SuspectRequest{s}, nil, true)
+	}
+	for name, got := range map[string][]SuspectRequest{"leader": f.r.SuspectRequests(f.now), "entry": g.SuspectRequests(f.now)} {
+		if len(got) != 1 || got[0].Crashes != 2 || len(got[0].Processes) != 2 {
+			t.Errorf("%s: got suspects %v, want one with the crashes of 2 processes", name, got)
+		}
+	}
+	f.crashUnder(2, "bad")
+	f.settleRequests()
+	f.wantHeld("bad")
+}
+
 // TestAttackerDisplacesNoCrashingRequest lets tens of thousands of other bodies ride along on crashed servers, and others crash
 // one server each, between the crashes under one request.
 func TestAttackerDisplacesNoCrashingRequest(t *testing.T) {
--- a/io/kwdirectcontrol/crashing_requests_test.go
+++ b/io/kwdirectcontrol/crashing_requests_test.go
@@ -135,7 +135,8 @@
 		f.parts.recordWatch(f.now, 1, kwdirectproto.Watch{HeldRequests: v.HeldRequests, SuspectRequests: v.SuspectRequests})
 		f.now = f.now.Add(time.Second)
 	}
-	want := []kwquarantine.SuspectRequest{{Digest: digest, Crashes: 1}}
+	process := kwmembership.Process{Endpoint: "m", StartedMillis: 1}
+	want := []kwquarantine.SuspectRequest{{Digest: digest, Crashes: 1, Processes: []kwmembership.Process{process}}}
 	if v := f.view(1); len(v.HeldRequests) != 0 || !reflect.DeepEqual(v.SuspectRequests, want) {
 		t.Errorf("one crash and four entries: got %v held and suspects %v, want none held and suspects %v", v.HeldRequests, v.SuspectRequests, want)
 	}
