A planned stop is no evidence against the requests it ends

Streams that the end of the grace cuts off counted as crashed, and so did, in the entry's own registry, what the process had answered just before: a long stream that is resumed on servers that stop in turn was held. Processes that leave give no evidence, whether they said so in an answer or in the view, also after their row is gone; their answers are sound.

TestPlannedStopLeavesAnswersSound failed before: "got 1 reports with [{r 84e790...}], want none", "got no sound run of /lookups/x". The new case of TestSoundServersAreNotReported, a planned stop before the answers, failed with 5 crashes noted; its server now leaves while the requests are under way, since none were sent to one that had left before.

--- a/core/kwquarantine/guard_requests.go
+++ b/core/kwquarantine/guard_requests.go
@@ -253,6 +253,18 @@
 	return answeredBefore
 }
 
+// RecordStopped records that a process stopped as planned, so that its answers are sound.
+func (g *Guard) RecordStopped(process kwmembership.Process) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	q := &g.requests
+	if e, ok := q.logOf[process]; ok {
+		log := e.Value.(*answerLog)
+		q.confirm(log, log.lastAt)
+		q.forgetLog(e)
+	}
+}
+
 // removeAnswer removes the answer of a process that crashed from those of the other processes of its chain.
 func (q *requestGuard) removeAnswer(crashed answer) {
 	for e := q.answerLogs.Front(); e != nil; e = e.Next() {
--- a/io/kwdirectentry/crash_reports.go
+++ b/io/kwdirectentry/crash_reports.go
@@ -65,6 +65,11 @@
 
 // sendCrashReport reports the requests of a crash to the leader, together with those that the process answered just before it.
 func (g *Gateway) sendCrashReport(process kwmembership.Process, requests []kwdirectproto.CrashedRequest) {
+	if g.leaves(process) {
+		// It may have stopped as planned instead.
+		g.partGuard.RecordStopped(process)
+		return
+	}
 	requests = append(requests, g.answeredBeforeCrash(process, requests)...)
 	if len(requests) == 0 {
 		return
@@ -98,17 +103,13 @@
 	}
 }
 
-// answeredBeforeCrash returns the requests that a process answered just before its crash; one that leaves may have stopped instead, and
-// its answers are sound.
+// answeredBeforeCrash returns the requests that a process answered just before its crash.
 func (g *Gateway) answeredBeforeCrash(process kwmembership.Process, requests []kwdirectproto.CrashedRequest) []kwdirectproto.CrashedRequest {
 	digests := make([]kwid.RequestDigest, 0, len(requests))
 	for _, r := range requests {
 		digests = append(digests, r.Digest)
 	}
 	answered := g.partGuard.RecordCrashed(time.Now(), process, digests)
-	if g.leaves(process) {
-		return nil
-	}
 	var crashed []kwdirectproto.CrashedRequest
 	for _, digest := range answered[:min(len(answered), maxReportedRequests)] {
 		crashed = append(crashed, kwdirectproto.CrashedRequest{Digest: digest, SoundAge: g.partGuard.SoundAge(time.Now(), digest)})
@@ -128,10 +129,18 @@
 	}
 }
 
-// leaves reports whether a process drains before a planned stop.
+// leaves reports whether a process drains before a planned stop, or did so when a view last listed it.
 func (g *Gateway) leaves(process kwmembership.Process) bool {
-	row, known := g.view.Load().endpoints[process.Endpoint]
-	return g.scheduler.leavers.Leaving(process) || known && row.State == kwmembership.Leaving
+	return g.scheduler.leavers.Leaving(process) || g.scheduler.announcedLeavers.Leaving(process)
+}
+
+// recordLeavers remembers the processes that leave by a view.
+func (g *Gateway) recordLeavers(rows []kwmembership.RosterRow) {
+	for _, row := range rows {
+		if row.State == kwmembership.Leaving || row.Announcement.Leaving || row.ReportedLeaving {
+			g.scheduler.announcedLeavers.Record(time.Now(), row.Announcement.Process())
+		}
+	}
 }
 
 // checkLostEndpoint probes an endpoint that the leader takes for lost: only one that refuses connections has crashed.
--- a/io/kwdirectentry/held_requests.go
+++ b/io/kwdirectentry/held_requests.go
@@ -111,6 +111,7 @@
 func (g *Gateway) applyHeldRequests(reply kwdirectproto.View) {
 	g.partGuard.ApplyRequests(time.Now(), reply.SuspectRequests, reply.HeldRequests, reply.Gathering)
 	g.queuedRequests.wake(reply.HeldRequests)
+	g.recordLeavers(reply.Endpoints)
 	for _, row := range reply.Endpoints {
 		if row.State == kwmembership.Lost && !row.Announcement.Leaving && !row.ReportedLeaving {
 			g.goBackground(func() { g.checkLostEndpoint(row.Announcement) })
--- a/io/kwdirectentry/held_requests_test.go
+++ b/io/kwdirectentry/held_requests_test.go
@@ -411,9 +411,14 @@
 		{"silent server", false, func(_ *crashingServer, _ net.Conn, _ string) { time.Sleep(3 * time.Second) }},
 		{"server that closes its connections", false, func(_ *crashingServer, _ net.Conn, _ string) {}},
 		{"server that stops as planned after its answers", true, func(s *crashingServer, c net.Conn, id string) {
+			time.Sleep(300 * time.Millisecond)
 			answerOK(s, c, id)
 			s.crash()
 		}},
+		{"server that stops as planned before its answers", true, func(s *crashingServer, _ net.Conn, _ string) {
+			time.Sleep(300 * time.Millisecond)
+			s.crash()
+		}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -423,13 +428,14 @@
 			control := startControlStub(t, g, 0)
 			server := startServer(t, c.handle)
 			setRecordsServers(g, server.announcement("a"))
-			if c.leaving {
-				g.scheduler.leavers.Record(time.Now(), kwmembership.Process{Endpoint: "a"})
-			}
 			var calls sync.WaitGroup
 			for i := range 5 {
 				calls.Go(func() { post(t, http.DefaultClient, g, fmt.Sprint("/lookups/", i), fmt.Sprint("r", i)) })
 			}
+			if c.leaving {
+				awaitTrue(t, "requests at the server", func() bool { return server.arrived.Load() == 5 })
+				g.scheduler.leavers.Record(time.Now(), kwmembership.Process{Endpoint: "a"})
+			}
 			calls.Wait()
 			if c.leaving {
 				g.noteRefusal("a", syscall.ECONNREFUSED)
@@ -444,3 +450,36 @@
 		})
 	}
 }
+
+// TestPlannedStopLeavesAnswersSound lets a process that has said that it leaves stop, also after its row has left the view.
+func TestPlannedStopLeavesAnswersSound(t *testing.T) {
+	for _, inView := range []bool{true, false} {
+		g := newTestGateway(t, "127.0.0.1:1", "127.0.0.1:1")
+		control := startControlStub(t, g, 0)
+		row := kwmembership.RosterRow{State: kwmembership.Leaving, Announcement: kwmembership.Announcement{ID: "a", StartedMillis: 7}}
+		process := row.Announcement.Process()
+		g.applyHeldRequests(kwdirectproto.View{Endpoints: []kwmembership.RosterRow{row}})
+		v := *g.view.Load()
+		v.endpoints = map[kwid.EndpointID]kwmembership.RosterRow{}
+		if inView {
+			v.endpoints["a"] = row
+		}
+		g.view.Store(&v)
+		for _, path := range []string{"/lookups/x", "/lookups/y"} {
+			g.partGuard.RecordAnswered(time.Now(), process, digestOf(path))
+		}
+		g.reportCrash(process, kwdirectproto.CrashedRequest{Request: "r", Digest: digestOf("/lookups/z")})
+		g.Stop()
+		if n, requests := control.reported("a"); n != 0 {
+			t.Errorf("in view %v: got %d reports with %v, want none", inView, n, requests)
+		}
+		for _, path := range []string{"/lookups/x", "/lookups/y"} {
+			if g.partGuard.SoundAge(time.Now(), digestOf(path)) == 0 {
+				t.Errorf("in view %v: got no sound run of %s, want its answer confirmed", inView, path)
+			}
+		}
+		if got := g.partGuard.SuspectRequests(time.Now().Add(time.Minute)); len(got) != 0 {
+			t.Errorf("in view %v: got suspects %v in the entry's own sight, want none", inView, got)
+		}
+	}
+}
--- a/io/kwdirectentry/quarantine.go
+++ b/io/kwdirectentry/quarantine.go
@@ -96,6 +96,10 @@
 	if !g.crashLog.crashed(process, refuses) {
 		return
 	}
+	if g.leaves(process) {
+		g.reportCrash(process)
+		return
+	}
 	q.ownCrashes++
 	if len(parts) > 0 {
 		q.crashes++
--- a/io/kwdirectentry/scheduler.go
+++ b/io/kwdirectentry/scheduler.go
@@ -29,6 +29,8 @@
 	byAddress        map[string]kwid.EndpointID
 	ejector          *kwretry.Ejector
 	leavers          *kwmembership.Leavers
+	// announcedLeavers remembers the processes that leave by a view, until long after their stop.
+	announcedLeavers *kwmembership.Leavers
 	pauses           *kwretry.Pauses
 	wakeups          map[*kwqueue.Waiter]chan struct{}
 	// stallQueries and probes limit how often an endpoint is queried for stalled requests and probed.
@@ -60,6 +62,7 @@
 		reportedInFlight: make(map[kwid.EndpointID]int),
 		ejector:          ejector,
 		leavers:          leavers,
+		announcedLeavers: kwmembership.NewLeavers(),
 		pauses:           pauses,
 		wakeups:          make(map[*kwqueue.Waiter]chan struct{}),
 		stallQueries:     newEndpointLimiter(faultCheckInterval),
@@ -79,6 +82,7 @@
 		processes[id] = row.Announcement.StartedMillis
 	}
 	s.leavers.SetProcesses(time.Now(), processes)
+	s.announcedLeavers.SetProcesses(time.Now(), processes)
 	known := func(id kwid.EndpointID) bool { _, ok := v.endpoints[id]; return ok }
 	s.dispatcher.Retain(known)
 	s.stallQueries.retain(known)
