Record crashes and answers of the process that served

The process was read from the view when the crash or the end of the answer was noticed, by which time the view may list the next process of the endpoint or none. Calls use the endpoint that they were sent to, streams the processes of their chain at the begin of the attempt.

--- a/io/kwdirectentry/held_requests.go
+++ b/io/kwdirectentry/held_requests.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"knapweedproxy/core/kwchainsearch"
 	"knapweedproxy/core/kwcode"
 	"knapweedproxy/core/kwid"
 	"knapweedproxy/core/kwmembership"
@@ -54,10 +53,10 @@
 	return g.leader.Call(ctx, kwdirectproto.KindQuarantineTrial, req, nil, 0) == nil
 }
 
-// recordAnswered records that a chain has answered a request in full.
-func (g *Gateway) recordAnswered(q *request, chain kwchainsearch.Chain) {
-	for _, stage := range chain.Stages {
-		g.partGuard.RecordAnswered(time.Now(), g.processOf(q, stage.Endpoint), q.digest)
+// recordAnswered records that the chain of the current attempt has answered a stream in full.
+func (g *Gateway) recordAnswered(s *streamState) {
+	for _, process := range s.processes {
+		g.partGuard.RecordAnswered(time.Now(), process, s.q.digest)
 	}
 }
 
--- a/io/kwdirectentry/held_requests_test.go
+++ b/io/kwdirectentry/held_requests_test.go
@@ -483,3 +483,52 @@
 		}
 	}
 }
+
+// TestCrashIsOfTheProcessThatServed lets the view list the next process of an endpoint, or none, before the crash or the end of the
+// answer is noticed.
+func TestCrashIsOfTheProcessThatServed(t *testing.T) {
+	for _, path := range []string{"/lookups/x", "/alerts/x", "/notes/x"} {
+		for _, replaced := range []bool{true, false} {
+			for _, answers := range []bool{true, false} {
+				if answers && path != "/notes/x" {
+					continue
+				}
+				t.Run(fmt.Sprint(path, " replaced ", replaced, " answers ", answers), func(t *testing.T) {
+					g := newTestGateway(t, "127.0.0.1:1", "127.0.0.1:1")
+					control := startControlStub(t, g, 0)
+					set := setRecordsServers
+					if path == "/notes/x" {
+						set = setModelServers
+					}
+					server := startServer(t, func(s *crashingServer, c net.Conn, id string) {
+						if next := s.announcement("a"); replaced {
+							next.StartedMillis = 2
+							set(g, next)
+						} else {
+							set(g)
+						}
+						if answers {
+							_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id)
+							writeEvent(c, 1)
+							_, _ = io.WriteString(c, "0\r\n\r\n")
+						}
+						s.crash()
+					})
+					a := server.announcement("a")
+					a.StartedMillis = 1
+					set(g, a)
+					post(t, http.DefaultClient, g, path, "r")
+					if answers {
+						g.reportCrash(a.Process())
+					}
+					g.Stop()
+					control.mu.Lock()
+					defer control.mu.Unlock()
+					if len(control.reports) != 1 || control.reports[0].StartedMillis != 1 {
+						t.Errorf("got reports %+v, want one of the process that started at 1", control.reports)
+					}
+				})
+			}
+		}
+	}
+}
--- a/io/kwdirectentry/quarantine.go
+++ b/io/kwdirectentry/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -87,11 +88,10 @@
 
 // checkForCrash probes an endpoint that was to answer a request and broke it off. If it has crashed, the request is reported to
 // the leader as evidence against its repeats, and against these parts of its prompt.
-func (g *Gateway) checkForCrash(q *request, id kwid.EndpointID, address string, parts []kwid.PromptPartID) {
+func (g *Gateway) checkForCrash(q *request, process kwmembership.Process, address string, parts []kwid.PromptPartID) {
 	if q.stopped() {
 		return
 	}
-	process := g.processOf(q, id)
 	refuses := func() bool { return kwupstream.Probe(g.ctx, address) == kwchainsearch.Refused }
 	if !g.crashLog.crashed(process, refuses) {
 		return
@@ -104,20 +104,33 @@
 	if len(parts) > 0 {
 		q.crashes++
 	}
-	g.deps.Events.Emit(kwevent.RequestCrashed, q.meta.ID, kwevent.F("endpoint", id), kwevent.F("address", address),
+	g.deps.Events.Emit(kwevent.RequestCrashed, q.meta.ID, kwevent.F("endpoint", process.Endpoint), kwevent.F("address", address),
 		kwevent.F("born", process.StartedMillis), kwevent.F("digest", q.digest.String()), kwevent.F("parts", parts))
 	g.reportCrash(process, kwdirectproto.CrashedRequest{
 		Request: q.meta.ID, Digest: q.digest, Parts: parts, SoundAge: g.partGuard.SoundAge(time.Now(), q.digest),
 	})
 }
 
-// processOf returns the process of an endpoint that served a request, also if the endpoint has left the view since.
-func (g *Gateway) processOf(q *request, id kwid.EndpointID) kwmembership.Process {
-	row, known := g.view.Load().endpoints[id]
-	if !known {
-		row = q.view.endpoints[id]
+// processesOf returns the present processes of a chain, in the order of its stages; of an endpoint that has left the view, the one that
+// the chain was chosen by.
+func (g *Gateway) processesOf(q *request, chain kwchainsearch.Chain) []kwmembership.Process {
+	processes := make([]kwmembership.Process, 0, len(chain.Stages))
+	for _, stage := range chain.Stages {
+		process, known := g.scheduler.leavers.Process(stage.Endpoint)
+		if !known {
+			process.StartedMillis = q.view.endpoints[stage.Endpoint].Announcement.StartedMillis
+		}
+		processes = append(processes, process)
+	}
+	return processes
+}
+
+// process returns the process of an endpoint in the chain of the current attempt.
+func (s *streamState) process(id kwid.EndpointID) kwmembership.Process {
+	if i := slices.IndexFunc(s.processes, func(p kwmembership.Process) bool { return p.Endpoint == id }); i >= 0 {
+		return s.processes[i]
 	}
-	return kwmembership.Process{Endpoint: id, StartedMillis: row.Announcement.StartedMillis}
+	return kwmembership.Process{Endpoint: id}
 }
 
 // mayCrashAgain reports whether a request is likely to crash the next server too: a server has crashed under it, and the request or one
--- a/io/kwdirectentry/stream.go
+++ b/io/kwdirectentry/stream.go
@@ -14,6 +14,7 @@
 	"knapweedproxy/core/kwcode"
 	"knapweedproxy/core/kwdispatch"
 	"knapweedproxy/core/kwid"
+	"knapweedproxy/core/kwmembership"
 	"knapweedproxy/io/kwevent"
 	"knapweedproxy/io/kwupstream"
 )
@@ -31,6 +32,8 @@
 	reads int
 	// sound means that a server has gone on with the answer after its beginning.
 	sound bool
+	// processes are those of the chain of the current attempt, as of its begin.
+	processes []kwmembership.Process
 	// watched is the current attempt.
 	watched *watchedStream
 	// attemptFirstEvent is when the current attempt delivered its first event.
@@ -160,7 +163,8 @@
 	q := s.q
 	first := chain.First()
 	begin := time.Now()
-	process, _ := g.scheduler.leavers.Process(first.Endpoint)
+	s.processes = g.processesOf(q, chain)
+	process := s.process(first.Endpoint)
 	defer g.scheduler.release(chain, s.size.TotalTokens)
 	patience := g.scheduler.firstEventPatience(ctx, s.chainRequest(g), chain)
 	firstWait := g.startFirstEventWait(first.Endpoint, begin)
@@ -333,7 +337,7 @@
 // finishComplete ends a stream that the caller has received in full.
 func (g *Gateway) finishComplete(s *streamState, chain kwchainsearch.Chain) {
 	g.recordSoundStream(s)
-	g.recordAnswered(s.q, chain)
+	g.recordAnswered(s)
 	g.scheduler.recordSuccess(chain)
 	s.observeAnswer(g, chain)
 	g.metrics.served.Inc(1)
--- a/io/kwdirectentry/stream_failure.go
+++ b/io/kwdirectentry/stream_failure.go
@@ -41,7 +41,7 @@
 	if !s.sound {
 		parts = s.q.guardedParts()
 	}
-	g.checkForCrash(s.q, id, address, parts)
+	g.checkForCrash(s.q, s.process(id), address, parts)
 }
 
 // handleErrorResponse handles a response with a status other than 200; complete means that its body was read to the
--- a/io/kwdirectentry/unary.go
+++ b/io/kwdirectentry/unary.go
@@ -178,7 +178,7 @@
 		if res.Sent {
 			attempts.mayHaveRun++
 			if connectionDropped(res.Err) {
-				g.checkForCrash(q, endpoint.ID, endpoint.Address, q.guardedParts())
+				g.checkForCrash(q, endpoint.Process(), endpoint.Address, q.guardedParts())
 			}
 		} else {
 			g.noteRefusal(endpoint.ID, res.Err)
