--- a/io/kwdirectentry/held_requests.go
+++ b/io/kwdirectentry/held_requests.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"knapweedproxy/core/kwchainsearch"
 	"knapweedproxy/core/kwcode"
 	"knapweedproxy/core/kwid"
 	"knapweedproxy/core/kwmembership"
@@ -58,10 +57,10 @@
 	return g.leader.Call(ctx, kwdirectproto.KindQuarantineTrial, req, nil, 0) == nil
 }
 
-// recordAnswered records that a chain has answered a request in full.
-func (g *Gateway) recordAnswered(q *request, chain kwchainsearch.Chain) {
-	for _, stage := range chain.Stages {
-		g.partGuard.RecordAnswered(time.Now(), g.processOf(q, stage.Endpoint), q.digest)
+// recordAnswered records that the chain of the current attempt has answered a stream in full.
+func (g *Gateway) recordAnswered(s *streamState) {
+	for _, process := range s.processes {
+		g.partGuard.RecordAnswered(time.Now(), process, s.q.digest)
 	}
 }
 
@@ -115,6 +114,7 @@
 func (g *Gateway) applyHeldRequests(reply kwdirectproto.View) {
 	g.partGuard.ApplyRequests(time.Now(), reply.SuspectRequests, reply.HeldRequests, reply.Gathering)
 	g.queuedRequests.wake(reply.HeldRequests)
+	g.recordLeavers(reply.Endpoints)
 	for _, row := range reply.Endpoints {
 		if row.State == kwmembership.Lost && !row.Announcement.Leaving && !row.ReportedLeaving {
 			g.goBackground(func() { g.checkLostEndpoint(row.Announcement) })
