--- a/io/kwdirectentry/gateway.go
+++ b/io/kwdirectentry/gateway.go
@@ -31,17 +31,16 @@
 	partGuard     *kwquarantine.Guard
 	crashLog      *crashLog
 	crashReports  crashReports
-	// queuedRequests are the streams that wait for a chain.
-	queuedRequests queuedRequests
-	upstreamPool   *kwupstream.Pool
-	controlPool    *kwtcprpc.Pool
-	leader         *kwtcprpc.LeaderClient
-	listener       net.Listener
-	readyListener  net.Listener
-	server         *http.Server
-	readyServer    *http.Server
-	metrics        gatewayMetrics
-	viewChanged    notifier
+	queued        queuedRequests
+	upstreamPool  *kwupstream.Pool
+	controlPool   *kwtcprpc.Pool
+	leader        *kwtcprpc.LeaderClient
+	listener      net.Listener
+	readyListener net.Listener
+	server        *http.Server
+	readyServer   *http.Server
+	metrics       gatewayMetrics
+	viewChanged   notifier
 	// needsWholeDeclaration is set after a delta could not be applied; only watchControl uses it.
 	needsWholeDeclaration bool
 	started               time.Time
--- a/io/kwdirectentry/held_requests.go
+++ b/io/kwdirectentry/held_requests.go
@@ -64,7 +64,7 @@
 // errHeld is the cause with which the wait of a request in the queue ends when the request is kept from servers.
 var errHeld = errors.New("servers crash under this request")
 
-// queuedRequests holds the requests that wait for a chain, so that their wait ends when they are kept from servers. It is safe for
+// queuedRequests holds the streams that wait for a chain, so that their wait ends when they are kept from servers. It is safe for
 // concurrent use.
 type queuedRequests struct {
 	mu      sync.Mutex
@@ -110,7 +110,7 @@
 // lost: this entry may have served requests on them just before.
 func (g *Gateway) applyHeldRequests(reply kwdirectproto.View) {
 	g.partGuard.ApplyRequests(time.Now(), reply.SuspectRequests, reply.HeldRequests, reply.Gathering)
-	g.queuedRequests.wake(reply.HeldRequests)
+	g.queued.wake(reply.HeldRequests)
 	for _, row := range reply.Endpoints {
 		if row.State == kwmembership.Lost && !row.Announcement.Leaving && !row.ReportedLeaving {
 			g.goBackground(func() { g.checkLostEndpoint(row.Announcement) })
--- a/io/kwdirectentry/stream.go
+++ b/io/kwdirectentry/stream.go
@@ -61,7 +61,7 @@
 			s.recordNoChain(err)
 			break
 		}
-		queueCtx, leaveQueue := g.queuedRequests.enter(ctx, q)
+		queueCtx, leaveQueue := g.queued.enter(ctx, q)
 		chain, waited, err := g.scheduler.acquireChain(queueCtx, s.chainRequest(g))
 		heldInQueue := errors.Is(context.Cause(queueCtx), errHeld)
 		leaveQueue()
