--- a/io/kwdirectentry/stream.go
+++ b/io/kwdirectentry/stream.go
@@ -103,7 +103,7 @@
 			s.recordNoChain(err)
 			return kwchainsearch.Chain{}, false
 		}
-		queueCtx, leaveQueue := g.queuedRequests.enter(ctx, q)
+		queueCtx, leaveQueue := g.queued.enter(ctx, q)
 		chain, waited, err := g.scheduler.acquireChain(queueCtx, s.chainRequest(g))
 		heldInQueue := errors.Is(context.Cause(queueCtx), errHeld)
 		leaveQueue()
