A hand-over leaves a granted move alone and releases what it reserved

A stream for which another chain had been granted was handed over besides, at the price of a second retry. And the size of a hand-over, which is larger for a stream longer than estimated, replaced that of the present chains at once, so that these freed room of other requests. The size is now kept beside the reserved chain.

Failed before: the case of TestHandOverLimits with another chain granted, with a hand-over; TestHandOverReleasesWhatItReserved with a load of 5600 layer tokens left, want 7200.

--- a/io/kwdirectentry/handover.go
+++ b/io/kwdirectentry/handover.go
@@ -25,7 +25,7 @@
 	events := q.events - eventsBefore
 	attempts := s.attempts.count(q)
 	attempts.InProgress = 1
-	if events < minPacedEvents || s.lastEventID == "" || !attempts.MayAdd() {
+	if events < minPacedEvents || s.lastEventID == "" || !attempts.MayAdd() || g.activeStreams.replaced(s.watched) {
 		return false
 	}
 	// A trial of a part is made on one chain only.
@@ -48,8 +48,7 @@
 		g.scheduler.release(next, req.size.TotalTokens)
 		return false
 	}
-	s.size = req.size
-	s.reserved = &next
+	s.reserved = &reservedChain{next, req.size}
 	s.attempts.mayHaveRun++
 	s.attempts.lastErr = kwcode.New(kwcode.StreamCut, "chain %s: too slow for the stream to end before the entry stops", formatChain(chain))
 	q.broken = true
@@ -61,6 +60,12 @@
 	return true
 }
 
+// reservedChain is a chain that is reserved for a stream, with the size that it is reserved for.
+type reservedChain struct {
+	chain kwchainsearch.Chain
+	size  kwchainsearch.RequestSize
+}
+
 // releaseReserved frees the chain of a stream whose caller has left as it was handed over.
 func (g *Gateway) releaseReserved(s *streamState) {
 	if chain, ok := s.takeReserved(); ok {
@@ -68,11 +73,12 @@
 	}
 }
 
-// takeReserved returns the chain that was reserved for the next attempt, if any.
+// takeReserved returns the chain that was reserved for the next attempt, if any, and makes its size that of the stream.
 func (s *streamState) takeReserved() (chain kwchainsearch.Chain, ok bool) {
 	if s.reserved == nil {
 		return kwchainsearch.Chain{}, false
 	}
-	chain, s.reserved = *s.reserved, nil
+	chain, s.size = s.reserved.chain, s.reserved.size
+	s.reserved = nil
 	return chain, true
 }
--- a/io/kwdirectentry/handover_test.go
+++ b/io/kwdirectentry/handover_test.go
@@ -163,6 +163,7 @@
 	}{
 		{"slow stream", func(*Gateway, *streamState) {}, true},
 		{"all attempts sent", func(_ *Gateway, s *streamState) { s.q.sends = s.q.route.MaxAttempts + extraAttempts }, false},
+		{"another chain granted", func(_ *Gateway, s *streamState) { s.watched.replacement = &kwchainsearch.Chain{} }, false},
 	}
 	for _, c := range cases {
 		g, s, chain := newSlowStream(t)
@@ -173,6 +174,27 @@
 	}
 }
 
+// TestHandOverReleasesWhatItReserved hands over a stream that is longer than estimated, so that it needs more room on the next chain
+// than on the present one.
+func TestHandOverReleasesWhatItReserved(t *testing.T) {
+	g, s, chain := newSlowStream(t)
+	id := chain.First().Endpoint
+	want := g.scheduler.dispatcher.Loads().Own()[id]
+	// Another request beside the stream.
+	g.scheduler.dispatcher.Loads().Reserve(chain, s.size.TotalTokens)
+	s.q.events = 2 * s.q.answerTokens()
+	s.attemptFirstEvent = time.Now().Add(-time.Minute)
+	if !g.handOver(t.Context(), s, chain, 0) {
+		t.Fatal("got no hand-over, want one")
+	}
+	g.scheduler.release(chain, s.size.TotalTokens)
+	g.releaseReserved(s)
+	own := g.scheduler.dispatcher.Loads().Own()
+	if got := own[id]; got != want || len(own) != 1 {
+		t.Errorf("got load %v of the first endpoint of %d, want %v of 1", got, len(own), want)
+	}
+}
+
 // TestStoppingEntryHandsOverSlowStream has a stream run so slowly that the drain would end it. It must go on on another chain and
 // reach its caller whole, if the route allows that and the retry budget has room.
 func TestStoppingEntryHandsOverSlowStream(t *testing.T) {
--- a/io/kwdirectentry/stream.go
+++ b/io/kwdirectentry/stream.go
@@ -36,7 +36,7 @@
 	// attemptFirstEvent is when the current attempt delivered its first event.
 	attemptFirstEvent time.Time
 	// reserved is the chain of the next attempt of a stream that is handed over.
-	reserved *kwchainsearch.Chain
+	reserved *reservedChain
 	// nextHandOverCheck is when the stream is next checked for a hand-over.
 	nextHandOverCheck time.Time
 }
--- a/io/kwdirectentry/stream_watch.go
+++ b/io/kwdirectentry/stream_watch.go
@@ -195,6 +195,13 @@
 	return w.blamed
 }
 
+// replaced reports whether another chain has been granted for the next attempt.
+func (a *activeStreams) replaced(w *watchedStream) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return w.replacement != nil
+}
+
 // takeReplacement returns the chain that has been granted for the next attempt, nil if there is none.
 func (a *activeStreams) takeReplacement(w *watchedStream) *kwchainsearch.Chain {
 	if w == nil {
