A stream that was handed over does not return to its first server

The first endpoint of the chain that it has left may still be at work on it, but later attempts could choose it.

TestHandOverLimits failed before: the first endpoint of a stream that was handed over was not excluded.

--- a/io/kwdirectentry/handover.go
+++ b/io/kwdirectentry/handover.go
@@ -50,6 +50,8 @@
 	}
 	s.reserved = &reservedChain{next, req.size}
 	s.attempts.mayHaveRun++
+	// It may still be at work on the stream.
+	s.attempts.exclude[chain.First().Endpoint] = true
 	s.attempts.lastErr = kwcode.New(kwcode.StreamCut, "chain %s: too slow for the stream to end before the entry stops", formatChain(chain))
 	q.broken = true
 	q.resumptions++
--- a/io/kwdirectentry/handover_test.go
+++ b/io/kwdirectentry/handover_test.go
@@ -171,6 +171,9 @@
 		if got := g.handOver(t.Context(), s, chain, 0); got != c.want {
 			t.Errorf("%s: got hand-over %t, want %t", c.name, got, c.want)
 		}
+		if got := s.attempts.exclude[chain.First().Endpoint]; got != c.want {
+			t.Errorf("%s: got the first endpoint excluded %t, want %t", c.name, got, c.want)
+		}
 	}
 }
 
