The silence of a chain does not count as slowness in a hand-over

A chain that was silent for once and is fast otherwise was left at the price of a retry. The longest pause of the attempt no longer counts in its time per token.

TestSilenceIsNoSlowness failed with a hand-over, want none, while the pause was not subtracted.

--- a/io/kwdirectentry/handover.go
+++ b/io/kwdirectentry/handover.go
@@ -38,7 +38,8 @@
 	req.size.TotalTokens = max(req.size.TotalTokens, req.size.PromptTokens)
 	progress := kwdispatch.Progress{
 		EstimatedTokens: q.answerTokens(), MaxTokens: q.meta.MaxAnswerTokens, Tokens: delivered,
-		TokenTime: q.lastEventAt.Sub(s.attemptFirstEvent) / time.Duration((events-1)*tokensPerEvent(q)),
+		// A chain that was silent for once may be fast again, so the longest pause does not count.
+		TokenTime: (q.lastEventAt.Sub(s.attemptFirstEvent) - s.attemptPause) / time.Duration((events-2)*tokensPerEvent(q)),
 	}
 	next, ok := g.scheduler.handOver(ctx, req, chain, progress)
 	if !ok {
--- a/io/kwdirectentry/handover_test.go
+++ b/io/kwdirectentry/handover_test.go
@@ -154,6 +154,27 @@
 	return g, s, chain
 }
 
+// TestSilenceIsNoSlowness guards against a hand-over of a stream whose chain was silent for once and is fast otherwise.
+func TestSilenceIsNoSlowness(t *testing.T) {
+	const events, interval, silence = 20, time.Millisecond, 600 * time.Millisecond
+	g, s, chain := newSlowStream(t)
+	q := s.q
+	s.reads, q.events = 0, 0
+	at := time.Now().Add(-silence - events*interval)
+	for event := range events {
+		if at = at.Add(interval); event == events/2 {
+			at = at.Add(silence)
+		}
+		s.recordRead(at)
+		q.recordEvent(at)
+		s.reads++
+		q.events++
+	}
+	if g.handOver(t.Context(), s, chain, 0) {
+		t.Errorf("got a hand-over of a stream with events each %v but for a silence of %v, want none", interval, silence)
+	}
+}
+
 // TestHandOverLimits checks which streams are not handed over although they may not end in time.
 func TestHandOverLimits(t *testing.T) {
 	cases := []struct {
--- a/io/kwdirectentry/stream.go
+++ b/io/kwdirectentry/stream.go
@@ -35,6 +35,8 @@
 	watched *watchedStream
 	// attemptFirstEvent is when the current attempt delivered its first event.
 	attemptFirstEvent time.Time
+	// attemptPause is the longest time between two reads in the current attempt.
+	attemptPause time.Duration
 	// reserved is the chain of the next attempt of a stream that is handed over.
 	reserved *reservedChain
 	// nextHandOverCheck is when the stream is next checked for a hand-over.
@@ -307,10 +309,8 @@
 			g.abortUndelivered(q)
 		}
 		now := time.Now()
+		s.recordRead(now)
 		q.recordEvent(now)
-		if s.reads == 0 {
-			s.attemptFirstEvent = now
-		}
 		if s.reads++; s.reads == soundReads {
 			g.recordSoundStream(s)
 		}
@@ -329,6 +329,15 @@
 	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 }
 
+// recordRead updates the times of the current attempt before the next read is counted.
+func (s *streamState) recordRead(now time.Time) {
+	if s.reads == 0 {
+		s.attemptFirstEvent, s.attemptPause = now, 0
+		return
+	}
+	s.attemptPause = max(s.attemptPause, now.Sub(s.q.lastEventAt))
+}
+
 // recordEvent updates the longest pause between two events that the caller received, over all attempts.
 func (q *request) recordEvent(now time.Time) {
 	if !q.lastEventAt.IsZero() {
