A request that may crash its server is not hedged

The trial of a held request or of a quarantined part, and a suspect that has crashed a server, were sent to a second server beside the first.

TestTrialIsNotHedged failed before with 1 request at the other server, want none.

--- a/io/kwdirectentry/hedge_test.go
+++ b/io/kwdirectentry/hedge_test.go
@@ -80,3 +80,46 @@
 		t.Errorf("got %d requests in flight, want none", got)
 	}
 }
+
+// TestHedgeLimits checks which requests are not hedged.
+func TestHedgeLimits(t *testing.T) {
+	cases := []struct {
+		name string
+		set  func(q *request)
+		want bool
+	}{
+		{"plain request", func(*request) {}, true},
+		{"one attempt allowed", func(q *request) { q.route = &kwdeclaration.Route{Kind: kwdeclaration.Idempotent, MaxAttempts: 1} }, false},
+		{"suspect that has crashed a server", func(q *request) { q.ownCrashes, q.suspectRequest = 1, true }, false},
+		{"no suspect, but has crashed a server", func(q *request) { q.ownCrashes = 1 }, true},
+		{"trial of a part", func(q *request) { q.trial = true }, false},
+		{"trial of a request", func(q *request) { q.requestTrial = true }, false},
+	}
+	for _, c := range cases {
+		q := &request{sends: 1, route: &kwdeclaration.Route{Kind: kwdeclaration.Idempotent, MaxAttempts: 2}}
+		c.set(q)
+		u := &unaryState{q: q, inProgress: 1}
+		if got := u.mayHedge(); got != c.want {
+			t.Errorf("%s: got %t, want %t", c.name, got, c.want)
+		}
+	}
+}
+
+// TestTrialIsNotHedged has the server of a trial hang. The request must reach no other one.
+func TestTrialIsNotHedged(t *testing.T) {
+	t.Parallel()
+	var hung, other atomic.Int32
+	g := newTestGateway(t, "127.0.0.1:1", "127.0.0.1:1")
+	startControlStub(t, g, 1)
+	setServers(g, nil, []string{serveHung(t, &hung), serveRaw(t, func(w io.Writer, id string) bool {
+		other.Add(1)
+		return answerPlain(w, id)
+	})})
+	setRoutes(g, func(r *kwdeclaration.Route) { r.Timeout = time.Second })
+	preferFirst(g)
+	hold(g, "/lookups/x", 0)
+	if status, body := post(t, http.DefaultClient, g, "/lookups/x", "q"); status == http.StatusOK || other.Load() != 0 || hung.Load() != 1 {
+		t.Errorf("got %d %q, %d requests at the hung server and %d at the other one, want a failure, 1 and none",
+			status, body, hung.Load(), other.Load())
+	}
+}
--- a/io/kwdirectentry/unary.go
+++ b/io/kwdirectentry/unary.go
@@ -147,7 +147,7 @@
 		select {
 		case <-hedge.C:
 			g.ejectSilent(u)
-			if u.count().MayAdd() && g.startUnary(ctx, u) {
+			if u.mayHedge() && g.startUnary(ctx, u) {
 				g.metrics.hedged.Inc(1)
 			}
 			hedge.Reset(max(kwretry.HedgeDelay(q.remaining()), minHedgeDelay))
@@ -172,6 +172,13 @@
 	}
 }
 
+// mayHedge reports whether an attempt may be added beside those in progress. A request that may crash its server is sent to one at a
+// time.
+func (u *unaryState) mayHedge() bool {
+	q := u.q
+	return u.count().MayAdd() && !q.mayCrashAgain() && !q.trial && !q.requestTrial
+}
+
 // ejectSilent ejects the endpoints of the attempts in progress. If a hedged request is answered first, nobody learns how the others
 // end, and each later request would be sent to the silent endpoint again.
 func (g *Gateway) ejectSilent(u *unaryState) {
