The hedge timer holds up no result of a request

When it fired, the entry asked the leader for a trial of a held request or for a retry loan, up to 300 ms during which it read no result, and logged each time that the request was held. It now looks for a result first, and hedges only with what the entry itself may spend.

--- a/io/kwdirectentry/hedge_test.go
+++ b/io/kwdirectentry/hedge_test.go
@@ -5,11 +5,15 @@
 	"io"
 	"maps"
 	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"knapweedproxy/core/kwdeclaration"
+	"knapweedproxy/core/kwid"
+	"knapweedproxy/core/kwmembership"
+	"knapweedproxy/io/kwupstream"
 )
 
 // answerPlain answers a plain request.
@@ -123,3 +127,69 @@
 			status, body, hung.Load(), other.Load())
 	}
 }
+
+// TestHedgeAsksForNothing has a request be held, or the retry budget be spent, while its server hangs. The hedge timer must neither ask
+// the leader for a trial or a loan nor log again and again that it may not hedge.
+func TestHedgeAsksForNothing(t *testing.T) {
+	cases := []struct {
+		name string
+		set  func(g *Gateway)
+	}{
+		{"held", func(g *Gateway) { hold(g, "/lookups/x", 0) }},
+		{"no retry budget", func(g *Gateway) {
+			for g.retryBudgets.ForService("records").TrySpend(time.Now()) {
+			}
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			var hung atomic.Int32
+			g := newTestGateway(t, "127.0.0.1:1", "127.0.0.1:1")
+			control := startControlStub(t, g, 0)
+			setServers(g, nil, []string{serveHung(t, &hung), serveRaw(t, answerPlain)})
+			setRoutes(g, func(r *kwdeclaration.Route) { r.Timeout = time.Second })
+			preferFirst(g)
+			response := postInBackground(t, g, "/lookups/x", "q")
+			awaitTrue(t, "the request arrives", func() bool { return hung.Load() > 0 })
+			c.set(g)
+			if got := <-response; got.status == http.StatusOK {
+				t.Errorf("got %d %q, want a failure", got.status, got.body)
+			}
+			control.mu.Lock()
+			defer control.mu.Unlock()
+			if got := len(control.trials); got != 0 {
+				t.Errorf("got %d requests for a trial, want none", got)
+			}
+			if got := countEvents(g, "retry-denied"); got != 0 {
+				t.Errorf("got %d refused retry loans, want none", got)
+			}
+			// The one after the deadline tells why the request is not sent again.
+			if got := countEvents(g, "request-held"); got > 1 {
+				t.Errorf("got %d log lines that the request is held, want at most 1", got)
+			}
+		})
+	}
+}
+
+// TestAnswerBeforeHedge has an answer arrive just as the hedge timer fires.
+func TestAnswerBeforeHedge(t *testing.T) {
+	g := newTestGateway(t, "127.0.0.1:1", "127.0.0.1:1")
+	setServers(g, nil, []string{serveRaw(t, answerPlain), serveRaw(t, answerPlain)})
+	v := g.view.Load()
+	for i := range 100 {
+		endpoint := v.endpoints["r0"].Announcement
+		q := &request{
+			r: httptest.NewRequest(http.MethodPost, "http://h/lookups/x", nil), view: v, service: "records", route: v.index.Route("h", "/lookups/x"),
+			deadline: time.Now(), sends: 1,
+		}
+		u := &unaryState{
+			q: q, attempts: attemptState{exclude: make(endpointSet)}, results: make(chan unaryResult, 1), inProgress: 1,
+			awaited: map[kwid.EndpointID]kwmembership.Announcement{endpoint.ID: endpoint},
+		}
+		u.results <- unaryResult{endpoint, kwupstream.Result{Response: &http.Response{StatusCode: http.StatusOK}, Sent: true}}
+		if !g.awaitUnary(t.Context(), u) || countEvents(g, "endpoint-ejected") != 0 {
+			t.Fatalf("request %d: got no answer or an ejection, want the answer alone", i)
+		}
+	}
+}
--- a/io/kwdirectentry/unary.go
+++ b/io/kwdirectentry/unary.go
@@ -103,18 +103,51 @@
 		u.attempts.refusal = err
 		return false
 	}
-	live := g.liveEndpoints(q)
+	endpoint, ok := g.pickUnary(ctx, u)
+	if !ok {
+		return false
+	}
+	if len(u.attempts.exclude)+len(u.attempts.unreached) > 0 && !g.mayRetry(ctx, q, u.count()) {
+		g.scheduler.withdrawUnary(endpoint.ID)
+		return false
+	}
+	g.sendUnary(ctx, u, endpoint)
+	return true
+}
+
+// pickUnary picks the endpoint of the next attempt.
+func (g *Gateway) pickUnary(ctx context.Context, u *unaryState) (kwmembership.Announcement, bool) {
+	live := g.liveEndpoints(u.q)
 	endpoint, ok := g.scheduler.pickUnary(time.Now(), live, u.attempts.exclude, u.attempts.unreached)
 	if !ok && len(u.attempts.unreached) > 0 && ctx.Err() == nil {
 		endpoint, ok = g.scheduler.pickUnary(time.Now(), live, u.attempts.exclude, nil)
 	}
+	return endpoint, ok
+}
+
+// hedgeUnary adds an attempt beside those in progress if the request may have one. The results of these must not wait for it, so it
+// asks the leader for neither a trial nor a retry loan.
+func (g *Gateway) hedgeUnary(ctx context.Context, u *unaryState) {
+	q := u.q
+	if !u.mayHedge() || g.kept(q) != nil || ctx.Err() != nil || q.remaining() <= 0 {
+		return
+	}
+	endpoint, ok := g.pickUnary(ctx, u)
 	if !ok {
-		return false
+		return
 	}
-	if len(u.attempts.exclude)+len(u.attempts.unreached) > 0 && !g.mayRetry(ctx, q, u.count()) {
+	if !g.retryBudgets.ForService(q.service).TrySpend(time.Now()) {
 		g.scheduler.withdrawUnary(endpoint.ID)
-		return false
+		return
 	}
+	g.metrics.retried.Inc(1)
+	g.metrics.hedged.Inc(1)
+	g.sendUnary(ctx, u, endpoint)
+}
+
+// sendUnary starts an attempt at an endpoint.
+func (g *Gateway) sendUnary(ctx context.Context, u *unaryState, endpoint kwmembership.Announcement) {
+	q := u.q
 	u.attempts.exclude[endpoint.ID] = true
 	u.inProgress++
 	u.awaited[endpoint.ID] = endpoint
@@ -134,7 +167,6 @@
 		g.scheduler.finishUnary(endpoint.ID, reportedInFlight)
 		u.results <- unaryResult{endpoint, res}
 	}()
-	return true
 }
 
 // awaitUnary waits for the results of the attempts in progress. It reports true if the request has its final response or is over,
@@ -144,28 +176,31 @@
 	hedge := time.NewTimer(kwretry.HedgeDelay(q.remaining()))
 	defer hedge.Stop()
 	for {
+		var res unaryResult
 		select {
+		case res = <-u.results:
 		case <-hedge.C:
-			g.ejectSilent(u)
-			if u.mayHedge() && g.startUnary(ctx, u) {
-				g.metrics.hedged.Inc(1)
-			}
 			hedge.Reset(max(kwretry.HedgeDelay(q.remaining()), minHedgeDelay))
-			continue
-		case res := <-u.results:
-			u.inProgress--
-			delete(u.awaited, res.endpoint.ID)
-			if !res.Sent {
-				q.sends--
-			}
-			if q.callerLeft() {
-				g.abortCallerGone(q)
-			}
-			if g.recordAttempt(q, &u.attempts, res.endpoint, res.Result) {
-				q.endpoint = res.endpoint.ID
-				return true
+			select {
+			case res = <-u.results:
+			default:
+				g.ejectSilent(u)
+				g.hedgeUnary(ctx, u)
+				continue
 			}
 		}
+		u.inProgress--
+		delete(u.awaited, res.endpoint.ID)
+		if !res.Sent {
+			q.sends--
+		}
+		if q.callerLeft() {
+			g.abortCallerGone(q)
+		}
+		if g.recordAttempt(q, &u.attempts, res.endpoint, res.Result) {
+			q.endpoint = res.endpoint.ID
+			return true
+		}
 		if u.inProgress == 0 {
 			return q.mayCrashAgain()
 		}
