A request is hedged in time for the end of the drain

The hedge delay went by the deadline of the request alone, so that a server that hung while the entry stopped took its requests with it. It now goes by the end of the drain if that comes first, also for requests that began before the stop.

TestHedgeBeforeTheDrainEnds failed before with 502, the entry has stopped, in both cases.

--- a/io/kwdirectentry/gateway.go
+++ b/io/kwdirectentry/gateway.go
@@ -48,6 +48,9 @@
 	stopping              atomic.Bool
 	// drainEnd is when the requests in progress are ended; it is set before stopping.
 	drainEnd atomic.Pointer[time.Time]
+	// drainBegan ends when drainEnd is set; beginDrain ends it.
+	drainBegan context.Context
+	beginDrain context.CancelFunc
 	// drained ends when the drain is over; endRequests ends it, and with it the requests in progress.
 	drained     context.Context
 	endRequests context.CancelFunc
@@ -64,6 +67,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &Gateway{cfg: cfg, deps: deps, ctx: ctx, cancel: cancel, done: make(chan error, 1), started: deps.Now()}
 	g.drained, g.endRequests = context.WithCancel(context.Background())
+	g.drainBegan, g.beginDrain = context.WithCancel(context.Background())
 	g.view.Store(emptyView())
 	g.scheduler = newScheduler(cfg)
 	g.retryBudgets = kwretry.NewSharedBudgets(cfg.RetryBudget)
@@ -165,6 +169,7 @@
 func (g *Gateway) drain(acceptEnd, drainEnd, exit time.Time) {
 	g.drainEnd.Store(&drainEnd)
 	g.stopping.Store(true)
+	g.beginDrain()
 	g.viewChanged.broadcast()
 	g.logReadyChange()
 	time.Sleep(time.Until(acceptEnd))
--- a/io/kwdirectentry/hedge_test.go
+++ b/io/kwdirectentry/hedge_test.go
@@ -193,3 +193,33 @@
 		}
 	}
 }
+
+// TestHedgeBeforeTheDrainEnds has a server hang while the entry stops. Its requests must be hedged within the drain, although their
+// deadlines are far off.
+func TestHedgeBeforeTheDrainEnds(t *testing.T) {
+	for _, inDrain := range []bool{false, true} {
+		t.Run(fmt.Sprint("begun in the drain ", inDrain), func(t *testing.T) {
+			t.Parallel()
+			var hung atomic.Int32
+			g := newTestGateway(t, "127.0.0.1:1", "127.0.0.1:1")
+			setServers(g, nil, []string{serveHung(t, &hung), serveRaw(t, answerPlain)})
+			preferFirst(g)
+			drain := func() {
+				now := time.Now()
+				go g.drain(now.Add(time.Second/2), now.Add(2*time.Second), now.Add(3*time.Second))
+			}
+			if inDrain {
+				drain()
+				awaitTrue(t, "the drain begins", g.stopping.Load)
+			}
+			response := postInBackground(t, g, "/lookups/x", "q")
+			awaitTrue(t, "the request arrives", func() bool { return hung.Load() > 0 })
+			if !inDrain {
+				drain()
+			}
+			if got := <-response; got.status != http.StatusOK || got.body != "ok" {
+				t.Errorf("got %d %q, want 200 %q", got.status, got.body, "ok")
+			}
+		})
+	}
+}
--- a/io/kwdirectentry/unary.go
+++ b/io/kwdirectentry/unary.go
@@ -173,14 +173,23 @@
 // and false if another attempt is due: after a failed one, or beside one whose endpoint has been silent for long (hedged request).
 func (g *Gateway) awaitUnary(ctx context.Context, u *unaryState) bool {
 	q := u.q
-	hedge := time.NewTimer(kwretry.HedgeDelay(q.remaining()))
+	delay := g.hedgeDelay(q)
+	hedgeAt := time.Now().Add(delay)
+	hedge := time.NewTimer(delay)
 	defer hedge.Stop()
+	drainBegan := g.drainBegan.Done()
 	for {
 		var res unaryResult
 		select {
 		case res = <-u.results:
+		case <-drainBegan:
+			drainBegan = nil
+			hedge.Reset(min(g.hedgeDelay(q), time.Until(hedgeAt)))
+			continue
 		case <-hedge.C:
-			hedge.Reset(max(kwretry.HedgeDelay(q.remaining()), minHedgeDelay))
+			delay = max(g.hedgeDelay(q), minHedgeDelay)
+			hedgeAt = time.Now().Add(delay)
+			hedge.Reset(delay)
 			select {
 			case res = <-u.results:
 			default:
@@ -207,6 +216,16 @@
 	}
 }
 
+// hedgeDelay returns how long the attempts in progress may be without an answer until another one is added. The time of a request ends
+// with its deadline, or before with the drain of a stopping entry.
+func (g *Gateway) hedgeDelay(q *request) time.Duration {
+	remaining := q.remaining()
+	if exit := g.exitTime(); !exit.IsZero() {
+		remaining = min(remaining, time.Until(exit))
+	}
+	return kwretry.HedgeDelay(remaining)
+}
+
 // mayHedge reports whether an attempt may be added beside those in progress. A request that may crash its server is sent to one at a
 // time.
 func (u *unaryState) mayHedge() bool {
