A silent stream of a stopping entry moves by what is left of its answer

A stream that had begun was moved only if its whole answer would end within the drain, although only the rest remains to be sent.

TestStoppingEntryMovesStreamByWhatIsLeft failed before in its three cases in which most of the answer had come: no other chain, want one.

--- a/io/kwdirectentry/handover_test.go
+++ b/io/kwdirectentry/handover_test.go
@@ -276,3 +276,33 @@
 		}
 	}
 }
+
+// TestStoppingEntryMovesStreamByWhatIsLeft has a stream fall silent when the rest of its answer fits into the drain, but the whole does
+// not.
+func TestStoppingEntryMovesStreamByWhatIsLeft(t *testing.T) {
+	cases := []struct {
+		name string
+		// before and events are how many events came before the attempt, and until the silence.
+		before, events int
+		want           bool
+	}{
+		{"nothing came", 0, 0, false},
+		{"most came before the attempt", 190, 190, true},
+		{"most came in the attempt", 0, 190, true},
+		{"some came", 0, 20, false},
+		{"more came than estimated", 0, 210, true},
+	}
+	for _, c := range cases {
+		g, s, chain := newSlowStream(t)
+		s.q.events = c.before
+		s.begun = c.before > 0
+		w := &watchedStream{chain: chain}
+		w.events.Store(int64(c.events))
+		w.begun.Store(c.events > c.before)
+		exit := time.Now().Add(100 * time.Millisecond)
+		g.drainEnd.Store(&exit)
+		if _, got := g.acquireReplacement(t.Context(), w, s.silentAttempt(g)); got != c.want {
+			t.Errorf("%s: got another chain %t, want %t", c.name, got, c.want)
+		}
+	}
+}
--- a/io/kwdirectentry/stream.go
+++ b/io/kwdirectentry/stream.go
@@ -317,6 +317,7 @@
 		s.lastEventID = events.LastID
 		q.events = eventsBefore + events.Count
 		g.metrics.eventWrites.Inc(1)
+		s.watched.events.Store(int64(q.events))
 		g.activeStreams.eventReceived(s.watched, now)
 		if g.handOver(ctx, s, chain, eventsBefore) {
 			return resultHandedOver
--- a/io/kwdirectentry/stream_move.go
+++ b/io/kwdirectentry/stream_move.go
@@ -99,6 +99,7 @@
 	excludeFaulty(req.exclude, w.chain, g.activeStreams.blamed(w))
 	broken := *q
 	broken.broken = broken.broken || a.begun || w.begun.Load()
+	broken.meta.EstimatedAnswerTokens = a.tokensLeft(w)
 	req.r = &broken
 	chain, ok := g.scheduler.tryChain(ctx, req)
 	if !ok {
@@ -110,3 +111,14 @@
 	}
 	return chain, true
 }
+
+// tokensLeft estimates how many tokens of the answer have not come yet, at least one; zero means that the caller has given no estimate.
+func (a silentAttempt) tokensLeft(w *watchedStream) int {
+	q := a.req.r
+	estimated := q.answerTokens()
+	if estimated <= 0 {
+		return 0
+	}
+	delivered := max(q.events, int(w.events.Load())) * tokensPerEvent(q)
+	return max(1, estimated-delivered)
+}
--- a/io/kwdirectentry/stream_watch.go
+++ b/io/kwdirectentry/stream_watch.go
@@ -27,6 +27,8 @@
 	// lastEventNanos is when the last event arrived, in Unix nanoseconds; begun means that one has.
 	lastEventNanos atomic.Int64
 	begun          atomic.Bool
+	// events is how many events the caller has received, over all attempts.
+	events atomic.Int64
 	// disturbed means that blamed or cancelSearch is set.
 	disturbed atomic.Bool
 	// The lock of activeStreams guards the fields below. blamed is the endpoint that was found to stall the attempt, aborted means
