Stop waits for the attempts of plain requests

An attempt whose request had ended went on after Stop and could still emit events and record notices.

TestStopWaitsForAttempts failed before with 0 of 1 attempts ended after Stop, want 1.

--- a/io/kwdirectentry/hedge_test.go
+++ b/io/kwdirectentry/hedge_test.go
@@ -223,3 +223,42 @@
 		})
 	}
 }
+
+// slowDialect takes long to read the answers of a server that leaves.
+type slowDialect struct {
+	testDialect
+	began, ended atomic.Int32
+}
+
+func (d *slowDialect) ReadResponse(status int, h http.Header) kwupstream.ResponseMeta {
+	meta := d.testDialect.ReadResponse(status, h)
+	if meta.Leaving {
+		d.began.Add(1)
+		time.Sleep(300 * time.Millisecond)
+		d.ended.Add(1)
+	}
+	return meta
+}
+
+// TestStopWaitsForAttempts has the entry stop while it reads the answer to an attempt whose request has been answered by a hedged one.
+// Stop must wait for it, since what the answer says is logged.
+func TestStopWaitsForAttempts(t *testing.T) {
+	t.Parallel()
+	dialect := new(slowDialect)
+	g := newTestGateway(t, "127.0.0.1:1", "127.0.0.1:1")
+	g.deps.Dialect = dialect
+	setServers(g, nil, []string{serveRaw(t, func(w io.Writer, id string) bool {
+		_, err := fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nLeaving: 1\r\nContent-Length: 2\r\n\r\nok", id)
+		return err == nil
+	}), serveRaw(t, answerPlain)})
+	setRoutes(g, func(r *kwdeclaration.Route) { r.Timeout = 300 * time.Millisecond })
+	preferFirst(g)
+	if status, body := post(t, http.DefaultClient, g, "/lookups/x", "q"); status != http.StatusOK {
+		t.Errorf("got %d %q, want 200", status, body)
+	}
+	g.cfg.DrainTimeout = 50 * time.Millisecond
+	g.Stop()
+	if began, ended := dialect.began.Load(), dialect.ended.Load(); began != 1 || ended != 1 {
+		t.Errorf("got %d attempts begun and %d ended after Stop, want 1 and 1", began, ended)
+	}
+}
--- a/io/kwdirectentry/unary.go
+++ b/io/kwdirectentry/unary.go
@@ -157,7 +157,7 @@
 	// whether the request was read.
 	fresh := !q.route.Retryable()
 	upstreamReq := q.upstreamRequest(g.deps.Dialect, kwupstream.ForwardMeta{Endpoint: endpoint.ID})
-	go func() {
+	g.goBackground(func() {
 		res := g.upstreamPool.Exchange(ctx, endpoint.Address, fresh, upstreamReq, g.deps.Dialect, maxResponseBytes)
 		g.recordNotices(upstreamReq.ID, endpoint.Process(), endpoint.Address, res.Meta)
 		reportedInFlight := -1
@@ -166,7 +166,7 @@
 		}
 		g.scheduler.finishUnary(endpoint.ID, reportedInFlight)
 		u.results <- unaryResult{endpoint, res}
-	}()
+	})
 }
 
 // awaitUnary waits for the results of the attempts in progress. It reports true if the request has its final response or is over,
