--- a/io/kwdirectentry/handover_test.go
+++ b/io/kwdirectentry/handover_test.go
@@ -154,6 +154,27 @@
 	return g, s, chain
 }
 
+// TestSilenceIsNoSlowness guards against a hand-over of a stream whose chain was silent for once and is fast otherwise.
+func TestSilenceIsNoSlowness(t *testing.T) {
+	const events, interval, silence = 20, time.Millisecond, 600 * time.Millisecond
+	g, s, chain := newSlowStream(t)
+	q := s.q
+	s.reads, q.events = 0, 0
+	at := time.Now().Add(-silence - events*interval)
+	for event := range events {
+		if at = at.Add(interval); event == events/2 {
+			at = at.Add(silence)
+		}
+		s.recordRead(at)
+		q.recordEvent(at)
+		s.reads++
+		q.events++
+	}
+	if g.handOver(t.Context(), s, chain, 0) {
+		t.Errorf("got a hand-over of a stream with events each %v but for a silence of %v, want none", interval, silence)
+	}
+}
+
 // TestHandOverLimits checks which streams are not handed over although they may not end in time.
 func TestHandOverLimits(t *testing.T) {
 	cases := []struct {
@@ -163,6 +184,7 @@
 	}{
 		{"slow stream", func(*Gateway, *streamState) {}, true},
 		{"all attempts sent", func(_ *Gateway, s *streamState) { s.q.sends = s.q.route.MaxAttempts + extraAttempts }, false},
+		{"another chain granted", func(_ *Gateway, s *streamState) { s.watched.replacement = &kwchainsearch.Chain{} }, false},
 	}
 	for _, c := range cases {
 		g, s, chain := newSlowStream(t)
@@ -170,6 +192,30 @@
 		if got := g.handOver(t.Context(), s, chain, 0); got != c.want {
 			t.Errorf("%s: got hand-over %t, want %t", c.name, got, c.want)
 		}
+		if got := s.attempts.exclude[chain.First().Endpoint]; got != c.want {
+			t.Errorf("%s: got the first endpoint excluded %t, want %t", c.name, got, c.want)
+		}
+	}
+}
+
+// TestHandOverReleasesWhatItReserved hands over a stream that is longer than estimated, so that it needs more room on the next chain
+// than on the present one.
+func TestHandOverReleasesWhatItReserved(t *testing.T) {
+	g, s, chain := newSlowStream(t)
+	id := chain.First().Endpoint
+	want := g.scheduler.dispatcher.Loads().Own()[id]
+	// Another request beside the stream.
+	g.scheduler.dispatcher.Loads().Reserve(chain, s.size.TotalTokens)
+	s.q.events = 2 * s.q.answerTokens()
+	s.attemptFirstEvent = time.Now().Add(-time.Minute)
+	if !g.handOver(t.Context(), s, chain, 0) {
+		t.Fatal("got no hand-over, want one")
+	}
+	g.scheduler.release(chain, s.size.TotalTokens)
+	g.releaseReserved(s)
+	own := g.scheduler.dispatcher.Loads().Own()
+	if got := own[id]; got != want || len(own) != 1 {
+		t.Errorf("got load %v of the first endpoint of %d, want %v of 1", got, len(own), want)
 	}
 }
 
@@ -230,3 +276,33 @@
 		}
 	}
 }
+
+// TestStoppingEntryMovesStreamByWhatIsLeft has a stream fall silent when the rest of its answer fits into the drain, but the whole does
+// not.
+func TestStoppingEntryMovesStreamByWhatIsLeft(t *testing.T) {
+	cases := []struct {
+		name string
+		// before and events are how many events came before the attempt, and until the silence.
+		before, events int
+		want           bool
+	}{
+		{"nothing came", 0, 0, false},
+		{"most came before the attempt", 190, 190, true},
+		{"most came in the attempt", 0, 190, true},
+		{"some came", 0, 20, false},
+		{"more came than estimated", 0, 210, true},
+	}
+	for _, c := range cases {
+		g, s, chain := newSlowStream(t)
+		s.q.events = c.before
+		s.begun = c.before > 0
+		w := &watchedStream{chain: chain}
+		w.events.Store(int64(c.events))
+		w.begun.Store(c.events > c.before)
+		exit := time.Now().Add(100 * time.Millisecond)
+		g.drainEnd.Store(&exit)
+		if _, got := g.acquireReplacement(t.Context(), w, s.silentAttempt(g)); got != c.want {
+			t.Errorf("%s: got another chain %t, want %t", c.name, got, c.want)
+		}
+	}
+}
--- a/io/kwdirectentry/stream_watch.go
+++ b/io/kwdirectentry/stream_watch.go
@@ -27,6 +27,8 @@
 	// lastEventNanos is when the last event arrived, in Unix nanoseconds; begun means that one has.
 	lastEventNanos atomic.Int64
 	begun          atomic.Bool
+	// events is how many events the caller has received, over all attempts.
+	events atomic.Int64
 	// disturbed means that blamed or cancelSearch is set.
 	disturbed atomic.Bool
 	// The lock of activeStreams guards the fields below. blamed is the endpoint that was found to stall the attempt, aborted means
@@ -195,6 +197,13 @@
 	return w.blamed
 }
 
+// replaced reports whether another chain has been granted for the next attempt.
+func (a *activeStreams) replaced(w *watchedStream) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return w.replacement != nil
+}
+
 // takeReplacement returns the chain that has been granted for the next attempt, nil if there is none.
 func (a *activeStreams) takeReplacement(w *watchedStream) *kwchainsearch.Chain {
 	if w == nil {
--- a/io/kwdirectentry/unary.go
+++ b/io/kwdirectentry/unary.go
@@ -103,18 +103,51 @@
 		u.attempts.refusal = err
 		return false
 	}
-	live := g.liveEndpoints(q)
+	endpoint, ok := g.pickUnary(ctx, u)
+	if !ok {
+		return false
+	}
+	if len(u.attempts.exclude)+len(u.attempts.unreached) > 0 && !g.mayRetry(ctx, q, u.count()) {
+		g.scheduler.withdrawUnary(endpoint.ID)
+		return false
+	}
+	g.sendUnary(ctx, u, endpoint)
+	return true
+}
+
+// pickUnary picks the endpoint of the next attempt.
+func (g *Gateway) pickUnary(ctx context.Context, u *unaryState) (kwmembership.Announcement, bool) {
+	live := g.liveEndpoints(u.q)
 	endpoint, ok := g.scheduler.pickUnary(time.Now(), live, u.attempts.exclude, u.attempts.unreached)
 	if !ok && len(u.attempts.unreached) > 0 && ctx.Err() == nil {
 		endpoint, ok = g.scheduler.pickUnary(time.Now(), live, u.attempts.exclude, nil)
 	}
+	return endpoint, ok
+}
+
+// hedgeUnary adds an attempt beside those in progress if the request may have one. The results of these must not wait for it, so it
+// asks the leader for neither a trial nor a retry loan.
+func (g *Gateway) hedgeUnary(ctx context.Context, u *unaryState) {
+	q := u.q
+	if !u.mayHedge() || g.kept(q) != nil || ctx.Err() != nil || q.remaining() <= 0 {
+		return
+	}
+	endpoint, ok := g.pickUnary(ctx, u)
 	if !ok {
-		return false
+		return
 	}
-	if len(u.attempts.exclude)+len(u.attempts.unreached) > 0 && !g.mayRetry(ctx, q, u.count()) {
+	if !g.retryBudgets.ForService(q.service).TrySpend(time.Now()) {
 		g.scheduler.withdrawUnary(endpoint.ID)
-		return false
+		return
 	}
+	g.metrics.retried.Inc(1)
+	g.metrics.hedged.Inc(1)
+	g.sendUnary(ctx, u, endpoint)
+}
+
+// sendUnary starts an attempt at an endpoint.
+func (g *Gateway) sendUnary(ctx context.Context, u *unaryState, endpoint kwmembership.Announcement) {
+	q := u.q
 	u.attempts.exclude[endpoint.ID] = true
 	u.inProgress++
 	u.awaited[endpoint.ID] = endpoint
@@ -124,7 +157,7 @@
 	// whether the request was read.
 	fresh := !q.route.Retryable()
 	upstreamReq := q.upstreamRequest(g.deps.Dialect, kwupstream.ForwardMeta{Endpoint: endpoint.ID})
-	go func() {
+	g.goBackground(func() {
 		res := g.upstreamPool.Exchange(ctx, endpoint.Address, fresh, upstreamReq, g.deps.Dialect, maxResponseBytes)
 		g.recordNotices(upstreamReq.ID, endpoint.Process(), endpoint.Address, res.Meta)
 		reportedInFlight := -1
@@ -133,45 +166,73 @@
 		}
 		g.scheduler.finishUnary(endpoint.ID, reportedInFlight)
 		u.results <- unaryResult{endpoint, res}
-	}()
-	return true
+	})
 }
 
 // awaitUnary waits for the results of the attempts in progress. It reports true if the request has its final response or is over,
 // and false if another attempt is due: after a failed one, or beside one whose endpoint has been silent for long (hedged request).
 func (g *Gateway) awaitUnary(ctx context.Context, u *unaryState) bool {
 	q := u.q
-	hedge := time.NewTimer(kwretry.HedgeDelay(q.remaining()))
+	delay := g.hedgeDelay(q)
+	hedgeAt := time.Now().Add(delay)
+	hedge := time.NewTimer(delay)
 	defer hedge.Stop()
+	drainBegan := g.drainBegan.Done()
 	for {
+		var res unaryResult
 		select {
-		case <-hedge.C:
-			g.ejectSilent(u)
-			if u.count().MayAdd() && g.startUnary(ctx, u) {
-				g.metrics.hedged.Inc(1)
-			}
-			hedge.Reset(max(kwretry.HedgeDelay(q.remaining()), minHedgeDelay))
+		case res = <-u.results:
+		case <-drainBegan:
+			drainBegan = nil
+			hedge.Reset(min(g.hedgeDelay(q), time.Until(hedgeAt)))
 			continue
-		case res := <-u.results:
-			u.inProgress--
-			delete(u.awaited, res.endpoint.ID)
-			if !res.Sent {
-				q.sends--
-			}
-			if q.callerLeft() {
-				g.abortCallerGone(q)
-			}
-			if g.recordAttempt(q, &u.attempts, res.endpoint, res.Result) {
-				q.endpoint = res.endpoint.ID
-				return true
+		case <-hedge.C:
+			delay = max(g.hedgeDelay(q), minHedgeDelay)
+			hedgeAt = time.Now().Add(delay)
+			hedge.Reset(delay)
+			select {
+			case res = <-u.results:
+			default:
+				g.ejectSilent(u)
+				g.hedgeUnary(ctx, u)
+				continue
 			}
 		}
+		u.inProgress--
+		delete(u.awaited, res.endpoint.ID)
+		if !res.Sent {
+			q.sends--
+		}
+		if q.callerLeft() {
+			g.abortCallerGone(q)
+		}
+		if g.recordAttempt(q, &u.attempts, res.endpoint, res.Result) {
+			q.endpoint = res.endpoint.ID
+			return true
+		}
 		if u.inProgress == 0 {
 			return q.mayCrashAgain()
 		}
 	}
 }
 
+// hedgeDelay returns how long the attempts in progress may be without an answer until another one is added. The time of a request ends
+// with its deadline, or before with the drain of a stopping entry.
+func (g *Gateway) hedgeDelay(q *request) time.Duration {
+	remaining := q.remaining()
+	if exit := g.exitTime(); !exit.IsZero() {
+		remaining = min(remaining, time.Until(exit))
+	}
+	return kwretry.HedgeDelay(remaining)
+}
+
+// mayHedge reports whether an attempt may be added beside those in progress. A request that may crash its server is sent to one at a
+// time.
+func (u *unaryState) mayHedge() bool {
+	q := u.q
+	return u.count().MayAdd() && !q.mayCrashAgain() && !q.trial && !q.requestTrial
+}
+
 // ejectSilent ejects the endpoints of the attempts in progress. If a hedged request is answered first, nobody learns how the others
 // end, and each later request would be sent to the silent endpoint again.
 func (g *Gateway) ejectSilent(u *unaryState) {
