Bound the requests of a crash and the cost of a decision on them

A decision compared each candidate with all requests on its crashes, again after each hold. The requests of one crash are bounded, those under way and those with other crashes first, and a decision indexes them once as sets of crashes.

TestRequestsOfACrashAreBounded failed before: "requests of the crash: got 2048, want 512".

--- a/core/kwquarantine/adopt.go
+++ b/core/kwquarantine/adopt.go
@@ -37,6 +37,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.forget(now)
+	o := &overlaps{r: r}
 	for _, h := range held {
 		if _, ok := r.releasedRequests[h.Digest]; ok {
 			continue
@@ -46,7 +47,7 @@
 		until := now.Add(remaining)
 		q, ok := r.heldRequests[h.Digest]
 		if !ok {
-			r.addHeldRequest(now, h.Digest, &quarantineState{term: term, until: until})
+			r.addHeldRequest(now, h.Digest, &quarantineState{term: term, until: until}, o)
 			continue
 		}
 		if q.held.trialAt.IsZero() && until.After(q.held.until) {
--- a/core/kwquarantine/bench_test.go
+++ b/core/kwquarantine/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -90,3 +91,34 @@
 		r.HeldRequests(now)
 	}
 }
+
+// BenchmarkDecideContested measures a decision on 4000 requests that are on three crashes each, or on eight of 64 with 512 on a crash.
+func BenchmarkDecideContested(b *testing.B) {
+	const requests = 4000
+	for _, c := range []struct{ crashes, each int }{{3, 3}, {24, 3}, {64, 8}} {
+		b.Run(fmt.Sprint(c.each, " of ", c.crashes, " crashes"), func(b *testing.B) {
+			digests := make([]kwid.RequestDigest, requests)
+			for i := range digests {
+				digests[i] = testDigest(fmt.Sprint(i))
+			}
+			for b.Loop() {
+				b.StopTimer()
+				r, now, random := NewRegistry(DefaultConfig()), testStart, rand.New(rand.NewPCG(1, 1))
+				on := make([][]kwid.RequestDigest, c.crashes)
+				for _, digest := range digests {
+					for _, crash := range random.Perm(c.crashes)[:c.each] {
+						on[crash] = append(on[crash], digest)
+					}
+				}
+				for crash := range on {
+					for _, digest := range on[crash] {
+						r.RecordCrash(now, Evidence{Crash: testProcess(crash), Request: "r", Digest: digest})
+					}
+					now = now.Add(250 * time.Millisecond)
+				}
+				b.StartTimer()
+				r.Decide(now)
+			}
+		})
+	}
+}
--- a/core/kwquarantine/crashes.go
+++ b/core/kwquarantine/crashes.go
@@ -16,6 +16,8 @@
 	Request kwid.RequestID
 	// Digest identifies what the request asks for; entries of earlier versions report none.
 	Digest kwid.RequestDigest
+	// Answered is set if the process had answered the request.
+	Answered bool
 	// SoundAge is how long ago the reporting entry last saw a sound run of the request (Guard.SoundAge), 0 if it has not.
 	SoundAge time.Duration
 	// Parts are the shared parts of the prompt; empty if the request had received more than one event, or has no prompt. Then it
@@ -91,7 +93,7 @@
 	if digest.IsZero() {
 		digest = DigestRequest("", "", "", []byte(ev.Request))
 	}
-	r.suspectRequest(now, digest, crash)
+	r.suspectRequest(now, digest, crash, ev.Answered)
 	if ev.SoundAge > 0 {
 		r.recordSoundRequest(now, SoundRequest{Digest: digest, Age: ev.SoundAge})
 	}
--- a/core/kwquarantine/decide_requests.go
+++ b/core/kwquarantine/decide_requests.go
@@ -26,13 +26,14 @@
 // candidates that are left.
 func (r *Registry) decideRequests(now time.Time) []requestCandidate {
 	r.correctRequests(now)
+	o := &overlaps{r: r}
 	for {
-		candidates := r.requestCandidates()
+		candidates := r.requestCandidates(o)
 		digest, ok := r.firstRequest(now, candidates)
 		if !ok {
 			return candidates
 		}
-		r.holdRequest(now, digest)
+		r.holdRequest(now, digest, o)
 	}
 }
 
@@ -71,43 +72,18 @@
 	return n
 }
 
-// firmlyExplained reports whether a crash is under a held request that was not contested.
-func (r *Registry) firmlyExplained(crash *crashState) bool {
-	for digest := range crash.digests {
-		if h := r.heldRequests[digest]; h != nil && !h.contested {
-			return true
-		}
-	}
-	return false
-}
-
-// contested reports whether another request was on all crashes of one, or on all but one.
-func (r *Registry) contested(q *requestState) bool {
-	if len(q.crashes) < 2 {
-		return false
-	}
-	// One that misses a crash at most is on the first or on the second.
-	for _, c := range q.crashes[:2] {
-		for digest := range c.crash.digests {
-			if other := r.requests[digest]; other != nil && other != q && len(other.crashes) > 1 && missed(q, digest) <= 1 {
-				return true
-			}
+// firmlyExplained returns the crashes that are under a held request which was not contested.
+func (r *Registry) firmlyExplained() map[*crashState]bool {
+	explained := make(map[*crashState]bool)
+	for _, h := range r.heldRequests {
+		if h.contested {
+			continue
 		}
-	}
-	return false
-}
-
-// missed returns on how many of the crashes under a request another one was not, or 2 if it is more than one.
-func missed(q *requestState, other kwid.RequestDigest) int {
-	n := 0
-	for _, c := range q.crashes {
-		if _, ok := c.crash.digests[other]; !ok {
-			if n++; n > 1 {
-				break
-			}
+		for _, c := range h.crashes {
+			explained[c.crash] = true
 		}
 	}
-	return n
+	return explained
 }
 
 // correctRequests releases the requests that were held for the crashes of others, once those explain all of them and have crashed a
@@ -154,8 +130,9 @@
 
 // requestCandidates returns the requests under which enough servers crashed, not all at one moment, in the order of the decision. What
 // a held request explains does not count, unless that was contested and a server has crashed without it since.
-func (r *Registry) requestCandidates() []requestCandidate {
+func (r *Registry) requestCandidates(o *overlaps) []requestCandidate {
 	var candidates []requestCandidate
+	firm := r.firmlyExplained()
 	r.countAbout()
 	for digest, q := range r.requests {
 		if len(q.crashes)+q.adopted < r.cfg.MinCrashes {
@@ -167,7 +144,7 @@
 		}
 		c := requestCandidate{digest: digest, state: q, answered: !q.answeredAt.IsZero()}
 		for _, crash := range q.crashes {
-			if (crash.crash.heldBy == 0 || !c.answered && !r.firmlyExplained(crash.crash)) && r.share(q, crash.crash) {
+			if (crash.crash.heldBy == 0 || !c.answered && !firm[crash.crash]) && r.share(q, crash.crash) {
 				c.crashes = append(c.crashes, crash)
 			}
 		}
@@ -176,7 +153,7 @@
 		if !ok {
 			continue
 		}
-		if c.answered || r.contested(q) {
+		if c.answered || o.contested(q) {
 			at, _ = r.decisiveRequestCrash(c, r.cfg.DoubtSettle)
 		}
 		if c.settledAt = since.Add(r.cfg.RequestSettle); at.After(c.settledAt) {
--- a/core/kwquarantine/guard_requests.go
+++ b/core/kwquarantine/guard_requests.go
@@ -247,8 +247,8 @@
 		q.own.explainCrash(now, process)
 		return answeredBefore
 	}
-	for _, digest := range digests {
-		q.own.RecordCrash(now, Evidence{Crash: process, Digest: digest})
+	for i, digest := range digests {
+		q.own.RecordCrash(now, Evidence{Crash: process, Digest: digest, Answered: i >= len(inFlight)})
 	}
 	return answeredBefore
 }
--- a/core/kwquarantine/registry.go
+++ b/core/kwquarantine/registry.go
@@ -74,6 +74,9 @@
 	maxPartsPerCrash = 512
 	// maxDigestsPerPartCrash is the number of requests that a Registry keeps for each crash under a part.
 	maxDigestsPerPartCrash = 8
+	// maxDigestsPerCrash is the number of requests of a crash that count; those recorded later are ignored, except that twice as many
+	// count in all if they are on other crashes. Half of them may be requests that were answered before the crash.
+	maxDigestsPerCrash = 512
 	// maxSuspectRequests is the number of requests that a Registry keeps, and maxRequestCrashes the number of crashes under all of
 	// them; beyond either those with the fewest crashes are forgotten.
 	maxSuspectRequests = 16384
--- a/core/kwquarantine/request_crashes.go
+++ b/core/kwquarantine/request_crashes.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -116,8 +117,11 @@
 }
 
 // suspectRequest counts a crash against a request, unless that had a sound run after it.
-func (r *Registry) suspectRequest(now time.Time, digest kwid.RequestDigest, crash *crashState) {
+func (r *Registry) suspectRequest(now time.Time, digest kwid.RequestDigest, crash *crashState, answered bool) {
 	q := r.request(digest)
+	if len(crash.digests) >= maxDigests(q, answered) {
+		return
+	}
 	if q == nil {
 		r.makeRoomForRequest()
 		q = &requestState{}
@@ -144,6 +148,19 @@
 	}
 }
 
+// maxDigests returns the number of requests of a crash from which on a request is not counted with them.
+func maxDigests(q *requestState, answered bool) int {
+	switch {
+	case q != nil && q.held != nil:
+		return math.MaxInt
+	case q != nil && len(q.crashes)+q.adopted > 0:
+		return 2 * maxDigestsPerCrash
+	case answered:
+		return maxDigestsPerCrash / 2
+	}
+	return maxDigestsPerCrash
+}
+
 // explainByRequest notes that a held request was on a crash, which counts no longer against parts that only others had.
 func (r *Registry) explainByRequest(crash *crashState) {
 	crash.heldBy++
--- a/core/kwquarantine/request_terms.go
+++ b/core/kwquarantine/request_terms.go
@@ -48,16 +48,16 @@
 }
 
 // holdRequest begins to hold a request; the term is doubled if it was released shortly before.
-func (r *Registry) holdRequest(now time.Time, digest kwid.RequestDigest) {
+func (r *Registry) holdRequest(now time.Time, digest kwid.RequestDigest, o *overlaps) {
 	term := r.cfg.FirstRequestTerm
 	if l, ok := r.releasedRequests[digest]; ok && now.Sub(l.liftedAt) <= 2*r.cfg.Memory {
 		term = min(max(2*l.term, term), r.cfg.MaxTerm)
 	}
-	r.addHeldRequest(now, digest, &quarantineState{term: term, until: now.Add(term)})
+	r.addHeldRequest(now, digest, &quarantineState{term: term, until: now.Add(term)}, o)
 }
 
 // addHeldRequest holds a request, which explains the crashes under it.
-func (r *Registry) addHeldRequest(now time.Time, digest kwid.RequestDigest, held *quarantineState) {
+func (r *Registry) addHeldRequest(now time.Time, digest kwid.RequestDigest, held *quarantineState, o *overlaps) {
 	if len(r.heldRequests) >= maxHeldRequests {
 		first := slices.MinFunc(slices.Collect(maps.Keys(r.heldRequests)), func(a, b kwid.RequestDigest) int {
 			return cmp.Or(r.heldRequests[a].held.until.Compare(r.heldRequests[b].held.until), compareDigests(a, b))
@@ -68,7 +68,7 @@
 	if !ok {
 		q = &requestState{}
 	}
-	q.contested = r.contested(q)
+	q.contested = o.contested(q)
 	delete(r.requests, digest)
 	q.held, q.heldAt = held, now
 	q.forgetAdopted()
--- a/core/kwquarantine/requests_test.go
+++ b/core/kwquarantine/requests_test.go
@@ -471,3 +471,24 @@
 	f.settleRequests()
 	f.wantHeld("bad")
 }
+
+// TestRequestsOfACrashAreBounded lets thousands of requests run on a server that crashes, after one that has crashed two before.
+func TestRequestsOfACrashAreBounded(t *testing.T) {
+	f := newFixtureWith(t, DefaultConfig())
+	f.crashesUnder(0, 2, "bad")
+	for i := range 2 * maxDigestsPerCrash {
+		f.r.RecordCrash(f.now, Evidence{Crash: testProcess(2), Digest: testDigest(fmt.Sprint("answered ", i)), Answered: true})
+	}
+	if got, want := len(f.r.crashOf[testProcess(2)].digests), maxDigestsPerCrash/2; got != want {
+		t.Errorf("requests that were answered before the crash: got %d, want %d", got, want)
+	}
+	for i := range 2 * maxDigestsPerCrash {
+		f.crashUnder(2, fmt.Sprint("rider ", i))
+	}
+	if got, want := len(f.r.crashOf[testProcess(2)].digests), maxDigestsPerCrash; got != want {
+		t.Errorf("requests of the crash: got %d, want %d", got, want)
+	}
+	f.crashUnder(2, "bad")
+	f.settleRequests()
+	f.wantHeld("bad")
+}
