Hold requests that crash servers in turn

A crash counted only for requests on a third of the crashes about its time, so several deadly requests kept each other from every decision. The share does not matter for a request with enough crashes that lie more than twice shareTime apart.

TestRequestsThatCrashInTurnAreHeld failed before: "held requests: got [], want" all six, after 60 crashes 150 ms, 100 ms and 70 ms apart.

--- a/core/kwquarantine/decide_requests.go
+++ b/core/kwquarantine/decide_requests.go
@@ -143,8 +143,9 @@
 			continue
 		}
 		c := requestCandidate{digest: digest, state: q, answered: !q.answeredAt.IsZero()}
+		apart := r.crashesApart(q)
 		for _, crash := range q.crashes {
-			if (crash.crash.heldBy == 0 || !c.answered && !firm[crash.crash]) && r.share(q, crash.crash) {
+			if (crash.crash.heldBy == 0 || !c.answered && !firm[crash.crash]) && (apart || r.share(q, crash.crash)) {
 				c.crashes = append(c.crashes, crash)
 			}
 		}
@@ -259,6 +260,19 @@
 	return minShare*on >= all
 }
 
+// crashesApart reports whether enough crashes under a request are so far apart that no other crash is about the time of two of them. Then
+// its share does not matter: several requests that crash servers in turn leave each a small one.
+func (r *Registry) crashesApart(q *requestState) bool {
+	n := 0
+	var last time.Time
+	for _, c := range q.crashes {
+		if at := c.crash.recordedAt; c.crash.heldBy == 0 && (n == 0 || at.Sub(last) > 2*shareTime) {
+			n, last = n+1, at
+		}
+	}
+	return n >= r.cfg.MinCrashes
+}
+
 // scheduleRequests sets when the next request may be held without further evidence.
 func (r *Registry) scheduleRequests(now time.Time, candidates []requestCandidate) {
 	for _, c := range candidates {
--- a/core/kwquarantine/requests_test.go
+++ b/core/kwquarantine/requests_test.go
@@ -492,3 +492,19 @@
 	f.settleRequests()
 	f.wantHeld("bad")
 }
+
+// TestRequestsThatCrashInTurnAreHeld lets six requests crash servers in turn, so fast that each is on less than its share of the crashes
+// about the same time.
+func TestRequestsThatCrashInTurnAreHeld(t *testing.T) {
+	names := []string{"a", "b", "c", "d", "e", "f"}
+	for _, step := range []time.Duration{150 * time.Millisecond, 100 * time.Millisecond, 70 * time.Millisecond} {
+		f := newFixtureWith(t, DefaultConfig())
+		for i := range 60 {
+			f.crashUnder(i, names[i%len(names)])
+			f.r.Decide(f.now)
+			f.advance(step)
+		}
+		f.settleRequests()
+		f.wantHeld(names...)
+	}
+}
