Notice the crash of a process that is back before its lease ends

A server that crashes just after its answer and is back soon is replaced in the view, never taken for lost, so nobody reported the crash and the answer became sound. An entry reports the processes that a view replaces, by a later one of the same endpoint or by another endpoint at their address, unless they leave.

TestReplacedProcessHasCrashed failed before for both: "got reports of [], want 1 requests".

--- a/io/kwdirectentry/crash_reports.go
+++ b/io/kwdirectentry/crash_reports.go
@@ -149,3 +149,20 @@
 		g.reportCrash(endpoint.Process())
 	}
 }
+
+// reportReplaced reports the crash of the processes that a view replaces, by a later one of the same endpoint or by another endpoint at
+// the same address. Those that are back soon are never taken for lost.
+func (g *Gateway) reportReplaced(old, next *view) {
+	holders := make(map[string]kwid.EndpointID, len(next.endpoints))
+	for id, row := range next.endpoints {
+		holders[row.Announcement.Address] = id
+	}
+	for id, row := range old.endpoints {
+		process, address := row.Announcement.Process(), row.Announcement.Address
+		present, listed := next.endpoints[id]
+		_, taken := holders[address]
+		if listed && present.Announcement.StartedMillis > process.StartedMillis || !listed && taken {
+			g.reportCrash(process)
+		}
+	}
+}
--- a/io/kwdirectentry/held_requests_test.go
+++ b/io/kwdirectentry/held_requests_test.go
@@ -101,6 +101,9 @@
 	trials  []kwdirectproto.QuarantineTrial
 	// allowedTrials is the number of trials that it allows.
 	allowedTrials int
+	// view is the reply to watches.
+	view    kwdirectproto.View
+	address string
 }
 
 func startControlStub(t *testing.T, g *Gateway, allowedTrials int) *controlStub {
@@ -117,6 +120,11 @@
 			c.reports = append(c.reports, req)
 			return nil, nil
 		},
+		kwdirectproto.KindWatch: func(context.Context, kwtcprpc.Body) (any, error) {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			return c.view, nil
+		},
 		kwdirectproto.KindQuarantineTrial: func(_ context.Context, body kwtcprpc.Body) (any, error) {
 			var req kwdirectproto.QuarantineTrial
 			if err := body.Decode(&req); err != nil {
@@ -136,7 +144,8 @@
 	}
 	go func() { _ = server.Serve() }()
 	t.Cleanup(server.Close)
-	g.leader.SetAddresses([]string{server.Address()})
+	c.address = server.Address()
+	g.leader.SetAddresses([]string{c.address})
 	return c
 }
 
@@ -532,3 +541,46 @@
 		}
 	}
 }
+
+// TestReplacedProcessHasCrashed lets a server crash after its answer and be back before the leader takes it for lost, under its ID or
+// another one.
+func TestReplacedProcessHasCrashed(t *testing.T) {
+	row := func(id kwid.EndpointID, address string, started kwmembership.StartMillis, state kwmembership.State) kwmembership.RosterRow {
+		return kwmembership.RosterRow{State: state, Announcement: kwmembership.Announcement{ID: id, Address: address, StartedMillis: started, Service: "records"}}
+	}
+	const live, leaving, gone = kwmembership.Live, kwmembership.Leaving, kwmembership.Gone
+	cases := []struct {
+		name string
+		old  kwmembership.State
+		next []kwmembership.RosterRow
+		want int
+	}{
+		{"same process", live, []kwmembership.RosterRow{row("a", "127.0.0.1:1", 1, live)}, 0},
+		{"next process", live, []kwmembership.RosterRow{row("a", "127.0.0.1:2", 2, live)}, 1},
+		{"another ID at the address", live, []kwmembership.RosterRow{row("b", "127.0.0.1:1", 2, live), row("a", "127.0.0.1:1", 1, gone)}, 1},
+		{"deregistered", live, []kwmembership.RosterRow{row("a", "127.0.0.1:1", 1, gone)}, 0},
+		{"next process after a planned stop", leaving, []kwmembership.RosterRow{row("a", "127.0.0.1:1", 2, live)}, 0},
+		{"another ID after a planned stop", leaving, []kwmembership.RosterRow{row("b", "127.0.0.1:1", 2, live), row("a", "127.0.0.1:1", 1, gone)}, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := newTestGateway(t, "127.0.0.1:1", "127.0.0.1:1")
+			control := startControlStub(t, g, 0)
+			control.view = kwdirectproto.View{ControlAddresses: []string{control.address}, Epoch: 1, Version: 1, Full: true, Endpoints: []kwmembership.RosterRow{row("a", "127.0.0.1:1", 1, c.old)}}
+			if err := g.fetchView(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			g.partGuard.RecordAnswered(time.Now(), kwmembership.Process{Endpoint: "a", StartedMillis: 1}, digestOf("/lookups/x"))
+			control.mu.Lock()
+			control.view = kwdirectproto.View{ControlAddresses: []string{control.address}, Epoch: 1, Version: 2, Endpoints: c.next}
+			control.mu.Unlock()
+			if err := g.fetchView(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			g.Stop()
+			if _, requests := control.reported("a"); len(requests) != c.want {
+				t.Errorf("got reports of %v, want %d requests", requests, c.want)
+			}
+		})
+	}
+}
--- a/io/kwdirectentry/view.go
+++ b/io/kwdirectentry/view.go
@@ -114,6 +114,7 @@
 	next.confirmedAt = sentAt
 	g.partGuard.Apply(time.Now(), reply.SuspectParts, reply.QuarantinedParts, reply.Gathering)
 	g.applyHeldRequests(reply)
+	g.reportReplaced(old, next)
 	g.view.Store(next)
 	g.scheduler.applyView(next, loads)
 	g.crashLog.retain(func(process kwmembership.Process) bool {
