Schedule the next decision after a lapse of the lease

If the lease had lapsed when a decision was due, its time stayed in the past, and no later decision of the epoch was scheduled.

TestNextDecisionAfterALapse failed before: "after 6 crashes: got the next decision at" a time 1.5 s too early, that of the decision which was not taken.

--- a/io/kwdirectcontrol/crashing_requests.go
+++ b/io/kwdirectcontrol/crashing_requests.go
@@ -83,7 +83,8 @@
 	p := s.promptParts
 	p.decide(now, epoch)
 	due, ok := p.at(epoch).DecideAt()
-	if !ok || !due.After(now) || !p.nextDecision.IsZero() && !due.Before(p.nextDecision) {
+	// One that is past was not taken, since the lease had lapsed.
+	if !ok || !due.After(now) || p.nextDecision.After(now) && !due.Before(p.nextDecision) {
 		return
 	}
 	p.nextDecision = due
--- a/io/kwdirectcontrol/crashing_requests_test.go
+++ b/io/kwdirectcontrol/crashing_requests_test.go
@@ -1,6 +1,7 @@
 package kwdirectcontrol
 
 import (
+	"context"
 	"fmt"
 	"reflect"
 	"testing"
@@ -169,3 +170,28 @@
 		t.Error("three crashes: the watches were not woken by the decision")
 	}
 }
+
+// TestNextDecisionAfterALapse guards against a leader that takes no decision in time any more after its lease had lapsed when one was due.
+func TestNextDecisionAfterALapse(t *testing.T) {
+	f := newRequestsFixture()
+	f.now = time.Now()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	// Without a replicated log the process does not lead when a decision is due.
+	s := &Server{ctx: ctx, promptParts: f.parts}
+	for i := range 6 {
+		digest := kwid.RequestDigest{byte(1 + i/3)}
+		f.crash(1, fmt.Sprint("m", i), kwdirectproto.CrashedRequest{Request: "q", Digest: digest})
+		f.now = f.now.Add(-time.Second + 250*time.Millisecond)
+		if i%3 < 2 {
+			continue
+		}
+		f.now = f.now.Add(-200 * time.Millisecond)
+		s.decideInTime(f.now, 1)
+		due, ok := f.parts.at(1).DecideAt()
+		if !ok || !f.parts.nextDecision.Equal(due) {
+			t.Errorf("after %d crashes: got the next decision at %v, want it at %v, %v", i+1, f.parts.nextDecision, due, ok)
+		}
+		f.now = f.now.Add(time.Second)
+	}
+}
