Bound the sound runs of an entry's own suspects, and the cost of a crash

An entry that saw a server crash under many requests reported the sound runs of them all, 1,002 in the test; it reports the 256 of those with the most crashes.

TestSoundRequestsAreBounded failed before: "got 1002 sound requests, want 257".

--- a/core/kwquarantine/bench_test.go
+++ b/core/kwquarantine/bench_test.go
@@ -122,3 +122,20 @@
 		})
 	}
 }
+
+// BenchmarkRecordCrashed measures the crash of one of 30 processes with 500 open answers each.
+func BenchmarkRecordCrashed(b *testing.B) {
+	for _, requests := range []int{15000, 1} {
+		b.Run(fmt.Sprint("requests ", requests), func(b *testing.B) {
+			for b.Loop() {
+				b.StopTimer()
+				g, now := NewGuard(DefaultGuardConfig()), testStart
+				for i := range 15000 {
+					g.RecordAnswered(now.Add(time.Duration(i/30)*time.Millisecond), testProcess(i%30), testDigest(fmt.Sprint(i%requests)))
+				}
+				b.StartTimer()
+				g.RecordCrashed(now.Add(600*time.Millisecond), testProcess(3), nil)
+			}
+		})
+	}
+}
--- a/core/kwquarantine/guard_requests.go
+++ b/core/kwquarantine/guard_requests.go
@@ -23,6 +23,8 @@
 	// maxSoundRequests is the number of requests whose last sound run a Guard remembers; beyond it the one that had its sound run
 	// least recently is forgotten.
 	maxSoundRequests = 4096
+	// maxOwnSounds is the number of sound runs of the entry's own suspects in one report.
+	maxOwnSounds = 256
 	// suspectCrashes is the number of crashes from which on a request is suspected: one more and it is held.
 	suspectCrashes = 2
 	// sameAnswer is the time between two records of an answer by the processes of one chain.
@@ -235,8 +237,8 @@
 		log := e.Value.(*answerLog)
 		q.confirm(log, log.lastAt.Add(-outlive))
 		q.forgetLog(e)
+		q.removeAnswers(log.answers)
 		for _, a := range log.answers {
-			q.removeAnswer(a)
 			if !slices.Contains(inFlight, a.digest) && !slices.Contains(answeredBefore, a.digest) {
 				answeredBefore = append(answeredBefore, a.digest)
 			}
@@ -265,18 +267,24 @@
 	}
 }
 
-// removeAnswer removes the answer of a process that crashed from those of the other processes of its chain.
-func (q *requestGuard) removeAnswer(crashed answer) {
+// removeAnswers removes the answers of a process that crashed, the oldest first, from those of the other processes of their chains.
+func (q *requestGuard) removeAnswers(crashed []answer) {
+	times := make(map[kwid.RequestDigest][]time.Time, len(crashed))
+	for _, a := range crashed {
+		times[a.digest] = append(times[a.digest], a.at)
+	}
 	for e := q.answerLogs.Front(); e != nil; e = e.Next() {
 		log := e.Value.(*answerLog)
 		log.answers = slices.DeleteFunc(log.answers, func(a answer) bool {
-			return a.digest == crashed.digest && a.at.Sub(crashed.at).Abs() <= sameAnswer
+			of := times[a.digest]
+			i, _ := slices.BinarySearchFunc(of, a.at.Add(-sameAnswer), time.Time.Compare)
+			return i < len(of) && of[i].Sub(a.at) <= sameAnswer
 		})
 	}
 }
 
 // SoundRequests returns the last sound runs of the suspect and held requests within Memory, sorted, with later answers that are not
-// confirmed.
+// confirmed. Of the entry's own suspects it returns at most maxOwnSounds, those with the most crashes.
 func (g *Guard) SoundRequests(now time.Time) []SoundRequest {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -291,10 +299,15 @@
 	for digest := range q.held {
 		digests[digest] = struct{}{}
 	}
-	for _, digest := range own {
-		digests[digest] = struct{}{}
+	own = slices.DeleteFunc(own, func(d kwid.RequestDigest) bool { _, ok := digests[d]; return ok })
+	sounds := q.soundsOf(now, g.cfg.Memory, slices.AppendSeq(own, maps.Keys(digests)))
+	ownSounds := slices.IndexFunc(sounds, func(s SoundRequest) bool { _, ok := digests[s.Digest]; return ok })
+	if ownSounds < 0 {
+		ownSounds = len(sounds)
 	}
-	return q.soundsOf(now, g.cfg.Memory, slices.SortedFunc(maps.Keys(digests), compareDigests))
+	sounds = slices.Delete(sounds, min(maxOwnSounds, ownSounds), ownSounds)
+	slices.SortStableFunc(sounds, func(a, b SoundRequest) int { return compareDigests(a.Digest, b.Digest) })
+	return sounds
 }
 
 // SoundAge returns how long ago this entry last saw a sound run of a request, for the report of a crash under it; 0 if not within Memory.
--- a/core/kwquarantine/guard_requests_test.go
+++ b/core/kwquarantine/guard_requests_test.go
@@ -253,3 +253,35 @@
 		t.Errorf("sound requests: got %d and %d, want %d", got, q.sounds.Len(), maxSoundRequests)
 	}
 }
+
+// TestSoundRequestsAreBounded lets an entry see crashes under thousands of requests that others answer, of which the leader knows none.
+func TestSoundRequestsAreBounded(t *testing.T) {
+	g := NewGuard(DefaultGuardConfig())
+	g.ApplyRequests(testStart, []SuspectRequest{{Digest: testDigest("view"), Crashes: 1}}, nil, false)
+	g.RecordAnswered(testStart, testProcess(99), testDigest("view"))
+	now := testStart
+	for server := range 10 {
+		var digests []kwid.RequestDigest
+		for i := range 100 {
+			digests = append(digests, testDigest(fmt.Sprint(server, i)))
+		}
+		digests = append(digests, testDigest("often"))
+		g.RecordCrashed(now, testProcess(server), digests)
+		now = now.Add(time.Millisecond)
+		for _, digest := range digests {
+			g.RecordAnswered(now, testProcess(100+server), digest)
+		}
+	}
+	sounds := g.SoundRequests(now)
+	if got, want := len(sounds), maxOwnSounds+1; got != want {
+		t.Errorf("got %d sound requests, want %d of the entry's own and that of the view", got, want)
+	}
+	for _, name := range []string{"often", "view"} {
+		if !slices.ContainsFunc(sounds, func(s SoundRequest) bool { return s.Digest == testDigest(name) }) {
+			t.Errorf("got no sound run of %s, want one", name)
+		}
+	}
+	if !slices.IsSortedFunc(sounds, func(a, b SoundRequest) int { return compareDigests(a.Digest, b.Digest) }) {
+		t.Error("got sound requests that are not sorted")
+	}
+}
--- a/core/kwquarantine/request_crashes.go
+++ b/core/kwquarantine/request_crashes.go
@@ -300,17 +300,31 @@
 	return slices.Clone(r.suspectRequests)
 }
 
-// suspectDigests returns the held requests and those with crashes.
+// suspectDigests returns the held requests and those with crashes, the ones with the most crashes first.
 func (r *Registry) suspectDigests(now time.Time) []kwid.RequestDigest {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.forget(now)
-	digests := slices.Collect(maps.Keys(r.heldRequests))
+	type suspect struct {
+		digest  kwid.RequestDigest
+		crashes int
+	}
+	var suspects []suspect
+	for digest, q := range r.heldRequests {
+		suspects = append(suspects, suspect{digest, len(q.crashes)})
+	}
 	for digest, q := range r.requests {
 		if len(q.crashes) > 0 {
-			digests = append(digests, digest)
+			suspects = append(suspects, suspect{digest, len(q.crashes)})
 		}
 	}
+	slices.SortFunc(suspects, func(a, b suspect) int {
+		return cmp.Or(cmp.Compare(b.crashes, a.crashes), compareDigests(a.digest, b.digest))
+	})
+	digests := make([]kwid.RequestDigest, 0, len(suspects))
+	for _, s := range suspects {
+		digests = append(digests, s.digest)
+	}
 	return digests
 }
 
