Count attempts that ended before their server was found to have crashed

An attempt that the caller's deadline ended, or whose probe came while the listener was still open, left no evidence of a crash soon after. Such attempts go to the log of the process's answers, from which a crash takes them, and are never sound.

TestAbandonedAttemptsAreEvidence failed before in its four cases: "got reports of [], want one of the request". TestAbandonedRequestIsNeverSound failed while a crash took away the answer of another server to the same request.

--- a/core/kwquarantine/guard_requests.go
+++ b/core/kwquarantine/guard_requests.go
@@ -35,10 +35,11 @@
 	cutOffAfter = 2 * time.Second
 )
 
-// answer is a request that a process answered completely.
+// answer is a request that a process answered completely, or that was abandoned there and is never sound.
 type answer struct {
-	digest kwid.RequestDigest
-	at     time.Time
+	digest    kwid.RequestDigest
+	at        time.Time
+	abandoned bool
 }
 
 // answerLog holds the answers of a process that are not known to be sound, the oldest first.
@@ -161,7 +162,22 @@
 func (g *Guard) RecordAnswered(now time.Time, process kwmembership.Process, digest kwid.RequestDigest) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	q := &g.requests
+	log := g.requests.log(process)
+	g.requests.confirm(log, now.Add(-outlive))
+	log.add(answer{digest: digest, at: now})
+	log.lastAt = now
+}
+
+// RecordAbandoned records that an attempt of a request was given up, or broken off by a process that was not found to have crashed. If
+// it crashes soon after, the request was on it.
+func (g *Guard) RecordAbandoned(now time.Time, process kwmembership.Process, digest kwid.RequestDigest) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.requests.log(process).add(answer{digest: digest, at: now, abandoned: true})
+}
+
+// log returns the log of a process as the latest.
+func (q *requestGuard) log(process kwmembership.Process) *answerLog {
 	e, ok := q.logOf[process]
 	if ok {
 		q.answerLogs.MoveToFront(e)
@@ -172,20 +188,23 @@
 		e = q.answerLogs.PushFront(&answerLog{process: process})
 		q.logOf[process] = e
 	}
-	log := e.Value.(*answerLog)
-	q.confirm(log, now.Add(-outlive))
-	if len(log.answers) >= maxAnswersPerProcess {
-		log.answers = slices.Delete(log.answers, 0, 1)
+	return e.Value.(*answerLog)
+}
+
+func (l *answerLog) add(a answer) {
+	if len(l.answers) >= maxAnswersPerProcess {
+		l.answers = slices.Delete(l.answers, 0, 1)
 	}
-	log.answers = append(log.answers, answer{digest: digest, at: now})
-	log.lastAt = now
+	l.answers = append(l.answers, a)
 }
 
 // confirm makes the answers of a process up to a point in time sound.
 func (q *requestGuard) confirm(log *answerLog, until time.Time) {
 	n := 0
 	for ; n < len(log.answers) && !log.answers[n].at.After(until); n++ {
-		q.recordSound(log.answers[n])
+		if !log.answers[n].abandoned {
+			q.recordSound(log.answers[n])
+		}
 	}
 	log.answers = slices.Delete(log.answers, 0, n)
 }
@@ -271,7 +290,9 @@
 func (q *requestGuard) removeAnswers(crashed []answer) {
 	times := make(map[kwid.RequestDigest][]time.Time, len(crashed))
 	for _, a := range crashed {
-		times[a.digest] = append(times[a.digest], a.at)
+		if !a.abandoned {
+			times[a.digest] = append(times[a.digest], a.at)
+		}
 	}
 	for e := q.answerLogs.Front(); e != nil; e = e.Next() {
 		log := e.Value.(*answerLog)
@@ -332,7 +353,7 @@
 	unconfirmed := make(map[kwid.RequestDigest]time.Time)
 	for e := q.answerLogs.Front(); e != nil; e = e.Next() {
 		for _, a := range e.Value.(*answerLog).answers {
-			if a.at.After(unconfirmed[a.digest]) {
+			if !a.abandoned && a.at.After(unconfirmed[a.digest]) {
 				unconfirmed[a.digest] = a.at
 			}
 		}
--- a/core/kwquarantine/guard_requests_test.go
+++ b/core/kwquarantine/guard_requests_test.go
@@ -285,3 +285,30 @@
 		t.Error("got sound requests that are not sorted")
 	}
 }
+
+// TestAbandonedRequestIsNeverSound covers requests that an entry gave up before their server crashed.
+func TestAbandonedRequestIsNeverSound(t *testing.T) {
+	g := NewGuard(DefaultGuardConfig())
+	g.ApplyRequests(testStart, []SuspectRequest{{Digest: testDigest("old"), Crashes: 1}, {Digest: testDigest("late"), Crashes: 1}}, nil, false)
+	at := func(ms int) time.Time { return testStart.Add(time.Duration(ms) * time.Millisecond) }
+	g.RecordAbandoned(at(0), testProcess(1), testDigest("old"))
+	g.RecordAnswered(at(1500), testProcess(1), testDigest("other"))
+	g.RecordAbandoned(at(1600), testProcess(1), testDigest("late"))
+	g.RecordAbandoned(at(1600), testProcess(2), testDigest("late"))
+	// Another server answers it meanwhile.
+	g.RecordAbandoned(at(1600), testProcess(1), testDigest("hedged"))
+	g.RecordAnswered(at(1600), testProcess(3), testDigest("hedged"))
+	if got := g.SoundRequests(at(1700)); len(got) != 0 {
+		t.Errorf("got sound runs %v, want none, confirmed or not", got)
+	}
+	if got, want := g.RecordCrashed(at(1700), testProcess(1), nil), digestsOf("other", "late", "hedged"); !slices.Equal(got, want) {
+		t.Errorf("on the server shortly before the crash: got %v, want %v", got, want)
+	}
+	g.RecordStopped(testProcess(2))
+	if got := g.SoundRequests(at(20_000)); len(got) != 1 || got[0].Digest != testDigest("hedged") {
+		t.Errorf("got sound runs %v, want that of the request which another server answered alone", got)
+	}
+	if g.SoundAge(at(20_000), testDigest("hedged")) == 0 {
+		t.Error("sound run of the request that another server answered: got none, want one")
+	}
+}
--- a/io/kwdirectentry/held_requests_test.go
+++ b/io/kwdirectentry/held_requests_test.go
@@ -584,3 +584,41 @@
 		})
 	}
 }
+
+// TestAbandonedAttemptsAreEvidence lets a server crash after the entry has given an attempt up, or after a probe that found it listening.
+func TestAbandonedAttemptsAreEvidence(t *testing.T) {
+	cases := []struct {
+		name, path string
+		silent     bool
+	}{
+		{"silent call", "/lookups/x", true},
+		{"silent stream", "/notes/x", true},
+		{"call that is broken off", "/alerts/x", false},
+		{"stream that is broken off", "/notes/x", false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			g := newTestGateway(t, "127.0.0.1:1", "127.0.0.1:1")
+			g.deps.Dialect = partsDialect{}
+			control := startControlStub(t, g, 0)
+			server := startServer(t, func(_ *crashingServer, _ net.Conn, _ string) {
+				if c.silent {
+					time.Sleep(4 * time.Second)
+				}
+			})
+			if c.path == "/notes/x" {
+				setModelServers(g, server.announcement("a"))
+			} else {
+				setRecordsServers(g, server.announcement("a"))
+			}
+			post(t, http.DefaultClient, g, c.path, "r")
+			server.crash()
+			g.noteRefusal("a", syscall.ECONNREFUSED)
+			g.Stop()
+			if _, requests := control.reported("a"); len(requests) != 1 || requests[0].Digest != digestOf(c.path) {
+				t.Errorf("got reports of %v, want one of the request", requests)
+			}
+		})
+	}
+}
--- a/io/kwdirectentry/quarantine.go
+++ b/io/kwdirectentry/quarantine.go
@@ -94,6 +94,7 @@
 	}
 	refuses := func() bool { return kwupstream.Probe(g.ctx, address) == kwchainsearch.Refused }
 	if !g.crashLog.crashed(process, refuses) {
+		g.partGuard.RecordAbandoned(time.Now(), process, q.digest)
 		return
 	}
 	if g.leaves(process) {
--- a/io/kwdirectentry/stream_failure.go
+++ b/io/kwdirectentry/stream_failure.go
@@ -83,6 +83,9 @@
 	excludeFaulty(s.attempts.exclude, chain, blamed)
 	switch {
 	case ctx.Err() != nil:
+		for _, process := range s.processes {
+			g.partGuard.RecordAbandoned(time.Now(), process, s.q.digest)
+		}
 	case blamed != "":
 		if stage, ok := chain.StageOf(blamed); ok {
 			g.checkStreamForCrash(s, blamed, stage.Address)
--- a/io/kwdirectentry/unary.go
+++ b/io/kwdirectentry/unary.go
@@ -179,6 +179,8 @@
 			attempts.mayHaveRun++
 			if connectionDropped(res.Err) {
 				g.checkForCrash(q, endpoint.Process(), endpoint.Address, q.guardedParts())
+			} else {
+				g.partGuard.RecordAbandoned(time.Now(), endpoint.Process(), q.digest)
 			}
 		} else {
 			g.noteRefusal(endpoint.ID, res.Err)
