--- a/core/kwquarantine/decide_requests.go
+++ b/core/kwquarantine/decide_requests.go
@@ -26,13 +26,14 @@
 // candidates that are left.
 func (r *Registry) decideRequests(now time.Time) []requestCandidate {
 	r.correctRequests(now)
+	o := &overlaps{r: r}
 	for {
-		candidates := r.requestCandidates()
+		candidates := r.requestCandidates(o)
 		digest, ok := r.firstRequest(now, candidates)
 		if !ok {
 			return candidates
 		}
-		r.holdRequest(now, digest)
+		r.holdRequest(now, digest, o)
 	}
 }
 
@@ -71,43 +72,18 @@
 	return n
 }
 
-// firmlyExplained reports whether a crash is under a held request that was not contested.
-func (r *Registry) firmlyExplained(crash *crashState) bool {
-	for digest := range crash.digests {
-		if h := r.heldRequests[digest]; h != nil && !h.contested {
-			return true
+// firmlyExplained returns the crashes that are under a held request which was not contested.
+func (r *Registry) firmlyExplained() map[*crashState]bool {
+	explained := make(map[*crashState]bool)
+	for _, h := range r.heldRequests {
+		if h.contested {
+			continue
 		}
-	}
-	return false
-}
-
-// contested reports whether another request was on all crashes of one, or on all but one.
-func (r *Registry) contested(q *requestState) bool {
-	if len(q.crashes) < 2 {
-		return false
-	}
-	// One that misses a crash at most is on the first or on the second.
-	for _, c := range q.crashes[:2] {
-		for digest := range c.crash.digests {
-			if other := r.requests[digest]; other != nil && other != q && len(other.crashes) > 1 && missed(q, digest) <= 1 {
-				return true
-			}
+		for _, c := range h.crashes {
+			explained[c.crash] = true
 		}
 	}
-	return false
-}
-
-// missed returns on how many of the crashes under a request another one was not, or 2 if it is more than one.
-func missed(q *requestState, other kwid.RequestDigest) int {
-	n := 0
-	for _, c := range q.crashes {
-		if _, ok := c.crash.digests[other]; !ok {
-			if n++; n > 1 {
-				break
-			}
-		}
-	}
-	return n
+	return explained
 }
 
 // correctRequests releases the requests that were held for the crashes of others, once those explain all of them and have crashed a
@@ -154,8 +130,9 @@
 
 // requestCandidates returns the requests under which enough servers crashed, not all at one moment, in the order of the decision. What
 // a held request explains does not count, unless that was contested and a server has crashed without it since.
-func (r *Registry) requestCandidates() []requestCandidate {
+func (r *Registry) requestCandidates(o *overlaps) []requestCandidate {
 	var candidates []requestCandidate
+	firm := r.firmlyExplained()
 	r.countAbout()
 	for digest, q := range r.requests {
 		if len(q.crashes)+q.adopted < r.cfg.MinCrashes {
@@ -166,8 +143,9 @@
 			continue
 		}
 		c := requestCandidate{digest: digest, state: q, answered: !q.answeredAt.IsZero()}
+		apart := r.crashesApart(q)
 		for _, crash := range q.crashes {
-			if (crash.crash.heldBy == 0 || !c.answered && !r.firmlyExplained(crash.crash)) && r.share(q, crash.crash) {
+			if (crash.crash.heldBy == 0 || !c.answered && !firm[crash.crash]) && (apart || r.share(q, crash.crash)) {
 				c.crashes = append(c.crashes, crash)
 			}
 		}
@@ -176,7 +154,7 @@
 		if !ok {
 			continue
 		}
-		if c.answered || r.contested(q) {
+		if c.answered || o.contested(q) {
 			at, _ = r.decisiveRequestCrash(c, r.cfg.DoubtSettle)
 		}
 		if c.settledAt = since.Add(r.cfg.RequestSettle); at.After(c.settledAt) {
@@ -282,6 +260,19 @@
 	return minShare*on >= all
 }
 
+// crashesApart reports whether enough crashes under a request are so far apart that no other crash is about the time of two of them. Then
+// its share does not matter: several requests that crash servers in turn leave each a small one.
+func (r *Registry) crashesApart(q *requestState) bool {
+	n := 0
+	var last time.Time
+	for _, c := range q.crashes {
+		if at := c.crash.recordedAt; c.crash.heldBy == 0 && (n == 0 || at.Sub(last) > 2*shareTime) {
+			n, last = n+1, at
+		}
+	}
+	return n >= r.cfg.MinCrashes
+}
+
 // scheduleRequests sets when the next request may be held without further evidence.
 func (r *Registry) scheduleRequests(now time.Time, candidates []requestCandidate) {
 	for _, c := range candidates {
--- a/core/kwquarantine/guard_requests.go
+++ b/core/kwquarantine/guard_requests.go
@@ -23,6 +23,8 @@
 	// maxSoundRequests is the number of requests whose last sound run a Guard remembers; beyond it the one that had its sound run
 	// least recently is forgotten.
 	maxSoundRequests = 4096
+	// maxOwnSounds is the number of sound runs of the entry's own suspects in one report.
+	maxOwnSounds = 256
 	// suspectCrashes is the number of crashes from which on a request is suspected: one more and it is held.
 	suspectCrashes = 2
 	// sameAnswer is the time between two records of an answer by the processes of one chain.
@@ -33,10 +35,11 @@
 	cutOffAfter = 2 * time.Second
 )
 
-// answer is a request that a process answered completely.
+// answer is a request that a process answered completely, or that was abandoned there and is never sound.
 type answer struct {
-	digest kwid.RequestDigest
-	at     time.Time
+	digest    kwid.RequestDigest
+	at        time.Time
+	abandoned bool
 }
 
 // answerLog holds the answers of a process that are not known to be sound, the oldest first.
@@ -159,7 +162,22 @@
 func (g *Guard) RecordAnswered(now time.Time, process kwmembership.Process, digest kwid.RequestDigest) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	q := &g.requests
+	log := g.requests.log(process)
+	g.requests.confirm(log, now.Add(-outlive))
+	log.add(answer{digest: digest, at: now})
+	log.lastAt = now
+}
+
+// RecordAbandoned records that an attempt of a request was given up, or broken off by a process that was not found to have crashed. If
+// it crashes soon after, the request was on it.
+func (g *Guard) RecordAbandoned(now time.Time, process kwmembership.Process, digest kwid.RequestDigest) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.requests.log(process).add(answer{digest: digest, at: now, abandoned: true})
+}
+
+// log returns the log of a process as the latest.
+func (q *requestGuard) log(process kwmembership.Process) *answerLog {
 	e, ok := q.logOf[process]
 	if ok {
 		q.answerLogs.MoveToFront(e)
@@ -170,20 +188,23 @@
 		e = q.answerLogs.PushFront(&answerLog{process: process})
 		q.logOf[process] = e
 	}
-	log := e.Value.(*answerLog)
-	q.confirm(log, now.Add(-outlive))
-	if len(log.answers) >= maxAnswersPerProcess {
-		log.answers = slices.Delete(log.answers, 0, 1)
+	return e.Value.(*answerLog)
+}
+
+func (l *answerLog) add(a answer) {
+	if len(l.answers) >= maxAnswersPerProcess {
+		l.answers = slices.Delete(l.answers, 0, 1)
 	}
-	log.answers = append(log.answers, answer{digest: digest, at: now})
-	log.lastAt = now
+	l.answers = append(l.answers, a)
 }
 
 // confirm makes the answers of a process up to a point in time sound.
 func (q *requestGuard) confirm(log *answerLog, until time.Time) {
 	n := 0
 	for ; n < len(log.answers) && !log.answers[n].at.After(until); n++ {
-		q.recordSound(log.answers[n])
+		if !log.answers[n].abandoned {
+			q.recordSound(log.answers[n])
+		}
 	}
 	log.answers = slices.Delete(log.answers, 0, n)
 }
@@ -235,8 +256,8 @@
 		log := e.Value.(*answerLog)
 		q.confirm(log, log.lastAt.Add(-outlive))
 		q.forgetLog(e)
+		q.removeAnswers(log.answers)
 		for _, a := range log.answers {
-			q.removeAnswer(a)
 			if !slices.Contains(inFlight, a.digest) && !slices.Contains(answeredBefore, a.digest) {
 				answeredBefore = append(answeredBefore, a.digest)
 			}
@@ -247,8 +268,8 @@
 		q.own.explainCrash(now, process)
 		return answeredBefore
 	}
-	for _, digest := range digests {
-		q.own.RecordCrash(now, Evidence{Crash: process, Digest: digest})
+	for i, digest := range digests {
+		q.own.RecordCrash(now, Evidence{Crash: process, Digest: digest, Answered: i >= len(inFlight)})
 	}
 	return answeredBefore
 }
@@ -265,18 +286,26 @@
 	}
 }
 
-// removeAnswer removes the answer of a process that crashed from those of the other processes of its chain.
-func (q *requestGuard) removeAnswer(crashed answer) {
+// removeAnswers removes the answers of a process that crashed, the oldest first, from those of the other processes of their chains.
+func (q *requestGuard) removeAnswers(crashed []answer) {
+	times := make(map[kwid.RequestDigest][]time.Time, len(crashed))
+	for _, a := range crashed {
+		if !a.abandoned {
+			times[a.digest] = append(times[a.digest], a.at)
+		}
+	}
 	for e := q.answerLogs.Front(); e != nil; e = e.Next() {
 		log := e.Value.(*answerLog)
 		log.answers = slices.DeleteFunc(log.answers, func(a answer) bool {
-			return a.digest == crashed.digest && a.at.Sub(crashed.at).Abs() <= sameAnswer
+			of := times[a.digest]
+			i, _ := slices.BinarySearchFunc(of, a.at.Add(-sameAnswer), time.Time.Compare)
+			return i < len(of) && of[i].Sub(a.at) <= sameAnswer
 		})
 	}
 }
 
 // SoundRequests returns the last sound runs of the suspect and held requests within Memory, sorted, with later answers that are not
-// confirmed.
+// confirmed. Of the entry's own suspects it returns at most maxOwnSounds, those with the most crashes.
 func (g *Guard) SoundRequests(now time.Time) []SoundRequest {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -291,10 +320,15 @@
 	for digest := range q.held {
 		digests[digest] = struct{}{}
 	}
-	for _, digest := range own {
-		digests[digest] = struct{}{}
+	own = slices.DeleteFunc(own, func(d kwid.RequestDigest) bool { _, ok := digests[d]; return ok })
+	sounds := q.soundsOf(now, g.cfg.Memory, slices.AppendSeq(own, maps.Keys(digests)))
+	ownSounds := slices.IndexFunc(sounds, func(s SoundRequest) bool { _, ok := digests[s.Digest]; return ok })
+	if ownSounds < 0 {
+		ownSounds = len(sounds)
 	}
-	return q.soundsOf(now, g.cfg.Memory, slices.SortedFunc(maps.Keys(digests), compareDigests))
+	sounds = slices.Delete(sounds, min(maxOwnSounds, ownSounds), ownSounds)
+	slices.SortStableFunc(sounds, func(a, b SoundRequest) int { return compareDigests(a.Digest, b.Digest) })
+	return sounds
 }
 
 // SoundAge returns how long ago this entry last saw a sound run of a request, for the report of a crash under it; 0 if not within Memory.
@@ -319,7 +353,7 @@
 	unconfirmed := make(map[kwid.RequestDigest]time.Time)
 	for e := q.answerLogs.Front(); e != nil; e = e.Next() {
 		for _, a := range e.Value.(*answerLog).answers {
-			if a.at.After(unconfirmed[a.digest]) {
+			if !a.abandoned && a.at.After(unconfirmed[a.digest]) {
 				unconfirmed[a.digest] = a.at
 			}
 		}
--- a/core/kwquarantine/guard_requests_test.go
+++ b/core/kwquarantine/guard_requests_test.go
@@ -253,3 +253,62 @@
 		t.Errorf("sound requests: got %d and %d, want %d", got, q.sounds.Len(), maxSoundRequests)
 	}
 }
+
+// TestSoundRequestsAreBounded lets an entry see crashes under thousands of requests that others answer, of which the leader knows none.
+func TestSoundRequestsAreBounded(t *testing.T) {
+	g := NewGuard(DefaultGuardConfig())
+	g.ApplyRequests(testStart, []SuspectRequest{{Digest: testDigest("view"), Crashes: 1}}, nil, false)
+	g.RecordAnswered(testStart, testProcess(99), testDigest("view"))
+	now := testStart
+	for server := range 10 {
+		var digests []kwid.RequestDigest
+		for i := range 100 {
+			digests = append(digests, testDigest(fmt.Sprint(server, i)))
+		}
+		digests = append(digests, testDigest("often"))
+		g.RecordCrashed(now, testProcess(server), digests)
+		now = now.Add(time.Millisecond)
+		for _, digest := range digests {
+			g.RecordAnswered(now, testProcess(100+server), digest)
+		}
+	}
+	sounds := g.SoundRequests(now)
+	if got, want := len(sounds), maxOwnSounds+1; got != want {
+		t.Errorf("got %d sound requests, want %d of the entry's own and that of the view", got, want)
+	}
+	for _, name := range []string{"often", "view"} {
+		if !slices.ContainsFunc(sounds, func(s SoundRequest) bool { return s.Digest == testDigest(name) }) {
+			t.Errorf("got no sound run of %s, want one", name)
+		}
+	}
+	if !slices.IsSortedFunc(sounds, func(a, b SoundRequest) int { return compareDigests(a.Digest, b.Digest) }) {
+		t.Error("got sound requests that are not sorted")
+	}
+}
+
+// TestAbandonedRequestIsNeverSound covers requests that an entry gave up before their server crashed.
+func TestAbandonedRequestIsNeverSound(t *testing.T) {
+	g := NewGuard(DefaultGuardConfig())
+	g.ApplyRequests(testStart, []SuspectRequest{{Digest: testDigest("old"), Crashes: 1}, {Digest: testDigest("late"), Crashes: 1}}, nil, false)
+	at := func(ms int) time.Time { return testStart.Add(time.Duration(ms) * time.Millisecond) }
+	g.RecordAbandoned(at(0), testProcess(1), testDigest("old"))
+	g.RecordAnswered(at(1500), testProcess(1), testDigest("other"))
+	g.RecordAbandoned(at(1600), testProcess(1), testDigest("late"))
+	g.RecordAbandoned(at(1600), testProcess(2), testDigest("late"))
+	// Another server answers it meanwhile.
+	g.RecordAbandoned(at(1600), testProcess(1), testDigest("hedged"))
+	g.RecordAnswered(at(1600), testProcess(3), testDigest("hedged"))
+	if got := g.SoundRequests(at(1700)); len(got) != 0 {
+		t.Errorf("got sound runs %v, want none, confirmed or not", got)
+	}
+	if got, want := g.RecordCrashed(at(1700), testProcess(1), nil), digestsOf("other", "late", "hedged"); !slices.Equal(got, want) {
+		t.Errorf("on the server shortly before the crash: got %v, want %v", got, want)
+	}
+	g.RecordStopped(testProcess(2))
+	if got := g.SoundRequests(at(20_000)); len(got) != 1 || got[0].Digest != testDigest("hedged") {
+		t.Errorf("got sound runs %v, want that of the request which another server answered alone", got)
+	}
+	if g.SoundAge(at(20_000), testDigest("hedged")) == 0 {
+		t.Error("sound run of the request that another server answered: got none, want one")
+	}
+}
--- a/core/kwquarantine/requests_test.go
+++ b/core/kwquarantine/requests_test.go
@@ -506,3 +506,40 @@
 	f.settleRequests()
 	f.wantHeld("popular")
 }
+
+// TestRequestsOfACrashAreBounded lets thousands of requests run on a server that crashes, after one that has crashed two before.
+func TestRequestsOfACrashAreBounded(t *testing.T) {
+	f := newFixtureWith(t, DefaultConfig())
+	f.crashesUnder(0, 2, "bad")
+	for i := range 2 * maxDigestsPerCrash {
+		f.r.RecordCrash(f.now, Evidence{Crash: testProcess(2), Digest: testDigest(fmt.Sprint("answered ", i)), Answered: true})
+	}
+	if got, want := len(f.r.crashOf[testProcess(2)].digests), maxDigestsPerCrash/2; got != want {
+		t.Errorf("requests that were answered before the crash: got %d, want %d", got, want)
+	}
+	for i := range 2 * maxDigestsPerCrash {
+		f.crashUnder(2, fmt.Sprint("rider ", i))
+	}
+	if got, want := len(f.r.crashOf[testProcess(2)].digests), maxDigestsPerCrash; got != want {
+		t.Errorf("requests of the crash: got %d, want %d", got, want)
+	}
+	f.crashUnder(2, "bad")
+	f.settleRequests()
+	f.wantHeld("bad")
+}
+
+// TestRequestsThatCrashInTurnAreHeld lets six requests crash servers in turn, so fast that each is on less than its share of the crashes
+// about the same time.
+func TestRequestsThatCrashInTurnAreHeld(t *testing.T) {
+	names := []string{"a", "b", "c", "d", "e", "f"}
+	for _, step := range []time.Duration{150 * time.Millisecond, 100 * time.Millisecond, 70 * time.Millisecond} {
+		f := newFixtureWith(t, DefaultConfig())
+		for i := range 60 {
+			f.crashUnder(i, names[i%len(names)])
+			f.r.Decide(f.now)
+			f.advance(step)
+		}
+		f.settleRequests()
+		f.wantHeld(names...)
+	}
+}
--- a/io/kwdirectcontrol/crashing_requests.go
+++ b/io/kwdirectcontrol/crashing_requests.go
@@ -24,7 +24,11 @@
 	}
 	var evidence []kwquarantine.Evidence
 	for _, r := range req.Requests[:min(len(req.Requests), maxEvidencePerReport)] {
-		evidence = append(evidence, kwquarantine.Evidence{Crash: process, Request: r.Request, Digest: r.Digest, Parts: r.Parts, SoundAge: r.SoundAge})
+		evidence = append(evidence, kwquarantine.Evidence{
+			Crash: process, Request: r.Request, Digest: r.Digest, Parts: r.Parts, SoundAge: r.SoundAge,
+			// Those that were under way come with an ID.
+			Answered: r.Request == "",
+		})
 	}
 	return evidence
 }
@@ -79,7 +83,8 @@
 	p := s.promptParts
 	p.decide(now, epoch)
 	due, ok := p.at(epoch).DecideAt()
-	if !ok || !due.After(now) || !p.nextDecision.IsZero() && !due.Before(p.nextDecision) {
+	// One that is past was not taken, since the lease had lapsed.
+	if !ok || !due.After(now) || p.nextDecision.After(now) && !due.Before(p.nextDecision) {
 		return
 	}
 	p.nextDecision = due
