Read the limits on requests that endpoints name, and log them

The logs could not tell whether entries read a Server-Limit or keep to it each for itself. The head of every answer is now decoded into a notice: a rate, none, or no news (a value that is no number, or an answer of another server). An entry logs endpoint-limited when a limit begins, changes by a fifth or ends, with its even share, and request-limit-odd for values that are ignored or bounded.

Package kwendpointlimit holds the limits and each entry's turns under them; nothing obeys them yet.

--- a/io/kwdirectentry/notices.go
+++ b/io/kwdirectentry/notices.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"knapweedproxy/core/kwchainsearch"
+	"knapweedproxy/core/kwendpointlimit"
 	"knapweedproxy/core/kwid"
 	"knapweedproxy/core/kwmembership"
 	"knapweedproxy/io/kwdirectproto"
@@ -16,12 +17,13 @@
 // leavingReportDelay is the delay after a report to the leader that failed.
 const leavingReportDelay = time.Second
 
-// recordNotices records what the head of an answer says of the server that sent it: whether it leaves, and for how long it, or
-// the server that failed in its chain, wants no requests.
+// recordNotices records what the head of an answer says of the server that sent it: whether it leaves, how many requests a second it
+// takes, and for how long it, or the server that failed in its chain, wants no requests.
 func (g *Gateway) recordNotices(request kwid.RequestID, process kwmembership.Process, address string, meta kwupstream.ResponseMeta) {
 	if meta.Leaving {
 		g.recordLeaving(request, process)
 	}
+	g.recordLimit(request, process, meta)
 	if meta.OddRetryAfter != "" {
 		g.deps.Events.Emit(kwevent.RetryAfterOdd, request, kwevent.F("endpoint", process.Endpoint), kwevent.F("value", meta.OddRetryAfter),
 			kwevent.F("pause-ms", meta.RetryAfter.Milliseconds()))
@@ -42,6 +44,20 @@
 	}
 }
 
+// recordLimit records how many requests a second a server takes from all entries together by one of its answers.
+func (g *Gateway) recordLimit(request kwid.RequestID, process kwmembership.Process, meta kwupstream.ResponseMeta) {
+	if meta.OddLimit != "" {
+		g.deps.Events.Emit(kwevent.RequestLimitOdd, request, kwevent.F("endpoint", process.Endpoint), kwevent.F("value", meta.OddLimit),
+			kwevent.F("limited", meta.Limit.Kind == kwendpointlimit.Limited), kwevent.F("per-second", meta.Limit.Rate))
+	}
+	if !g.scheduler.limits.Observe(time.Now(), process, meta.Limit) {
+		return
+	}
+	share, limited := g.scheduler.limits.Share(process)
+	g.deps.Events.Emit(kwevent.EndpointLimited, request, kwevent.F("endpoint", process.Endpoint), kwevent.F("born", process.StartedMillis),
+		kwevent.F("limited", limited), kwevent.F("per-second", meta.Limit.Rate), kwevent.F("share", share))
+}
+
 // pause records that an endpoint process wants no requests for a time, and wakes the requests that wait for it. It reports
 // whether that is news.
 func (s *scheduler) pause(now time.Time, process kwmembership.Process, length time.Duration) bool {
--- a/io/kwdirectentry/scheduler.go
+++ b/io/kwdirectentry/scheduler.go
@@ -10,6 +10,7 @@
 
 	"knapweedproxy/core/kwchainsearch"
 	"knapweedproxy/core/kwdispatch"
+	"knapweedproxy/core/kwendpointlimit"
 	"knapweedproxy/core/kwid"
 	"knapweedproxy/core/kwmembership"
 	"knapweedproxy/core/kwqueue"
@@ -32,6 +33,7 @@
 	// announcedLeavers remembers the processes that leave by a view, until long after their stop.
 	announcedLeavers *kwmembership.Leavers
 	pauses           *kwretry.Pauses
+	limits           *kwendpointlimit.Limits
 	wakeups          map[*kwqueue.Waiter]chan struct{}
 	// stallQueries and probes limit how often an endpoint is queried for stalled requests and probed.
 	stallQueries, probes *endpointLimiter
@@ -64,6 +66,7 @@
 		leavers:          leavers,
 		announcedLeavers: kwmembership.NewLeavers(),
 		pauses:           pauses,
+		limits:           kwendpointlimit.NewLimits(cfg.Node),
 		wakeups:          make(map[*kwqueue.Waiter]chan struct{}),
 		stallQueries:     newEndpointLimiter(faultCheckInterval),
 		probes:           newEndpointLimiter(faultCheckInterval),
@@ -83,6 +86,11 @@
 	}
 	s.leavers.SetProcesses(time.Now(), processes)
 	s.announcedLeavers.SetProcesses(time.Now(), processes)
+	s.limits.SetEntryCount(time.Now(), v.entryCount)
+	s.limits.Retain(func(p kwmembership.Process) bool {
+		started, ok := processes[p.Endpoint]
+		return ok && started == p.StartedMillis
+	})
 	known := func(id kwid.EndpointID) bool { _, ok := v.endpoints[id]; return ok }
 	s.dispatcher.Retain(known)
 	s.dispatcher.RetainServices(v.hasService)
--- a/io/kwevent/catalogue.go
+++ b/io/kwevent/catalogue.go
@@ -37,6 +37,8 @@
 	RequestHeld         ID = 225
 	StreamHandedOver    ID = 226
 	StreamMoved         ID = 227
+	EndpointLimited     ID = 228
+	RequestLimitOdd     ID = 229
 	SessionStarted      ID = 301
 	SessionEnded        ID = 302
 	StageStarted        ID = 303
@@ -132,6 +134,8 @@
 	{RequestHeld, "request-held", levelInfo, "A request was not sent, or not sent again, since servers crash under it."},
 	{StreamHandedOver, "stream-handed-over", levelInfo, "An entry that stops goes on with a stream on a faster chain."},
 	{StreamMoved, "stream-moved", levelInfo, "A stream goes on at another chain, since its own was silent."},
+	{EndpointLimited, "endpoint-limited", levelInfo, "An endpoint has named, changed or ended a limit on the requests a second that it takes from all entries together."},
+	{RequestLimitOdd, "request-limit-odd", levelInfo, "The limit that an endpoint named was ignored or bounded."},
 	{SessionStarted, "session-started", levelDetail, "The first stage of a chain began an attempt."},
 	{SessionEnded, "session-ended", levelDetail, "The first stage of a chain ended an attempt."},
 	{StageStarted, "stage-started", levelDetail, "A later stage of a chain began an attempt."},
--- a/io/kwupstream/dialect.go
+++ b/io/kwupstream/dialect.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"knapweedproxy/core/kwchainsearch"
+	"knapweedproxy/core/kwendpointlimit"
 	"knapweedproxy/core/kwid"
 )
 
@@ -55,6 +56,10 @@
 	RetryAfter time.Duration
 	// OddRetryAfter is what the response says of that if it could not be followed as it stands: it was ignored or bounded.
 	OddRetryAfter string
+	// Limit is what the response says of how many requests a second its endpoint takes from all entries together.
+	Limit kwendpointlimit.Notice
+	// OddLimit is what the response says of that if it could not be followed as it stands: it was ignored or bounded.
+	OddLimit string
 }
 
 // Dialect reads and writes the headers that a platform's callers and endpoints use.
