Keep all entries together within the limits that endpoints name

Callers were served, but a server in need got up to nine times the requests a second that it had named: nothing obeyed Server-Limit, and requests follow the fastest first server of a zone whatever it says.

An entry now keeps to an even share of each limit (kwendpointlimit). A request uses a turn when it is placed: first attempts, retries, hedges, resumed and moved streams, and calls.

A chain cannot begin at a server without a turn, so load goes to other chains and other endpoints before any request is turned away.

--- a/core/kwchainsearch/chain.go
+++ b/core/kwchainsearch/chain.go
@@ -74,6 +74,8 @@
 	// Slots is the number of requests that the server accepts as the first of a chain, Running the number that it has.
 	Slots   int
 	Running int
+	// NotFirst means that the server accepts no request as the first of a chain now, whatever its load.
+	NotFirst bool
 }
 
 // NewServer returns a server of an engine without load; ok is false for an unknown accelerator or an empty layer range.
--- a/core/kwchainsearch/choose.go
+++ b/core/kwchainsearch/choose.go
@@ -113,7 +113,7 @@
 func anyZoneHoldsModel(engine *kwdeclaration.Engine, servers []Server) bool {
 	zones := make(map[kwid.AvailabilityZone][]Server)
 	for _, s := range servers {
-		s.Used, s.Running = 0, 0
+		s.Used, s.Running, s.NotFirst = 0, 0, false
 		zones[s.Zone] = append(zones[s.Zone], s)
 	}
 	for _, list := range zones {
--- a/core/kwchainsearch/search.go
+++ b/core/kwchainsearch/search.go
@@ -190,7 +190,7 @@
 
 // full reports whether the server accepts no more requests as the first of a chain.
 func (s *Server) full() bool {
-	return s.Slots > 0 && float64(s.Running) >= slotShare*float64(s.Slots)
+	return s.NotFirst || s.Slots > 0 && float64(s.Running) >= slotShare*float64(s.Slots)
 }
 
 // layerTime estimates the time of one token in one layer on a server, in nanoseconds.
--- a/core/kwdispatch/dispatcher.go
+++ b/core/kwdispatch/dispatcher.go
@@ -25,6 +25,8 @@
 	Silent func(now time.Time, id kwid.EndpointID) bool
 	// PauseOf returns for how long an endpoint wants no requests, which Unavailable includes; nil stands for none.
 	PauseOf func(now time.Time, id kwid.EndpointID) time.Duration
+	// Limits are the limits on the requests that first endpoints take; nil stands for none.
+	Limits RequestLimits
 }
 
 // Fleet is what an entry knows of the model servers of a service.
@@ -79,6 +81,10 @@
 	RetryAfter time.Duration
 	// Paused means that the request is rejected since every chain passes through an endpoint that wants no requests.
 	Paused bool
+	// Limited means that the request is rejected since every first endpoint is at the limit that it has named.
+	Limited bool
+	// Recheck is when a waiting request at the head of the queue is to be decided on again although nothing has changed, 0 if never.
+	Recheck time.Duration
 	// EndsLate means that the request is rejected since no chain would end its answer before the entry exits.
 	EndsLate bool
 }
@@ -137,13 +143,20 @@
 		left = r.Deadline.Sub(now)
 	}
 	urgency := r.urgency(now)
+	wait, onlyLimits := d.limitWait(now, fleet, r)
+	if onlyLimits && !r.Broken && wait > d.queue.MaxWait(urgency.WaitObjective(r.FirstEventObjective), left) {
+		return Decision{RetryAfter: wait, Limited: true}
+	}
 	waiter, retryAfter := d.queue.Push(now, urgency.Priority(r.DeclaredPriority), urgency.WaitObjective(r.FirstEventObjective), left)
 	if waiter != nil {
-		return Decision{Waiter: waiter}
+		return Decision{Waiter: waiter, Recheck: d.recheck(now, fleet, waiter)}
 	}
 	if chain, ok := d.reserve(now, fleet, r, true); ok {
 		return Decision{Granted: true, Chain: chain}
 	}
+	if onlyLimits {
+		return Decision{RetryAfter: max(wait, retryAfter), Limited: true}
+	}
 	return Decision{RetryAfter: retryAfter}
 }
 
@@ -167,11 +180,16 @@
 		d.queue.Remove(waiter)
 		return Decision{EndsLate: true}
 	}
+	wait, onlyLimits := d.limitWait(now, fleet, r)
+	if ended && onlyLimits {
+		d.queue.Remove(waiter)
+		return Decision{RetryAfter: wait, Limited: true}
+	}
 	if ended {
 		d.queue.Remove(waiter)
 		return Decision{RetryAfter: d.queue.RetryAfter(now)}
 	}
-	return Decision{Waiter: waiter}
+	return Decision{Waiter: waiter, Recheck: d.recheck(now, fleet, waiter)}
 }
 
 // Withdraw removes a request that no longer waits from the queue.
@@ -233,11 +251,19 @@
 		chain, ok = d.chooseSilent(now, fleet, r, allowLate, accept)
 	}
 	if ok {
-		d.loads.Reserve(chain, r.Size.TotalTokens)
+		d.grant(now, chain, r)
 	}
 	return chain, ok
 }
 
+// grant reserves capacity on a chain and uses a turn of its first endpoint.
+func (d *Dispatcher) grant(now time.Time, chain kwchainsearch.Chain, r Request) {
+	d.loads.Reserve(chain, r.Size.TotalTokens)
+	if d.cfg.Limits != nil {
+		d.cfg.Limits.Take(now, chain.First().Endpoint)
+	}
+}
+
 // excludedFor returns which endpoints a request must not use.
 func (d *Dispatcher) excludedFor(now time.Time, r Request) func(kwid.EndpointID) bool {
 	return func(id kwid.EndpointID) bool { return r.Excluded[id] || r.Unreached[id] || d.cfg.Unavailable(now, id) }
@@ -258,6 +284,7 @@
 		size := kwchainsearch.LayerTokens(r.Size.TotalTokens * float64(servers[i].Layers.Len()))
 		servers[i].Withheld = d.loads.Withheld(now, &servers[i], size)
 	}
+	d.markLimited(now, servers)
 	return kwchainsearch.Choose(fleet.Engine, servers, excluded, kwchainsearch.Criteria{
 		Size:                r.Size,
 		Home:                d.cfg.Zone,
--- a/core/kwdispatch/drain.go
+++ b/core/kwdispatch/drain.go
@@ -48,7 +48,7 @@
 		return here-forecast.lateProbabilityOn(chain, p, firstEvent, left) >= minHandOverGain
 	})
 	if ok {
-		d.loads.Reserve(chain, r.Size.TotalTokens)
+		d.grant(now, chain, r)
 	}
 	return chain, ok
 }
--- /dev/null
+++ b/core/kwdispatch/limit.go
@@ -0,0 +1,79 @@
+package kwdispatch
+
+import (
+	"slices"
+	"time"
+
+	"knapweedproxy/core/kwchainsearch"
+	"knapweedproxy/core/kwendpointlimit"
+	"knapweedproxy/core/kwid"
+	"knapweedproxy/core/kwqueue"
+)
+
+// RequestLimits tells how many requests this entry may send to endpoints that have named a limit. Only requests that are sent to an
+// endpoint count, so a chain is limited by its first endpoint alone.
+type RequestLimits interface {
+	// None reports whether no endpoint has a limit.
+	None() bool
+	// Wait returns how long until a request may be sent to an endpoint, 0 if one may now.
+	Wait(now time.Time, id kwid.EndpointID) time.Duration
+	// Share returns the rate of the requests that may be sent to an endpoint, or false if it has no limit.
+	Share(id kwid.EndpointID) (kwendpointlimit.Rate, bool)
+	// Take counts a request that is to be sent to an endpoint.
+	Take(now time.Time, id kwid.EndpointID)
+}
+
+func (d *Dispatcher) limitsRequests() bool { return d.cfg.Limits != nil && !d.cfg.Limits.None() }
+
+// markLimited keeps chains from beginning at servers that may get no request now. It answers an overload of single servers that name a
+// limit: work goes to other chains as soon as this entry's share is used, and not only once the server turns it away.
+func (d *Dispatcher) markLimited(now time.Time, servers []kwchainsearch.Server) (waits []time.Duration) {
+	if !d.limitsRequests() {
+		return nil
+	}
+	for i := range servers {
+		if servers[i].Layers.From > 0 {
+			continue
+		}
+		if wait := d.cfg.Limits.Wait(now, servers[i].ID); wait > 0 {
+			servers[i].NotFirst = true
+			waits = append(waits, wait)
+		}
+	}
+	return waits
+}
+
+// limitWait returns how long a request that joins the end of the queue waits for a turn of a first endpoint, and whether limits are all
+// that it waits for: there would be a chain without them, and there is none beside them however little load the servers had. It answers
+// limits below the load of a whole service, under which a caller does better to come back when there is room than to wait in vain.
+func (d *Dispatcher) limitWait(now time.Time, fleet Fleet, r Request) (wait time.Duration, onlyLimits bool) {
+	if !d.limitsRequests() {
+		return 0, false
+	}
+	excluded := d.excludedFor(now, r)
+	open := fleet
+	open.Servers = slices.Clone(fleet.Servers)
+	waits := d.markLimited(now, open.Servers)
+	if len(waits) == 0 || d.chainExists(open, r, excluded) || !d.chainExists(fleet, r, excluded) {
+		return 0, false
+	}
+	rate := kwendpointlimit.Rate(0)
+	for _, server := range open.Servers {
+		if share, ok := d.cfg.Limits.Share(server.ID); ok && server.NotFirst && !excluded(server.ID) {
+			rate += share
+		}
+	}
+	return slices.Min(waits) + rate.Time(d.queue.Len()), true
+}
+
+// recheck returns when the next first endpoint may get a request, if a waiter is the head of the queue.
+func (d *Dispatcher) recheck(now time.Time, fleet Fleet, waiter *kwqueue.Waiter) time.Duration {
+	if !d.limitsRequests() || d.queue.Head() != waiter {
+		return 0
+	}
+	waits := d.markLimited(now, slices.Clone(fleet.Servers))
+	if len(waits) == 0 {
+		return 0
+	}
+	return slices.Min(waits)
+}
--- /dev/null
+++ b/core/kwdispatch/limit_test.go
@@ -0,0 +1,158 @@
+package kwdispatch
+
+import (
+	"testing"
+	"time"
+
+	"knapweedproxy/core/kwendpointlimit"
+	"knapweedproxy/core/kwid"
+	"knapweedproxy/core/kwmembership"
+	"knapweedproxy/core/kwqueue"
+)
+
+// testLimits are the limits of the endpoints of a test fleet, with one process each.
+type testLimits struct{ *kwendpointlimit.Limits }
+
+func processOf(id kwid.EndpointID) kwmembership.Process { return kwmembership.Process{Endpoint: id} }
+
+func (l testLimits) Wait(now time.Time, id kwid.EndpointID) time.Duration {
+	return l.Limits.Wait(now, processOf(id))
+}
+
+func (l testLimits) Share(id kwid.EndpointID) (kwendpointlimit.Rate, bool) {
+	return l.Limits.Share(processOf(id))
+}
+
+func (l testLimits) Take(now time.Time, id kwid.EndpointID) { l.Limits.Take(now, processOf(id)) }
+
+// limitedDispatcher returns a dispatcher of the only entry of a fleet, and its limits.
+func limitedDispatcher(now time.Time) (*Dispatcher, testLimits) {
+	limits := testLimits{kwendpointlimit.NewLimits("e")}
+	limits.SetEntryCount(now.Add(-time.Minute), 1)
+	limits.SetEntryCount(now, 1)
+	return New(Config{
+		Zone: "a", Queue: kwqueue.DefaultConfig(), Limits: limits, Unavailable: func(time.Time, kwid.EndpointID) bool { return false },
+	}), limits
+}
+
+func (l testLimits) name(now time.Time, id kwid.EndpointID, rate kwendpointlimit.Rate) {
+	l.Observe(now, processOf(id), kwendpointlimit.Notice{Kind: kwendpointlimit.Limited, Rate: rate})
+}
+
+// TestLoadOfLimitedServerGoesElsewhere has the preferred first server of a fleet name a limit below its load. It must get what the limit
+// allows and no more, and the other chains the rest, without waiting.
+func TestLoadOfLimitedServerGoesElsewhere(t *testing.T) {
+	const rate, perSecond, seconds = 10, 40, 10
+	now := time.Unix(100, 0)
+	d, limits := limitedDispatcher(now)
+	fleet := testFleet(1000)
+	limits.name(now, "a-fast-0", rate)
+	limits.name(now, "a-slow-2", 0)
+	firsts := make(map[kwid.EndpointID]int)
+	for range perSecond * seconds {
+		now = now.Add(time.Second / perSecond)
+		decision := d.Dispatch(now, fleet, request(now))
+		if !decision.Granted {
+			t.Fatalf("got %+v, want a chain", decision)
+		}
+		firsts[decision.Chain.First().Endpoint]++
+		d.Release(now, decision.Chain, requestTokens)
+	}
+	if got := firsts["a-fast-0"]; got > rate*seconds+1 || got < rate*seconds-5 {
+		t.Errorf("limited server: got %d requests in %d s, want about %d", got, seconds, rate*seconds)
+	}
+	// A limit of 0 on a later stage keeps no chain from running there: only requests that are sent to a server count.
+	if firsts["a-slow-0"]+firsts["b-fast-0"] < (perSecond-rate)*seconds-5 {
+		t.Errorf("got %v, want the rest at the other chains", firsts)
+	}
+}
+
+// TestLimitsBelowTheLoad has all first servers name limits that are far below the load together. A request whose turn comes in time waits,
+// the most urgent first; any other is rejected at once with the time until there is room.
+func TestLimitsBelowTheLoad(t *testing.T) {
+	const rate, perSecond, seconds = 2.5, 40, 20
+	now := time.Unix(100, 0)
+	d, limits := limitedDispatcher(now)
+	fleet := testFleet(1000)
+	firstServers := []kwid.EndpointID{"a-fast-0", "a-slow-0", "b-fast-0", "b-slow-0"}
+	for _, id := range firstServers {
+		limits.name(now, id, rate)
+	}
+	type waiting struct {
+		r Request
+		w *kwqueue.Waiter
+	}
+	var queued []waiting
+	granted, rejected, late := 0, 0, 0
+	grant := func(dec Decision, r Request) {
+		granted++
+		if now.Sub(r.WaitingSince) > firstEventObjective {
+			late++
+		}
+		d.Release(now, dec.Chain, requestTokens)
+	}
+	for range perSecond * seconds {
+		now = now.Add(time.Second / perSecond)
+		kept := queued[:0]
+		for _, q := range queued {
+			switch dec := d.Retry(now, fleet, q.r, q.w); {
+			case dec.Granted:
+				grant(dec, q.r)
+			case dec.Waiter != nil:
+				kept = append(kept, q)
+			case dec.Limited && dec.RetryAfter > 0:
+				rejected++
+			default:
+				t.Fatalf("got %+v, want a rejection that names the limit", dec)
+			}
+		}
+		queued = kept
+		r := request(now)
+		switch dec := d.Dispatch(now, fleet, r); {
+		case dec.Granted:
+			grant(dec, r)
+		case dec.Waiter != nil:
+			if d.queue.Head() == dec.Waiter && dec.Recheck <= 0 {
+				t.Fatal("got no time of the next decision for the head of the queue")
+			}
+			queued = append(queued, waiting{r, dec.Waiter})
+		case dec.Limited && dec.RetryAfter > 0:
+			rejected++
+		default:
+			t.Fatalf("got %+v, want a chain, a wait or a rejection that names the limit", dec)
+		}
+	}
+	allowed := rate * float64(len(firstServers)) * seconds
+	t.Logf("%d granted of %.0f allowed, %d rejected, %d late", granted, allowed, rejected, late)
+	if float64(granted) < 0.9*allowed || float64(granted) > allowed+4 {
+		t.Errorf("got %d requests granted, want about the %.0f that the limits allow", granted, allowed)
+	}
+	if late > 0 {
+		t.Errorf("got %d requests granted after their objective, want none", late)
+	}
+	if got := d.Waiting(); got > int(rate*float64(len(firstServers))) {
+		t.Errorf("got %d requests in the queue, want at most a second's worth", got)
+	}
+}
+
+// TestLimitEndsWait has a request wait for a turn that is far away until the limit ends.
+func TestLimitEndsWait(t *testing.T) {
+	now := time.Unix(100, 0)
+	d, limits := limitedDispatcher(now)
+	fleet := testFleet(1000)
+	fleet.Servers = fleet.Servers[:2]
+	limits.name(now, "a-fast-0", 0.25)
+	broken := request(now)
+	broken.Broken = true
+	dec := d.Dispatch(now, fleet, broken)
+	if dec.Waiter == nil || dec.Recheck <= 0 {
+		t.Fatalf("broken stream: got %+v, want it to wait", dec)
+	}
+	if got := d.Dispatch(now, fleet, request(now)); !got.Limited || got.RetryAfter <= 0 {
+		t.Errorf("another request: got %+v, want a rejection that names the limit", got)
+	}
+	limits.Observe(now, processOf("a-fast-0"), kwendpointlimit.Notice{Kind: kwendpointlimit.Unlimited})
+	if got := d.Retry(now, fleet, broken, dec.Waiter); !got.Granted {
+		t.Errorf("after the limit: got %+v, want a chain", got)
+	}
+}
--- a/core/kwdispatch/silence.go
+++ b/core/kwdispatch/silence.go
@@ -42,7 +42,7 @@
 	accept := func(chain kwchainsearch.Chain) bool { return d.EndsInTime(now, chain, r) }
 	chain, ok := d.choose(now, fleet, r, false, d.excludedFor(now, r), accept)
 	if ok {
-		d.loads.Reserve(chain, r.Size.TotalTokens)
+		d.grant(now, chain, r)
 	}
 	return chain, ok
 }
--- a/core/kwendpointlimit/limits.go
+++ b/core/kwendpointlimit/limits.go
@@ -221,5 +221,5 @@
 
 // secondsUp converts seconds to a duration and rounds up, so that a turn that is waited for has come.
 func secondsUp(s float64) time.Duration {
-	return time.Duration(min(math.Ceil(s*float64(time.Second)), math.MaxInt64/2)) + time.Microsecond
+	return time.Duration(math.Ceil(min(s, maxTime.Seconds())*float64(time.Second))) + time.Microsecond
 }
--- a/core/kwendpointlimit/notice.go
+++ b/core/kwendpointlimit/notice.go
@@ -1,8 +1,21 @@
 package kwendpointlimit
 
+import "time"
+
 // Rate is a number of requests a second.
 type Rate float64
 
+// Time returns how long a number of requests takes at the rate.
+func (r Rate) Time(requests int) time.Duration {
+	if requests <= 0 {
+		return 0
+	}
+	return time.Duration(min(float64(requests)/float64(r), maxTime.Seconds()) * float64(time.Second))
+}
+
+// maxTime bounds the times that low rates lead to.
+const maxTime = time.Hour
+
 // NoticeKind is what an answer says of the limit of its endpoint.
 type NoticeKind uint8
 
--- a/core/kwqueue/queue.go
+++ b/core/kwqueue/queue.go
@@ -61,7 +61,7 @@
 // Push queues a request. If its expected wait exceeds its limit it returns nil and the Retry-After time. The limit is
 // MaxWaitFactor times the objective, at most the time remaining until the request's own deadline.
 func (q *Queue) Push(now time.Time, priority int, objective, remaining time.Duration) (*Waiter, time.Duration) {
-	maxWait := min(time.Duration(float64(objective)*q.cfg.MaxWaitFactor), remaining)
+	maxWait := q.MaxWait(objective, remaining)
 	w := &Waiter{Priority: priority, arrived: now, deadline: now.Add(maxWait), sequence: q.nextSequence}
 	position, _ := slices.BinarySearchFunc(q.waiters, w, compareWaiters)
 	wait := q.expectedWait(now, position+1)
@@ -73,6 +73,11 @@
 	return w, 0
 }
 
+// MaxWait returns how long a request may wait, see Push.
+func (q *Queue) MaxWait(objective, remaining time.Duration) time.Duration {
+	return min(time.Duration(float64(objective)*q.cfg.MaxWaitFactor), remaining)
+}
+
 func compareWaiters(a, b *Waiter) int {
 	if a.Priority != b.Priority {
 		return a.Priority - b.Priority
--- /dev/null
+++ b/io/kwdirectentry/limits.go
@@ -0,0 +1,177 @@
+package kwdirectentry
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"knapweedproxy/core/kwcode"
+	"knapweedproxy/core/kwdispatch"
+	"knapweedproxy/core/kwendpointlimit"
+	"knapweedproxy/core/kwid"
+	"knapweedproxy/core/kwmembership"
+	"knapweedproxy/core/kwqueue"
+)
+
+// endpointLimits finds the limits of the listed processes of endpoints.
+type endpointLimits struct {
+	limits  *kwendpointlimit.Limits
+	leavers *kwmembership.Leavers
+}
+
+var _ kwdispatch.RequestLimits = endpointLimits{}
+
+func (e endpointLimits) None() bool { return e.limits.None() }
+
+func (e endpointLimits) Wait(now time.Time, id kwid.EndpointID) time.Duration {
+	if e.limits.None() {
+		return 0
+	}
+	process, _ := e.leavers.Process(id)
+	return e.limits.Wait(now, process)
+}
+
+func (e endpointLimits) Share(id kwid.EndpointID) (kwendpointlimit.Rate, bool) {
+	process, _ := e.leavers.Process(id)
+	return e.limits.Share(process)
+}
+
+func (e endpointLimits) Take(now time.Time, id kwid.EndpointID) {
+	if e.limits.None() {
+		return
+	}
+	process, _ := e.leavers.Process(id)
+	e.limits.Take(now, process)
+}
+
+// callWaitShare is the share of its remaining time that a call may wait for a turn of an endpoint. A call that is rejected comes back
+// late too, so a late answer is better.
+const callWaitShare = 0.5
+
+// limitedError rejects a request whose endpoints are all at the limits that they have named; room is when one is expected to take it.
+func limitedError(service kwid.ServiceName, room time.Duration) *kwcode.Error {
+	return kwcode.New(kwcode.EndpointLimit, "every endpoint of service %q that could serve the request is at its limit", service).After(room)
+}
+
+// awaitTurn picks the endpoint of the next attempt of a call once one of those at their limit takes another request. It returns false if
+// there is no such endpoint, or rejects the call if that would take too long.
+func (g *Gateway) awaitTurn(ctx context.Context, u *unaryState) (kwmembership.Announcement, bool) {
+	if g.scheduler.limits.None() || !g.scheduler.anyLimited(g.liveEndpoints(u.q)) || ctx.Err() != nil {
+		return kwmembership.Announcement{}, false
+	}
+	begin := time.Now()
+	endpoint, ok, err := g.scheduler.awaitTurn(ctx, u, func() []kwmembership.Announcement { return g.liveEndpoints(u.q) })
+	if err != nil {
+		u.attempts.refusal = err
+		u.attempts.lastErr = err
+	}
+	u.q.limited = true
+	u.q.waited += time.Since(begin)
+	return endpoint, ok
+}
+
+// awaitTurn has a call wait for a turn, in the order of priority and arrival among the calls of its service; err rejects it.
+func (s *scheduler) awaitTurn(
+	ctx context.Context, u *unaryState, candidates func() []kwmembership.Announcement,
+) (endpoint kwmembership.Announcement, ok bool, err *kwcode.Error) {
+	q, exclude := u.q, u.attempts.exclude
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	queue := s.callQueues[q.service]
+	if queue == nil {
+		queue = kwqueue.NewQueue(s.cfg.Queue)
+		s.callQueues[q.service] = queue
+	}
+	now := time.Now()
+	wait, rate := s.turnOf(now, candidates(), exclude)
+	if wait <= 0 {
+		return endpoint, false, nil
+	}
+	longest := time.Duration(callWaitShare * float64(q.remaining()))
+	if wait += rate.Time(queue.Len()); wait > longest {
+		return endpoint, false, limitedError(q.service, wait)
+	}
+	// The objective is chosen such that the queue allows the longest wait.
+	waiter, _ := queue.Push(now, q.urgency().Priority(q.basePriority()), time.Duration(float64(longest)/s.cfg.Queue.MaxWaitFactor)+1, longest)
+	if waiter == nil {
+		return endpoint, false, limitedError(q.service, wait)
+	}
+	wake := make(chan struct{}, 1)
+	s.wakeups[waiter] = wake
+	defer func() {
+		queue.Remove(waiter)
+		delete(s.wakeups, waiter)
+		if next := queue.Head(); next != nil {
+			s.wake(next)
+		}
+	}()
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		s.waitForWakeup(ctx, wake, timer)
+		now = time.Now()
+		if ctx.Err() != nil {
+			return endpoint, false, nil
+		}
+		left := waiter.Deadline().Sub(now)
+		if queue.Head() == waiter {
+			if endpoint, ok = s.pickUnaryLocked(now, candidates(), exclude, nil, true); ok {
+				return endpoint, true, nil
+			}
+			if wait, _ = s.turnOf(now, candidates(), exclude); wait <= 0 {
+				return endpoint, false, nil
+			}
+			if wait > left {
+				return endpoint, false, limitedError(q.service, wait)
+			}
+			left = wait
+		}
+		if left <= 0 {
+			wait, rate = s.turnOf(now, candidates(), exclude)
+			return endpoint, false, limitedError(q.service, wait+rate.Time(queue.Len()))
+		}
+		timer.Reset(left)
+	}
+}
+
+// anyLimited reports whether one of some endpoints has a limit.
+func (s *scheduler) anyLimited(endpoints []kwmembership.Announcement) bool {
+	return slices.ContainsFunc(endpoints, func(a kwmembership.Announcement) bool {
+		_, limited := s.limits.Share(a.Process())
+		return limited
+	})
+}
+
+// limited reports whether an endpoint may get no call now because of its limit; waited means that the call is the first of those that wait
+// for a turn.
+func (s *scheduler) limited(now time.Time, a kwmembership.Announcement, waited bool) bool {
+	if s.limits.None() {
+		return false
+	}
+	if s.limits.Wait(now, a.Process()) > 0 {
+		return true
+	}
+	_, limited := s.limits.Share(a.Process())
+	queue := s.callQueues[a.Service]
+	return limited && !waited && queue != nil && queue.Len() > 0
+}
+
+// turnOf returns how long until the first of some endpoints that are at their limits takes another request, and the rate at which they do
+// together; 0 if none is at a limit.
+func (s *scheduler) turnOf(now time.Time, candidates []kwmembership.Announcement, exclude endpointSet) (wait time.Duration, rate kwendpointlimit.Rate) {
+	for _, a := range candidates {
+		p := a.Process()
+		if exclude[a.ID] || s.leavers.Leaving(p) || s.pauses.Remaining(now, p) > 0 {
+			continue
+		}
+		share, limited := s.limits.Share(p)
+		if !limited {
+			continue
+		}
+		rate += share
+		if turn := max(time.Nanosecond, s.limits.Wait(now, p)); wait == 0 || turn < wait {
+			wait = turn
+		}
+	}
+	return wait, rate
+}
--- a/io/kwdirectentry/metrics.go
+++ b/io/kwdirectentry/metrics.go
@@ -19,6 +19,8 @@
 	viewRefused  metrics.Counter
 	quarantined  metrics.Counter
 	held         metrics.Counter
+	limitWaits   metrics.Counter
+	limitRefused metrics.Counter
 }
 
 func newGatewayMetrics(r metrics.Registry) gatewayMetrics {
@@ -38,5 +40,7 @@
 		viewRefused:  metrics.GetOrRegisterCounter("view.refused", r),
 		quarantined:  metrics.GetOrRegisterCounter("requests.quarantined", r),
 		held:         metrics.GetOrRegisterCounter("requests.held", r),
+		limitWaits:   metrics.GetOrRegisterCounter("requests.limit-waits", r),
+		limitRefused: metrics.GetOrRegisterCounter("requests.limit-refused", r),
 	}
 }
--- a/io/kwdirectentry/notices.go
+++ b/io/kwdirectentry/notices.go
@@ -54,6 +54,9 @@
 		return
 	}
 	share, limited := g.scheduler.limits.Share(process)
+	if !limited {
+		g.scheduler.wakeAll()
+	}
 	g.deps.Events.Emit(kwevent.EndpointLimited, request, kwevent.F("endpoint", process.Endpoint), kwevent.F("born", process.StartedMillis),
 		kwevent.F("limited", limited), kwevent.F("per-second", meta.Limit.Rate), kwevent.F("share", share))
 }
@@ -64,15 +67,17 @@
 	if !s.pauses.Record(now, process, length) {
 		return false
 	}
+	s.wakeAll()
+	return true
+}
+
+// wakeAll wakes all waiting requests.
+func (s *scheduler) wakeAll() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, wake := range s.wakeups {
-		select {
-		case wake <- struct{}{}:
-		default:
-		}
+	for waiter := range s.wakeups {
+		s.wake(waiter)
 	}
-	return true
 }
 
 // pauseOf returns for how long an endpoint wants no requests, 0 if it is not paused.
--- a/io/kwdirectentry/queue.go
+++ b/io/kwdirectentry/queue.go
@@ -9,7 +9,6 @@
 	"knapweedproxy/core/kwcode"
 	"knapweedproxy/core/kwdeclaration"
 	"knapweedproxy/core/kwdispatch"
-	"knapweedproxy/core/kwqueue"
 )
 
 // chainRequest is a request for capacity on a chain.
@@ -109,7 +108,7 @@
 	case decision.Granted:
 		return decision.Chain, 0, nil
 	case decision.Waiter != nil:
-		chain, err := s.waitInQueue(ctx, req, decision.Waiter)
+		chain, err := s.waitInQueue(ctx, req, decision)
 		return chain, time.Since(begin), err
 	}
 	if decision.EndsLate {
@@ -121,6 +120,9 @@
 	if decision.Paused {
 		return kwchainsearch.Chain{}, 0, pausedError(req, decision)
 	}
+	if decision.Limited {
+		return kwchainsearch.Chain{}, 0, limitedError(req.r.service, decision.RetryAfter)
+	}
 	rejection := kwcode.New(kwcode.EntryOverloaded, "%d requests are queued already and service %q has no capacity", s.dispatcher.Waiting(), req.r.service)
 	return kwchainsearch.Chain{}, 0, rejection.After(decision.RetryAfter)
 }
@@ -138,7 +140,8 @@
 
 // waitInQueue waits until a queued request gets a chain or its waiting time is over; the caller holds the lock, which
 // is released while it sleeps.
-func (s *scheduler) waitInQueue(ctx context.Context, req chainRequest, waiter *kwqueue.Waiter) (kwchainsearch.Chain, error) {
+func (s *scheduler) waitInQueue(ctx context.Context, req chainRequest, decision kwdispatch.Decision) (kwchainsearch.Chain, error) {
+	waiter := decision.Waiter
 	wake := make(chan struct{}, 1)
 	s.wakeups[waiter] = wake
 	defer func() {
@@ -146,7 +149,7 @@
 		delete(s.wakeups, waiter)
 		s.wakeNext()
 	}()
-	timer := time.NewTimer(time.Until(waiter.Deadline()))
+	timer := time.NewTimer(nextLook(decision))
 	defer timer.Stop()
 	for {
 		s.waitForWakeup(ctx, wake, timer)
@@ -157,7 +160,8 @@
 		if err != nil {
 			return kwchainsearch.Chain{}, err
 		}
-		decision := s.dispatcher.Retry(time.Now(), fleet, req.dispatchRequest(ctx), waiter)
+		req.r.limited = req.r.limited || decision.Recheck > 0
+		decision = s.dispatcher.Retry(time.Now(), fleet, req.dispatchRequest(ctx), waiter)
 		if decision.Granted {
 			return decision.Chain, nil
 		}
@@ -170,11 +174,23 @@
 		if decision.Paused {
 			return kwchainsearch.Chain{}, pausedError(req, decision)
 		}
+		if decision.Limited {
+			return kwchainsearch.Chain{}, limitedError(req.r.service, decision.RetryAfter)
+		}
 		if decision.Waiter == nil {
 			return kwchainsearch.Chain{}, kwcode.New(kwcode.NoChain, "no chain of service %q has capacity", req.r.service).After(decision.RetryAfter)
 		}
-		timer.Reset(time.Until(waiter.Deadline()))
+		timer.Reset(nextLook(decision))
+	}
+}
+
+// nextLook returns how long a request may wait until it is decided on again, if nothing changes.
+func nextLook(decision kwdispatch.Decision) time.Duration {
+	left := time.Until(decision.Waiter.Deadline())
+	if decision.Recheck > 0 {
+		return min(left, decision.Recheck)
 	}
+	return left
 }
 
 // waitForWakeup releases the lock until the request is woken, its timer fires or its context ends.
--- a/io/kwdirectentry/request.go
+++ b/io/kwdirectentry/request.go
@@ -55,6 +55,8 @@
 	// lastEventAt is when the caller received the last event of a stream, longestPause the longest time between two.
 	lastEventAt  time.Time
 	longestPause time.Duration
+	// limited means that the request has waited while endpoints were at the limits that they have named.
+	limited bool
 	// endpoint and chain are those of the last attempt, for the log.
 	endpoint    kwid.EndpointID
 	chain       string
@@ -220,6 +222,9 @@
 // reject answers a request that has not run and will not run.
 func (g *Gateway) reject(q *request, err *kwcode.Error) {
 	g.metrics.rejected.Inc(1)
+	if err.Code == kwcode.EndpointLimit {
+		g.metrics.limitRefused.Inc(1)
+	}
 	g.writeError(q, err)
 	g.logEnd(kwevent.RequestRefused, q, kwcode.Describe(err.Code).Status, err)
 }
@@ -265,6 +270,10 @@
 	if q.workspace != nil {
 		fields = append(fields, kwevent.F("workspace", q.workspace.Name))
 	}
+	if q.limited {
+		g.metrics.limitWaits.Inc(1)
+		fields = append(fields, kwevent.F("limited", true))
+	}
 	if q.endpoint != "" {
 		fields = append(fields, kwevent.F("endpoint", q.endpoint))
 	}
--- a/io/kwdirectentry/scheduler.go
+++ b/io/kwdirectentry/scheduler.go
@@ -34,7 +34,9 @@
 	announcedLeavers *kwmembership.Leavers
 	pauses           *kwretry.Pauses
 	limits           *kwendpointlimit.Limits
-	wakeups          map[*kwqueue.Waiter]chan struct{}
+	// callQueues holds the calls that wait for a turn of an endpoint, by service.
+	callQueues map[kwid.ServiceName]*kwqueue.Queue
+	wakeups    map[*kwqueue.Waiter]chan struct{}
 	// stallQueries and probes limit how often an endpoint is queried for stalled requests and probed.
 	stallQueries, probes *endpointLimiter
 }
@@ -53,12 +55,14 @@
 	closed := func(now time.Time, id kwid.EndpointID) bool {
 		return leavers.EndpointLeaving(id) || pauseOf(now, id) > 0
 	}
+	limits := kwendpointlimit.NewLimits(cfg.Node)
 	unavailable := func(now time.Time, id kwid.EndpointID) bool { return ejector.Ejected(now, id) || closed(now, id) }
 	silent := func(now time.Time, id kwid.EndpointID) bool { return ejector.Silent(now, id) && !closed(now, id) }
 	return &scheduler{
 		cfg: cfg,
 		dispatcher: kwdispatch.New(kwdispatch.Config{
 			Entry: cfg.Node, Zone: cfg.Zone, Queue: cfg.Queue, Unavailable: unavailable, Silent: silent, PauseOf: pauseOf,
+			Limits: endpointLimits{limits, leavers},
 		}),
 		inFlight:         make(map[kwid.EndpointID]int),
 		reportedInFlight: make(map[kwid.EndpointID]int),
@@ -66,7 +70,8 @@
 		leavers:          leavers,
 		announcedLeavers: kwmembership.NewLeavers(),
 		pauses:           pauses,
-		limits:           kwendpointlimit.NewLimits(cfg.Node),
+		limits:           limits,
+		callQueues:       make(map[kwid.ServiceName]*kwqueue.Queue),
 		wakeups:          make(map[*kwqueue.Waiter]chan struct{}),
 		stallQueries:     newEndpointLimiter(faultCheckInterval),
 		probes:           newEndpointLimiter(faultCheckInterval),
@@ -136,10 +141,15 @@
 // wakeNext wakes the request at the head of the queue; the caller holds the lock.
 func (s *scheduler) wakeNext() {
 	if waiter := s.dispatcher.Next(); waiter != nil {
-		select {
-		case s.wakeups[waiter] <- struct{}{}:
-		default:
-		}
+		s.wake(waiter)
+	}
+}
+
+// wake wakes a waiting request; the caller holds the lock.
+func (s *scheduler) wake(waiter *kwqueue.Waiter) {
+	select {
+	case s.wakeups[waiter] <- struct{}{}:
+	default:
 	}
 }
 
@@ -182,18 +192,26 @@
 // crossZonePenalty is added to the load of an endpoint outside this entry's availability zone, to prefer local ones.
 const crossZonePenalty = 2
 
-// pickUnary picks the endpoint with the lowest load for a unary request, other than those that are excluded or were not reached, and
-// counts the request as in flight there.
+// pickUnary picks the endpoint with the lowest load for a unary request, other than those that are excluded, were not reached or are at
+// the limit that they have named, and counts the request as in flight there.
 func (s *scheduler) pickUnary(now time.Time, candidates []kwmembership.Announcement, exclude, unreached endpointSet) (kwmembership.Announcement, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.pickUnaryLocked(now, candidates, exclude, unreached, false)
+}
+
+// pickUnaryLocked is pickUnary for callers that hold the lock. The turns of endpoints with a limit belong to the calls that wait for them,
+// if there are any; waited means that the request is the first of these.
+func (s *scheduler) pickUnaryLocked(
+	now time.Time, candidates []kwmembership.Announcement, exclude, unreached endpointSet, waited bool,
+) (kwmembership.Announcement, bool) {
 	best, found, lowest := kwmembership.Announcement{}, false, 0
 	for pass := 0; pass < 2 && !found; pass++ {
 		for _, a := range candidates {
 			// The second pass admits ejected endpoints, since one of them is better than none, but not those that leave or
 			// want no requests.
 			closed := s.leavers.Leaving(a.Process()) || s.pauses.Remaining(now, a.Process()) > 0
-			if exclude[a.ID] || unreached[a.ID] || closed || pass == 0 && s.ejector.Ejected(now, a.ID) {
+			if exclude[a.ID] || unreached[a.ID] || closed || s.limited(now, a, waited) || pass == 0 && s.ejector.Ejected(now, a.ID) {
 				continue
 			}
 			load := 2*s.inFlight[a.ID] + s.reportedInFlight[a.ID]
@@ -207,6 +225,7 @@
 	}
 	if found {
 		s.inFlight[best.ID]++
+		s.limits.Take(now, best.Process())
 	}
 	return best, found
 }
@@ -225,10 +244,11 @@
 }
 
 // withdrawUnary ends a unary request that was not sent to its endpoint, which leaves what the endpoint last reported.
-func (s *scheduler) withdrawUnary(id kwid.EndpointID) {
+func (s *scheduler) withdrawUnary(endpoint kwmembership.Announcement) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.removeUnary(id)
+	s.removeUnary(endpoint.ID)
+	s.limits.Return(time.Now(), endpoint.Process())
 }
 
 // removeUnary counts a unary request as no longer in flight; the caller holds the lock.
--- a/io/kwdirectentry/unary.go
+++ b/io/kwdirectentry/unary.go
@@ -104,11 +104,14 @@
 		return false
 	}
 	endpoint, ok := g.pickUnary(ctx, u)
+	if !ok {
+		endpoint, ok = g.awaitTurn(ctx, u)
+	}
 	if !ok {
 		return false
 	}
 	if len(u.attempts.exclude)+len(u.attempts.unreached) > 0 && !g.mayRetry(ctx, q, u.count()) {
-		g.scheduler.withdrawUnary(endpoint.ID)
+		g.scheduler.withdrawUnary(endpoint)
 		return false
 	}
 	g.sendUnary(ctx, u, endpoint)
@@ -137,7 +140,7 @@
 		return
 	}
 	if !g.retryBudgets.ForService(q.service).TrySpend(time.Now()) {
-		g.scheduler.withdrawUnary(endpoint.ID)
+		g.scheduler.withdrawUnary(endpoint)
 		return
 	}
 	g.metrics.retried.Inc(1)
@@ -160,6 +163,9 @@
 	g.goBackground(func() {
 		res := g.upstreamPool.Exchange(ctx, endpoint.Address, fresh, upstreamReq, g.deps.Dialect, maxResponseBytes)
 		g.recordNotices(upstreamReq.ID, endpoint.Process(), endpoint.Address, res.Meta)
+		if !res.Sent {
+			g.scheduler.limits.Return(time.Now(), endpoint.Process())
+		}
 		reportedInFlight := -1
 		if res.Err == nil {
 			reportedInFlight = res.Meta.InFlight
