Failing test: a server that asks for rest in a refusal that names another server

By reading, a 503 with Retry-After and At-Server pauses only the server that is named, and none if that one is unknown; the server that answered goes on to get requests. TestServerThatAsksForRestGetsNothing: 3, 3 and 9 requests for calls, writes and streams, want 1.

--- a/io/kwdirectentry/pause_test.go
+++ b/io/kwdirectentry/pause_test.go
@@ -43,6 +43,33 @@
 	}
 }
 
+// TestServerThatAsksForRestGetsNothing has the only server of a service turn a request away for a minute in answers that name it, another
+// server or one that is not known as the one at fault. It must get no further request.
+func TestServerThatAsksForRestGetsNothing(t *testing.T) {
+	for _, path := range []string{"/lookups/x", "/alerts/x", "/notes/x"} {
+		for _, failed := range []string{"", "own", "127.0.0.1:1"} {
+			var arrivals atomic.Int32
+			var address string
+			address = serveRaw(t, func(w io.Writer, id string) bool {
+				arrivals.Add(1)
+				name := failed
+				if failed == "own" {
+					name = address
+				}
+				_, _ = fmt.Fprintf(w, "HTTP/1.1 503 Busy\r\nId: %s\r\nNot-Run: 1\r\nPause: 1m\r\nFailed: %s\r\nContent-Length: 0\r\n\r\n", id, name)
+				return true
+			})
+			g := newTestGateway(t, address, address)
+			for range 3 {
+				_, _ = post(t, http.DefaultClient, g, path, "q")
+			}
+			if got := arrivals.Load(); got != 1 {
+				t.Errorf("%s, refusal that names %q: got %d requests, want the 1 that was refused", path, failed, got)
+			}
+		}
+	}
+}
+
 // TestPauseIsForTheServerAtFault has the first server of a chain answer for another one that turned the request away.
 func TestPauseIsForTheServerAtFault(t *testing.T) {
 	f := newSchedulerFixture(10)
--- a/io/kwdirectentry/relay_test.go
+++ b/io/kwdirectentry/relay_test.go
@@ -49,7 +49,7 @@
 	}
 	return kwupstream.ResponseMeta{
 		ID: kwid.RequestID(h.Get("Id")), NotRun: h.Get("Not-Run") != "", InFlight: -1, Leaving: h.Get("Leaving") != "",
-		RetryAfter: pause, Limit: limit,
+		RetryAfter: pause, Limit: limit, FailedAddress: h.Get("Failed"),
 	}
 }
 
