Leave a server alone that asks for rest, whichever server it names as at fault

A server that turned a request away with 503 and Retry-After got further requests from the same entry if At-Server named another server of the chain, and nobody was paused if that one was unknown. The server that turns a request away is the one that wants none, so it is paused in any case, and the one that is named too.

--- a/io/kwdirectentry/notices.go
+++ b/io/kwdirectentry/notices.go
@@ -18,7 +18,7 @@
 const leavingReportDelay = time.Second
 
 // recordNotices records what the head of an answer says of the server that sent it: whether it leaves, how many requests a second it
-// takes, and for how long it, or the server that failed in its chain, wants no requests.
+// takes, and for how long it, and the server that failed in its chain, want no requests.
 func (g *Gateway) recordNotices(request kwid.RequestID, process kwmembership.Process, address string, meta kwupstream.ResponseMeta) {
 	if meta.Leaving {
 		g.recordLeaving(request, process)
@@ -31,16 +31,21 @@
 	if meta.RetryAfter <= 0 {
 		return
 	}
-	if meta.FailedAddress != "" && meta.FailedAddress != address {
-		id, _ := g.scheduler.endpointAt(meta.FailedAddress)
-		known := false
-		if process, known = g.scheduler.leavers.Process(id); !known {
-			return
-		}
+	g.recordPause(request, process, meta.RetryAfter)
+	if meta.FailedAddress == "" || meta.FailedAddress == address {
+		return
+	}
+	id, _ := g.scheduler.endpointAt(meta.FailedAddress)
+	if failed, known := g.scheduler.leavers.Process(id); known {
+		g.recordPause(request, failed, meta.RetryAfter)
 	}
-	if g.scheduler.pause(time.Now(), process, meta.RetryAfter) {
+}
+
+// recordPause records and logs that a server wants no requests for a time.
+func (g *Gateway) recordPause(request kwid.RequestID, process kwmembership.Process, length time.Duration) {
+	if g.scheduler.pause(time.Now(), process, length) {
 		g.deps.Events.Emit(kwevent.EndpointPaused, request, kwevent.F("endpoint", process.Endpoint), kwevent.F("born", process.StartedMillis),
-			kwevent.F("pause-ms", meta.RetryAfter.Milliseconds()))
+			kwevent.F("pause-ms", length.Milliseconds()))
 	}
 }
 
