Reject waiting requests at once when limits fall too low for their turns

A request that waited for a turn went on to wait until its wait limit when the limit of its server fell, although its turn could no longer come in time. The head of the queue is now decided on again at each news of a limit, and rejected with the time until there is room; the next one follows at once. Broken streams wait on, since they could only be cut off.

--- a/core/kwdispatch/dispatcher.go
+++ b/core/kwdispatch/dispatcher.go
@@ -145,7 +145,7 @@
 		left = r.Deadline.Sub(now)
 	}
 	urgency := r.urgency(now)
-	wait, onlyLimits := d.limitWait(now, fleet, r)
+	wait, onlyLimits := d.limitWait(now, fleet, r, d.queue.Len())
 	if onlyLimits && !r.Broken && wait > d.queue.MaxWait(urgency.WaitObjective(r.FirstEventObjective), left) {
 		return Decision{RetryAfter: wait, Limited: true}
 	}
@@ -167,8 +167,8 @@
 
 // Retry decides again on a request that waits, after it was woken or its wait has ended.
 func (d *Dispatcher) Retry(now time.Time, fleet Fleet, r Request, waiter *kwqueue.Waiter) Decision {
-	ended := !now.Before(waiter.Deadline())
-	if ended || d.queue.Head() == waiter {
+	ended, head := !now.Before(waiter.Deadline()), d.queue.Head() == waiter
+	if ended || head {
 		if chain, ok := d.reserve(now, fleet, r, ended); ok {
 			d.queue.Remove(waiter)
 			return Decision{Granted: true, Chain: chain}
@@ -182,10 +182,12 @@
 		d.queue.Remove(waiter)
 		return Decision{EndsLate: true}
 	}
-	wait, onlyLimits := d.limitWait(now, fleet, r)
-	if ended && onlyLimits {
-		d.queue.Remove(waiter)
-		return Decision{RetryAfter: wait, Limited: true}
+	if ended || head && !r.Broken {
+		// The limits may have fallen since the request began to wait.
+		if wait, onlyLimits := d.limitWait(now, fleet, r, 0); onlyLimits && now.Add(wait).After(waiter.Deadline()) {
+			d.queue.Remove(waiter)
+			return Decision{RetryAfter: wait, Limited: true}
+		}
 	}
 	if ended {
 		d.queue.Remove(waiter)
--- a/core/kwdispatch/limit.go
+++ b/core/kwdispatch/limit.go
@@ -78,10 +78,10 @@
 	}
 }
 
-// limitWait returns how long a request that joins the end of the queue waits for a turn of a first endpoint, and whether limits are all
-// that it waits for: there would be a chain without them, and there is none beside them however little load the servers had. It answers
+// limitWait returns how long a request waits for a turn of a first endpoint behind a number of others, and whether limits are all that it
+// waits for: there would be a chain without them, and there is none beside them however little load the servers had. It answers
 // limits below the load of a whole service, under which a caller does better to come back when there is room than to wait in vain.
-func (d *Dispatcher) limitWait(now time.Time, fleet Fleet, r Request) (wait time.Duration, onlyLimits bool) {
+func (d *Dispatcher) limitWait(now time.Time, fleet Fleet, r Request, ahead int) (wait time.Duration, onlyLimits bool) {
 	if !d.limitsRequests() {
 		return 0, false
 	}
@@ -98,7 +98,7 @@
 			rate += share
 		}
 	}
-	return slices.Min(waits) + rate.Time(d.queue.Len()), true
+	return slices.Min(waits) + rate.Time(ahead), true
 }
 
 // recheck returns when the next first endpoint may get a request, if a waiter is the head of the queue.
--- a/core/kwdispatch/limit_test.go
+++ b/core/kwdispatch/limit_test.go
@@ -158,3 +158,31 @@
 		t.Errorf("after the limit: got %+v, want a chain", got)
 	}
 }
+
+// TestWaitersAreRejectedOnceLimitsFall has requests wait for turns that come in time, until the limits fall so low that they no longer do.
+func TestWaitersAreRejectedOnceLimitsFall(t *testing.T) {
+	now := time.Unix(100, 0)
+	d, limits := limitedDispatcher(now)
+	fleet := testFleet(1000)
+	fleet.Servers = fleet.Servers[:2]
+	limits.name(now, "a-fast-0", 20)
+	var waiters []*kwqueue.Waiter
+	for range 20 {
+		if dec := d.Dispatch(now, fleet, request(now)); dec.Waiter != nil {
+			waiters = append(waiters, dec.Waiter)
+		}
+	}
+	if len(waiters) == 0 {
+		t.Fatal("got no request that waits")
+	}
+	limits.name(now, "a-fast-0", 0.1)
+	now = now.Add(10 * time.Millisecond)
+	for range waiters {
+		if dec := d.Retry(now, fleet, request(now), d.Next()); !dec.Limited || dec.RetryAfter <= firstEventObjective {
+			t.Fatalf("got %+v, want a rejection at once with the time until there is room", dec)
+		}
+	}
+	if got := d.Waiting(); got != 0 {
+		t.Errorf("got %d requests in the queue, want none", got)
+	}
+}
--- a/io/kwdirectentry/notices.go
+++ b/io/kwdirectentry/notices.go
@@ -69,12 +69,10 @@
 }
 
 // logLimit logs a change of the limit of a server that came by the answer to a request, or from another entry if request is empty, and
-// wakes the requests that wait for its end. Age is the time since the server's answer.
+// wakes the requests that wait, since their turns have moved. Age is the time since the server's answer.
 func (g *Gateway) logLimit(request kwid.RequestID, process kwmembership.Process, rate kwendpointlimit.Rate, age time.Duration) {
 	share, limited := g.scheduler.limits.Share(time.Now(), process)
-	if !limited {
-		g.scheduler.wakeAll()
-	}
+	g.scheduler.wakeAll()
 	g.deps.Events.Emit(kwevent.EndpointLimited, request, kwevent.F("endpoint", process.Endpoint), kwevent.F("born", process.StartedMillis),
 		kwevent.F("limited", limited), kwevent.F("per-second", rate), kwevent.F("share", share), kwevent.F("age-ms", age.Milliseconds()))
 }
