Bound what callers are told while endpoints are at their limits

A caller that was rejected for limits alone was told to come back when this entry's next turn comes, up to an hour later with a small share, although shares move within two seconds and another entry may have room. TestLimitEndsWait wanted any time; it now wants the bound.

--- a/core/kwdispatch/limit.go
+++ b/core/kwdispatch/limit.go
@@ -101,6 +101,11 @@
 	return slices.Min(waits) + rate.Time(ahead), true
 }
 
+// limited rejects a request whose turn would come after a wait. Shares move within seconds, so what is told to callers is bounded.
+func (d *Dispatcher) limited(wait time.Duration) Decision {
+	return Decision{RetryAfter: d.cfg.Queue.BoundRetryAfter(wait), Limited: true}
+}
+
 // recheck returns when the next first endpoint may get a request, if a waiter is the head of the queue.
 func (d *Dispatcher) recheck(now time.Time, fleet Fleet, waiter *kwqueue.Waiter) time.Duration {
 	if !d.limitsRequests() || d.queue.Head() != waiter {
--- a/core/kwdispatch/limit_test.go
+++ b/core/kwdispatch/limit_test.go
@@ -150,8 +150,8 @@
 	if dec.Waiter == nil || dec.Recheck <= 0 {
 		t.Fatalf("broken stream: got %+v, want it to wait", dec)
 	}
-	if got := d.Dispatch(now, fleet, request(now)); !got.Limited || got.RetryAfter <= 0 {
-		t.Errorf("another request: got %+v, want a rejection that names the limit", got)
+	if got, want := d.Dispatch(now, fleet, request(now)), d.cfg.Queue.RetryAfterMax; !got.Limited || got.RetryAfter != want {
+		t.Errorf("another request: got %+v, want a rejection that names the limit, with Retry-After %v at most", got, want)
 	}
 	limits.Observe(now, processOf("a-fast-0"), kwendpointlimit.Notice{Kind: kwendpointlimit.Unlimited})
 	if got := d.Retry(now, fleet, broken, dec.Waiter); !got.Granted {
--- a/core/kwendpointlimit/limits.go
+++ b/core/kwendpointlimit/limits.go
@@ -34,10 +34,9 @@
 )
 
 // Limits keeps this entry to its share of the limits that endpoint processes name: an even one, less what it yields and with what the
-// leader lends it of what others yield.
-// It answers an overload of single endpoints, which all entries together must relieve: a server that names 10 requests a second gets no
-// more from seven entries than from one. A limit ends with an answer that names none and with its process; until then a rate that is never 0 lets requests
-// through whose answers tell. It is safe for concurrent use.
+// leader lends it of what others yield. It answers an overload of single endpoints, which all entries together must relieve: a server that
+// names 10 requests a second gets no more from seven entries than from one. A limit ends with an answer that names none and with its
+// process; until then a rate that is never 0 lets requests through whose answers tell. It is safe for concurrent use.
 type Limits struct {
 	entry kwid.NodeID
 	mu    sync.Mutex
--- a/core/kwqueue/queue.go
+++ b/core/kwqueue/queue.go
@@ -135,5 +135,10 @@
 // RetryAfter returns the Retry-After time of a rejected request: the time until the present queue has been served.
 func (q *Queue) RetryAfter(now time.Time) time.Duration {
 	wait := q.expectedWait(now, len(q.waiters)+1)
-	return min(max(wait, q.cfg.RetryAfterMin), q.cfg.RetryAfterMax)
+	return q.cfg.BoundRetryAfter(wait)
+}
+
+// BoundRetryAfter returns the Retry-After time for an expected wait, within the bounds.
+func (c Config) BoundRetryAfter(wait time.Duration) time.Duration {
+	return min(max(wait, c.RetryAfterMin), c.RetryAfterMax)
 }
--- a/io/kwdirectentry/limits.go
+++ b/io/kwdirectentry/limits.go
@@ -94,12 +94,12 @@
 	}
 	longest := time.Duration(callWaitShare * float64(q.remaining()))
 	if wait += rate.Time(queue.Len()); wait > longest {
-		return endpoint, false, limitedError(q.service, wait)
+		return endpoint, false, limitedError(q.service, s.cfg.Queue.BoundRetryAfter(wait))
 	}
 	// The objective is chosen such that the queue allows the longest wait.
 	waiter, _ := queue.Push(now, q.urgency().Priority(q.basePriority()), time.Duration(float64(longest)/s.cfg.Queue.MaxWaitFactor)+1, longest)
 	if waiter == nil {
-		return endpoint, false, limitedError(q.service, wait)
+		return endpoint, false, limitedError(q.service, s.cfg.Queue.BoundRetryAfter(wait))
 	}
 	wake := make(chan struct{}, 1)
 	s.wakeups[waiter] = wake
@@ -127,13 +127,13 @@
 				return endpoint, false, nil
 			}
 			if wait > left {
-				return endpoint, false, limitedError(q.service, wait)
+				return endpoint, false, limitedError(q.service, s.cfg.Queue.BoundRetryAfter(wait))
 			}
 			left = wait
 		}
 		if left <= 0 {
 			wait, rate = s.turnOf(now, candidates(), exclude)
-			return endpoint, false, limitedError(q.service, wait+rate.Time(queue.Len()))
+			return endpoint, false, limitedError(q.service, s.cfg.Queue.BoundRetryAfter(wait+rate.Time(queue.Len())))
 		}
 		timer.Reset(left)
 	}
