Explain the limits behind a wait or a rejection

knapweedproxy explain showed the code of a request that was rejected for limits, and not which limits its entry knew. It now adds the last line on each limited endpoint at that entry (TestExplainNamesTheLimits).

--- a/io/kwevent/explain.go
+++ b/io/kwevent/explain.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"knapweedproxy/core/kwcode"
 	"knapweedproxy/core/kwid"
 )
 
@@ -57,7 +58,8 @@
 const crashMargin = 5 * time.Minute
 
 // Explain returns the log lines of a request in order of time, together with the lines about its endpoints that are
-// within requestMargin of it and, if it was held, with the crashes under its repeats that are the reason.
+// within requestMargin of it, with the crashes under its repeats that are the reason if it was held, and with the limits of endpoints that its
+// entry knew if it waited or was rejected for them.
 func Explain(lines []LogLine, id kwid.RequestID) []LogLine {
 	var own []LogLine
 	endpoints := make(map[string]bool)
@@ -86,6 +88,7 @@
 		}
 	}
 	out = append(out, reasonsToHold(lines, own)...)
+	out = append(out, limitsInForce(lines, own)...)
 	slices.SortStableFunc(out, byTime)
 	return out
 }
@@ -110,6 +113,34 @@
 	return out
 }
 
+// limitsInForce returns the last line on the limit of each endpoint at the entry of a request that waited for limits or was rejected for
+// them, of those that had one.
+func limitsInForce(lines, own []LogLine) []LogLine {
+	i := slices.IndexFunc(own, func(l LogLine) bool {
+		return l.Fields["limited"] == true && l.Event != EndpointLimited || l.Fields["code"] == float64(kwcode.EndpointLimit)
+	})
+	if i < 0 {
+		return nil
+	}
+	last := make(map[any]LogLine)
+	for _, l := range lines {
+		endpoint := l.Fields["endpoint"]
+		if l.Event != EndpointLimited || l.Node != own[i].Node || l.UnixMillis > own[i].UnixMillis {
+			continue
+		}
+		if old, ok := last[endpoint]; !ok || old.UnixMillis <= l.UnixMillis {
+			last[endpoint] = l
+		}
+	}
+	var out []LogLine
+	for _, l := range last {
+		if l.Fields["limited"] == true && l.Request != own[i].Request {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
 func byTime(a, b LogLine) int { return cmp.Compare(a.UnixMillis, b.UnixMillis) }
 
 // String formats a line with its fields sorted by name.
--- a/io/kwevent/explain_test.go
+++ b/io/kwevent/explain_test.go
@@ -58,3 +58,23 @@
 		t.Errorf("got %q, want %q", strings.Join(got, " "), want)
 	}
 }
+
+const limitedLog = `{"level":"info","ts":1000000,"msg":"endpoint-limited","event":228,"node":"edge-a","request":"q1","endpoint":"e1","limited":true,"per-second":3}
+{"level":"info","ts":1000100,"msg":"endpoint-limited","event":228,"node":"edge-a","endpoint":"e2","limited":true,"per-second":5}
+{"level":"info","ts":1000200,"msg":"endpoint-limited","event":228,"node":"edge-b","endpoint":"e3","limited":true,"per-second":1}
+{"level":"info","ts":1001000,"msg":"endpoint-limited","event":228,"node":"edge-a","request":"q2","endpoint":"e2","limited":false,"per-second":0}
+{"level":"info","ts":1002000,"msg":"request-refused","event":202,"node":"edge-a","request":"q3","code":1024}
+{"level":"info","ts":1003000,"msg":"endpoint-limited","event":228,"node":"edge-a","endpoint":"e1","limited":true,"per-second":9}
+`
+
+// TestExplainNamesTheLimits explains a request that was rejected since the endpoints were at their limits.
+func TestExplainNamesTheLimits(t *testing.T) {
+	lines, err := ReadLines(strings.NewReader(limitedLog))
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := Explain(lines, "q3")
+	if len(got) != 2 || got[0].Fields["endpoint"] != "e1" || got[0].Fields["per-second"] != 3.0 || got[1].Event != RequestRefused {
+		t.Errorf("got %v, want the limit of e1 in force and the rejection", got)
+	}
+}
