Leave the turn of a stream that was not sent to the next one

A stream that got a chain at a server with a limit used a turn of it also if it was not sent: the connection did not open, the caller had left, the part was quarantined meanwhile, or a replacement lost its race or found no retry. Each such turn was lost to the callers that waited. Calls returned theirs already.

--- a/core/kwdispatch/dispatcher.go
+++ b/core/kwdispatch/dispatcher.go
@@ -211,6 +211,14 @@
 	d.queue.RecordDeparture(now)
 }
 
+// ReleaseUnsent frees the capacity and the turn of a request that was not sent to its chain.
+func (d *Dispatcher) ReleaseUnsent(now time.Time, chain kwchainsearch.Chain, tokens float64) {
+	d.Release(now, chain, tokens)
+	if d.cfg.Limits != nil {
+		d.cfg.Limits.Return(now, chain.First().Endpoint)
+	}
+}
+
 // BeginFirstEventWait records that a request waits for its first event from a first endpoint.
 func (d *Dispatcher) BeginFirstEventWait(now time.Time, id kwid.EndpointID) {
 	d.latencyOf(id).Begin(now)
--- a/core/kwdispatch/limit.go
+++ b/core/kwdispatch/limit.go
@@ -23,6 +23,8 @@
 	Want(now time.Time, id kwid.EndpointID)
 	// Take counts a request that is to be sent to an endpoint.
 	Take(now time.Time, id kwid.EndpointID)
+	// Return undoes Take for a request that was not sent.
+	Return(now time.Time, id kwid.EndpointID)
 }
 
 func (d *Dispatcher) limitsRequests() bool { return d.cfg.Limits != nil && !d.cfg.Limits.None() }
--- a/core/kwdispatch/limit_test.go
+++ b/core/kwdispatch/limit_test.go
@@ -35,6 +35,8 @@
 	}), limits
 }
 
+func (l testLimits) Return(now time.Time, id kwid.EndpointID) { l.Limits.Return(now, processOf(id)) }
+
 func (l testLimits) Want(now time.Time, id kwid.EndpointID) { l.Limits.Want(now, processOf(id)) }
 
 func (l testLimits) name(now time.Time, id kwid.EndpointID, rate kwendpointlimit.Rate) {
--- a/io/kwdirectentry/handover.go
+++ b/io/kwdirectentry/handover.go
@@ -46,7 +46,7 @@
 		return false
 	}
 	if !g.retryBudgets.ForService(q.service).TrySpend(now) {
-		g.scheduler.release(next, req.size.TotalTokens)
+		g.scheduler.releaseUnsent(next, req.size.TotalTokens)
 		return false
 	}
 	s.reserved = &reservedChain{next, req.size}
@@ -72,7 +72,7 @@
 // releaseReserved frees the chain of a stream whose caller has left as it was handed over.
 func (g *Gateway) releaseReserved(s *streamState) {
 	if chain, ok := s.takeReserved(); ok {
-		g.scheduler.release(chain, s.size.TotalTokens)
+		g.scheduler.releaseUnsent(chain, s.size.TotalTokens)
 	}
 }
 
--- a/io/kwdirectentry/limits.go
+++ b/io/kwdirectentry/limits.go
@@ -49,6 +49,14 @@
 	e.limits.Take(now, process)
 }
 
+func (e endpointLimits) Return(now time.Time, id kwid.EndpointID) {
+	if e.limits.None() {
+		return
+	}
+	process, _ := e.leavers.Process(id)
+	e.limits.Return(now, process)
+}
+
 // callWaitShare is the share of its remaining time that a call may wait for a turn of an endpoint. A call that is rejected comes back
 // late too, so a late answer is better.
 const callWaitShare = 0.5
--- a/io/kwdirectentry/limits_test.go
+++ b/io/kwdirectentry/limits_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"knapweedproxy/core/kwendpointlimit"
+	"knapweedproxy/core/kwid"
 	"knapweedproxy/core/kwmembership"
 )
 
@@ -116,3 +117,28 @@
 		t.Errorf("got %d requests at the limited server, want the 1 that told of the limit and 1 turn at most", got)
 	}
 }
+
+// TestUnsentRequestsKeepTheirTurn has the only server of a service refuse connections while it has a limit. A request that was not sent
+// must leave its turn to the next one.
+func TestUnsentRequestsKeepTheirTurn(t *testing.T) {
+	for _, c := range []struct {
+		path   string
+		server kwid.EndpointID
+	}{{"/lookups/x", "r"}, {"/notes/x", "m"}} {
+		g := newTestGateway(t, "127.0.0.1:1", "127.0.0.1:1")
+		for i := range g.view.Load().index.Declaration.Routes {
+			g.view.Load().index.Declaration.Routes[i].LatencyObjective = 20 * time.Millisecond
+		}
+		p := kwmembership.Process{Endpoint: c.server}
+		g.scheduler.limits.Observe(time.Now(), p, kwendpointlimit.Notice{Kind: kwendpointlimit.Limited, Rate: 6})
+		for g.scheduler.limits.Wait(time.Now(), p) > 0 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		if got, body := post(t, http.DefaultClient, g, c.path, "q"); got != http.StatusServiceUnavailable {
+			t.Errorf("%s: got %d %q, want 503", c.path, got, body)
+		}
+		if got := g.scheduler.limits.Wait(time.Now(), p); got > 0 {
+			t.Errorf("%s: got a wait of %v for the next turn, want 0", c.path, got)
+		}
+	}
+}
--- a/io/kwdirectentry/scheduler.go
+++ b/io/kwdirectentry/scheduler.go
@@ -138,6 +138,14 @@
 	s.wakeNext()
 }
 
+// releaseUnsent frees what a request reserved that was not sent to its chain, and wakes the next waiting request.
+func (s *scheduler) releaseUnsent(chain kwchainsearch.Chain, tokens float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dispatcher.ReleaseUnsent(time.Now(), chain, tokens)
+	s.wakeNext()
+}
+
 // wakeNext wakes the request at the head of the queue; the caller holds the lock.
 func (s *scheduler) wakeNext() {
 	if waiter := s.dispatcher.Next(); waiter != nil {
--- a/io/kwdirectentry/stream.go
+++ b/io/kwdirectentry/stream.go
@@ -113,7 +113,7 @@
 		g.metrics.queueWait.Update(waited)
 		if q.callerLeft() {
 			if err == nil {
-				g.scheduler.release(chain, s.size.TotalTokens)
+				g.scheduler.releaseUnsent(chain, s.size.TotalTokens)
 			}
 			g.abortCallerGone(q)
 		}
@@ -126,7 +126,7 @@
 		}
 		// The part may have been quarantined while the request waited.
 		if err := g.checkQuarantine(ctx, q); err != nil {
-			g.scheduler.release(chain, s.size.TotalTokens)
+			g.scheduler.releaseUnsent(chain, s.size.TotalTokens)
 			s.recordNoChain(err)
 			return kwchainsearch.Chain{}, false
 		}
@@ -170,7 +170,14 @@
 	begin := time.Now()
 	s.processes = g.processesOf(q, chain)
 	process := s.process(first.Endpoint)
-	defer g.scheduler.release(chain, s.size.TotalTokens)
+	sent := false
+	defer func() {
+		if sent {
+			g.scheduler.release(chain, s.size.TotalTokens)
+			return
+		}
+		g.scheduler.releaseUnsent(chain, s.size.TotalTokens)
+	}()
 	patience := g.scheduler.firstEventPatience(ctx, s.chainRequest(g), chain)
 	firstWait := g.startFirstEventWait(first.Endpoint, begin)
 	defer firstWait.end(false)
@@ -196,6 +203,7 @@
 		s.attempts.lastErr = err
 		return resultNotRun
 	}
+	sent = true
 	q.sends++
 	s.reads = 0
 	q.endpoint = first.Endpoint
--- a/io/kwdirectentry/stream_move.go
+++ b/io/kwdirectentry/stream_move.go
@@ -40,7 +40,7 @@
 	var next *kwchainsearch.Chain
 	defer func() {
 		if next != nil {
-			g.scheduler.release(*next, s.size.TotalTokens)
+			g.scheduler.releaseUnsent(*next, s.size.TotalTokens)
 		}
 	}()
 	for {
@@ -80,7 +80,7 @@
 			return
 		}
 		if !g.activeStreams.replace(search, w, chain) {
-			g.scheduler.release(chain, a.req.size.TotalTokens)
+			g.scheduler.releaseUnsent(chain, a.req.size.TotalTokens)
 			return
 		}
 		g.deps.Events.Emit(kwevent.StreamMoved, a.req.r.meta.ID, kwevent.F("chain", formatChain(w.chain)),
@@ -106,7 +106,7 @@
 		return kwchainsearch.Chain{}, false
 	}
 	if !g.spendRetryBudget(ctx, q) {
-		g.scheduler.release(chain, req.size.TotalTokens)
+		g.scheduler.releaseUnsent(chain, req.size.TotalTokens)
 		return kwchainsearch.Chain{}, false
 	}
 	return chain, true
