Tell callers the wait for servers that can serve them

The wait for a turn was that of the first turn at any first server, also one that had refused the request or begins no whole chain. Requests were queued for a turn of no use and rejected only when their wait was over, or told to come back too early.

TestWaitIsForServersThatCanServe: both requests waited with a recheck in 25 ms; now they are rejected with the time of the server that can serve them.

--- a/core/kwdispatch/limit.go
+++ b/core/kwdispatch/limit.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sort"
 	"time"
 
 	"knapweedproxy/core/kwchainsearch"
@@ -81,26 +82,45 @@
 }
 
 // limitWait returns how long a request waits for a turn of a first endpoint behind a number of others, and whether limits are all that it
-// waits for: there would be a chain without them, and there is none beside them however little load the servers had. It answers
-// limits below the load of a whole service, under which a caller does better to come back when there is room than to wait in vain.
+// waits for: there will be a chain once turns come, and there is none before however little load the servers had. It answers limits below the load of a whole service, under which a caller does better to come back when there is room than to wait in vain.
 func (d *Dispatcher) limitWait(now time.Time, fleet Fleet, r Request, ahead int) (wait time.Duration, onlyLimits bool) {
 	if !d.limitsRequests() {
 		return 0, false
 	}
 	excluded := d.excludedFor(now, r)
-	open := fleet
-	open.Servers = slices.Clone(fleet.Servers)
-	waits := d.markLimited(now, open.Servers)
-	if len(waits) == 0 || d.chainExists(open, r, excluded) || !d.chainExists(fleet, r, excluded) {
-		return 0, false
-	}
+	waits := make([]time.Duration, len(fleet.Servers))
+	var ends []time.Duration
 	rate := kwendpointlimit.Rate(0)
-	for _, server := range open.Servers {
-		if share, ok := d.cfg.Limits.Share(now, server.ID); ok && server.NotFirst && !excluded(server.ID) {
+	for i, server := range fleet.Servers {
+		if server.Layers.From > 0 || excluded(server.ID) {
+			continue
+		}
+		if waits[i] = d.cfg.Limits.Wait(now, server.ID); waits[i] > 0 {
+			share, _ := d.cfg.Limits.Share(now, server.ID)
 			rate += share
+			ends = append(ends, waits[i])
+		}
+	}
+	if len(ends) == 0 {
+		return 0, false
+	}
+	chainAfter := func(wait time.Duration) bool {
+		open := fleet
+		open.Servers = slices.Clone(fleet.Servers)
+		for i := range open.Servers {
+			open.Servers[i].NotFirst = waits[i] > wait
 		}
+		return d.chainExists(open, r, excluded)
+	}
+	if chainAfter(0) {
+		return 0, false
+	}
+	slices.Sort(ends)
+	first := sort.Search(len(ends), func(i int) bool { return chainAfter(ends[i]) })
+	if first == len(ends) {
+		return 0, false
 	}
-	return slices.Min(waits) + rate.Time(ahead), true
+	return ends[first] + rate.Time(ahead), true
 }
 
 // limited rejects a request whose turn would come after a wait. Shares move within seconds, so what is told to callers is bounded.
--- a/core/kwdispatch/limit_test.go
+++ b/core/kwdispatch/limit_test.go
@@ -1,9 +1,11 @@
 package kwdispatch
 
 import (
+	"slices"
 	"testing"
 	"time"
 
+	"knapweedproxy/core/kwchainsearch"
 	"knapweedproxy/core/kwendpointlimit"
 	"knapweedproxy/core/kwid"
 	"knapweedproxy/core/kwmembership"
@@ -188,3 +190,29 @@
 		t.Errorf("got %d requests in the queue, want none", got)
 	}
 }
+
+// TestWaitIsForServersThatCanServe has first servers whose turns come soon, but that a request may not use or that begin no whole chain. It
+// must be rejected at once by the turn of the one that can serve it.
+func TestWaitIsForServersThatCanServe(t *testing.T) {
+	for _, name := range []string{"excluded", "no chain"} {
+		now := time.Unix(100, 0)
+		d, limits := limitedDispatcher(now)
+		fleet := testFleet(1000)
+		limits.name(now, "a-fast-0", 0.1)
+		limits.name(now, "b-fast-0", 0.1)
+		limits.name(now, "a-slow-0", 20)
+		r := request(now)
+		if name == "excluded" {
+			fleet.Servers = slices.DeleteFunc(fleet.Servers, func(s kwchainsearch.Server) bool { return s.ID == "b-slow-0" })
+			r.Excluded = map[kwid.EndpointID]bool{"a-slow-0": true}
+		} else {
+			fleet.Servers = slices.DeleteFunc(fleet.Servers, func(s kwchainsearch.Server) bool { return s.ID == "b-slow-0" || s.ID == "a-slow-2" || s.ID == "a-fast-1" })
+		}
+		if limits.Wait(now, "a-slow-0") > 100*time.Millisecond || limits.Wait(now, "a-fast-0") < time.Second {
+			t.Fatal("got other waits than the test needs")
+		}
+		if got := d.Dispatch(now, fleet, r); !got.Limited || got.RetryAfter < time.Second {
+			t.Errorf("%s: got %+v, want a rejection with the time until a server can serve the request", name, got)
+		}
+	}
+}
