Yield shares of limits only to leaders that lend them

An entry yielded most of an unused share to any leader. One of an older version neither lends nor confirms it, so the entry kept a quarter of its share as long as the limit lasted, also under load: a rolling upgrade would have met that. It yields only while a leader answers its reports, and a yield that is not confirmed ends by itself after 10 s, when no report of it can reach a leader any more.

TestYieldsNeedALender: shares of 0.31 instead of 1.25 under an older leader, and after a change to one; now 1.25 in both.

--- a/core/kwdispatch/limit_test.go
+++ b/core/kwdispatch/limit_test.go
@@ -206,7 +206,9 @@
 			fleet.Servers = slices.DeleteFunc(fleet.Servers, func(s kwchainsearch.Server) bool { return s.ID == "b-slow-0" })
 			r.Excluded = map[kwid.EndpointID]bool{"a-slow-0": true}
 		} else {
-			fleet.Servers = slices.DeleteFunc(fleet.Servers, func(s kwchainsearch.Server) bool { return s.ID == "b-slow-0" || s.ID == "a-slow-2" || s.ID == "a-fast-1" })
+			fleet.Servers = slices.DeleteFunc(fleet.Servers, func(s kwchainsearch.Server) bool {
+				return s.ID == "b-slow-0" || s.ID == "a-slow-2" || s.ID == "a-fast-1"
+			})
 		}
 		if limits.Wait(now, "a-slow-0") > 100*time.Millisecond || limits.Wait(now, "a-fast-0") < time.Second {
 			t.Fatal("got other waits than the test needs")
--- a/core/kwendpointlimit/lender.go
+++ b/core/kwendpointlimit/lender.go
@@ -20,6 +20,8 @@
 	// loanTerm is how long a loan is valid, counted by the entry from when it sent the watch, and by the leader from its reply. It covers
 	// three watches.
 	loanTerm = time.Second
+	// yieldTerm is for how long a report may be on its way to a leader that lends what it yields.
+	yieldTerm = 10 * time.Second
 	// startTime is for how long an entry that has just started keeps to keptShare: until the loans of what its predecessor yielded end.
 	startTime = 2 * loanTerm
 	// newsMemory is for how long the end of a limit is remembered.
@@ -72,13 +74,13 @@
 	loans      []timedPart
 }
 
-// timedPart is a part of a limit that counts until a time; a zero time stands for no end.
+// timedPart is a part of a limit that counts until a time.
 type timedPart struct {
 	part  float64
 	until time.Time
 }
 
-func (t timedPart) ended(now time.Time) bool { return !t.until.IsZero() && !now.Before(t.until) }
+func (t timedPart) ended(now time.Time) bool { return !now.Before(t.until) }
 
 // largest drops the parts that have ended and returns the largest of the others.
 func largest(now time.Time, parts []timedPart) ([]timedPart, float64) {
--- a/core/kwendpointlimit/limits.go
+++ b/core/kwendpointlimit/limits.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"maps"
 	"math"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -56,8 +57,10 @@
 	noticedAt time.Time
 	// loan is the part of the limit that the leader lends this entry.
 	loan timedPart
-	// yields are the parts of the limit that this entry has reported to yield, each in force until the leader can have no loans of it.
+	// yields are the parts of the limit that this entry has reported to yield, each in force until no leader can have loans of it.
 	yields []timedPart
+	// lenderAt is when a leader last answered a report of the limit.
+	lenderAt time.Time
 	// began is when the limit became known, and wantedAt when a request last found no turn.
 	began, wantedAt time.Time
 	// use is the rate of the requests sent, a moving average as of usedAt.
@@ -262,7 +265,7 @@
 	if now.Sub(k.wantedAt) < wantTime {
 		return 0, true
 	}
-	if now.Sub(k.began) < wantTime {
+	if now.Sub(k.began) < wantTime || now.Sub(k.lenderAt) > startTime {
 		return 0, false
 	}
 	even := 1 / float64(l.entries)
@@ -285,7 +288,7 @@
 			l.advance(now, k)
 			k.addUse(now, 0)
 			r.Yield, r.Short = l.yield(now, k)
-			k.addYield(r.Yield)
+			k.addYield(now, r.Yield)
 		}
 		out = append(out, r)
 	}
@@ -305,27 +308,23 @@
 		if k, ok := l.limited(loan.Process); ok {
 			l.advance(now, k)
 			k.loan = timedPart{min(max(0, loan.Part), 1), sentAt.Add(loanTerm)}
+			k.lenderAt = now
 			k.endYields(now.Add(loanTerm))
 		}
 	}
 	return news
 }
 
-// addYield records what this entry reports to yield. Of those that the leader has not confirmed, the largest and the last are kept.
-func (k *limit) addYield(part float64) {
-	n := len(k.yields)
-	if n > 1 && k.yields[n-1].until.IsZero() && k.yields[n-2].until.IsZero() {
-		k.yields[n-2].part = max(k.yields[n-2].part, k.yields[n-1].part)
-		k.yields[n-1].part = part
-		return
-	}
-	k.yields = append(k.yields, timedPart{part: part})
+// addYield records what this entry reports to yield. Earlier yields that are no larger end before it and need not be kept.
+func (k *limit) addYield(now time.Time, part float64) {
+	k.yields = slices.DeleteFunc(k.yields, func(t timedPart) bool { return t.part <= part })
+	k.yields = append(k.yields, timedPart{part, now.Add(yieldTerm)})
 }
 
 // endYields ends all yields but the last one, which the leader has confirmed, at the time when no loan of them is left.
 func (k *limit) endYields(at time.Time) {
 	for i := range max(0, len(k.yields)-1) {
-		if k.yields[i].until.IsZero() {
+		if at.Before(k.yields[i].until) {
 			k.yields[i].until = at
 		}
 	}
--- a/core/kwendpointlimit/simulation_test.go
+++ b/core/kwendpointlimit/simulation_test.go
@@ -318,3 +318,41 @@
 		t.Errorf("got %v a minute after the end of the limit, want nothing", got)
 	}
 }
+
+// TestYieldsNeedALender has an idle entry report to a leader of an older version, which answers without limits, and later to none. It must
+// have its even share, and one that has yielded must get it back.
+func TestYieldsNeedALender(t *testing.T) {
+	begin := time.Unix(1000, 0)
+	const even = Rate(10.0 / 8)
+	newEntry := func() *Limits {
+		l := NewLimits("e")
+		l.SetEntryCount(begin.Add(-time.Minute), 8)
+		l.SetEntryCount(begin, 8)
+		l.Observe(begin, testProcess, limitedTo(10))
+		return l
+	}
+	old, lent := newEntry(), newEntry()
+	lender := NewLender()
+	now := begin
+	for ; now.Sub(begin) < 20*time.Second; now = now.Add(watchInterval) {
+		old.Reports(now)
+		old.Apply(now, now, nil)
+		lender.Record(now, 1, "e", lent.Reports(now))
+		lent.Apply(now, now, lender.Loans(now, 1, "e"))
+	}
+	if got, _ := old.Share(now, testProcess); got != even {
+		t.Errorf("leader of an older version: got a share of %v, want %v", got, even)
+	}
+	if got, _ := lent.Share(now, testProcess); got >= even {
+		t.Fatalf("idle entry: got a share of %v, want less than %v", got, even)
+	}
+	for range 40 {
+		now = now.Add(watchInterval)
+		lent.Want(now, testProcess)
+		lent.Reports(now)
+		lent.Apply(now, now, nil)
+	}
+	if got, _ := lent.Share(now, testProcess); got != even {
+		t.Errorf("after a change to an older leader: got a share of %v, want %v", got, even)
+	}
+}
