Count the loans of a limit whose process the roster forgets for a moment

A leader forgot what it had lent of a limit when the process left its roster, as one does whose lease expires and that comes back. For the second that the loans were still in use it lent the same part again.

TestLoansOfAForgottenProcessCount: loans of 1.0 in use where 0.5 was yielded; now 0.5.

--- a/core/kwendpointlimit/lender.go
+++ b/core/kwendpointlimit/lender.go
@@ -129,13 +129,23 @@
 	}
 }
 
-// Retain forgets the processes that are no longer known, and limits that ended long ago.
+// Retain forgets the processes that are no longer known, once all loans of their limits have ended, and limits that ended long ago.
 func (l *Lender) Retain(now time.Time, known func(kwmembership.Process) bool) {
 	maps.DeleteFunc(l.processes, func(p kwmembership.Process, k *lentLimit) bool {
-		return !known(p) || k.notice.Kind != Limited && now.Sub(k.noticedAt) > newsMemory
+		return !known(p) && !k.lends(now) || k.notice.Kind != Limited && now.Sub(k.noticedAt) > newsMemory
 	})
 }
 
+// lends reports whether a loan of the limit may be in use.
+func (p *lentLimit) lends(now time.Time) bool {
+	for _, e := range p.entries {
+		if slices.ContainsFunc(e.loans, func(t timedPart) bool { return !t.ended(now) }) {
+			return true
+		}
+	}
+	return false
+}
+
 // Loans returns all limits, and lends an entry its part of each.
 func (l *Lender) Loans(now time.Time, epoch uint64, entry kwid.NodeID) []Loan {
 	l.begin(now, epoch)
--- a/core/kwendpointlimit/simulation_test.go
+++ b/core/kwendpointlimit/simulation_test.go
@@ -356,3 +356,28 @@
 		t.Errorf("after a change to an older leader: got a share of %v, want %v", got, even)
 	}
 }
+
+// TestLoansOfAForgottenProcessCount has a leader forget a process for a moment while a loan of its limit is in use.
+func TestLoansOfAForgottenProcessCount(t *testing.T) {
+	now := time.Unix(1000, 0)
+	l := NewLender()
+	lend := func(entry kwid.NodeID, at time.Time) float64 {
+		l.Record(at, 1, "idle", []Report{{Process: testProcess, Notice: limitedTo(10), Yield: 0.5}})
+		l.Record(at, 1, entry, []Report{{Process: testProcess, Notice: limitedTo(10), Short: true}})
+		for _, loan := range l.Loans(at, 1, entry) {
+			return loan.Part
+		}
+		return 0
+	}
+	lend("a", now)
+	now = now.Add(2 * loanTerm)
+	first := lend("a", now)
+	l.Retain(now, func(kwmembership.Process) bool { return false })
+	if got := first + lend("b", now.Add(100*time.Millisecond)); first != 0.5 || got > 0.5 {
+		t.Errorf("got loans of %v in use together, the first of %v, want at most the 0.5 that is yielded", got, first)
+	}
+	l.Retain(now.Add(2*loanTerm), func(kwmembership.Process) bool { return false })
+	if got := l.Loans(now.Add(2*loanTerm), 1, "a"); len(got) != 0 {
+		t.Errorf("got %v of a process that is gone, want nothing", got)
+	}
+}
