--- a/core/kwdispatch/dispatcher.go
+++ b/core/kwdispatch/dispatcher.go
@@ -147,7 +147,7 @@
 	urgency := r.urgency(now)
 	wait, onlyLimits := d.limitWait(now, fleet, r, d.queue.Len())
 	if onlyLimits && !r.Broken && wait > d.queue.MaxWait(urgency.WaitObjective(r.FirstEventObjective), left) {
-		return d.limited(wait)
+		return d.rejectLimited(wait)
 	}
 	waiter, retryAfter := d.queue.Push(now, urgency.Priority(r.DeclaredPriority), urgency.WaitObjective(r.FirstEventObjective), left)
 	if waiter != nil {
@@ -157,7 +157,7 @@
 		return Decision{Granted: true, Chain: chain}
 	}
 	if onlyLimits {
-		return d.limited(max(wait, retryAfter))
+		return d.rejectLimited(max(wait, retryAfter))
 	}
 	return Decision{RetryAfter: retryAfter}
 }
@@ -186,7 +186,7 @@
 		// The limits may have fallen since the request began to wait.
 		if wait, onlyLimits := d.limitWait(now, fleet, r, 0); onlyLimits && now.Add(wait).After(waiter.Deadline()) {
 			d.queue.Remove(waiter)
-			return d.limited(wait)
+			return d.rejectLimited(wait)
 		}
 	}
 	if ended {
--- a/core/kwdispatch/limit.go
+++ b/core/kwdispatch/limit.go
@@ -123,8 +123,8 @@
 	return ends[first] + rate.Time(ahead), true
 }
 
-// limited rejects a request whose turn would come after a wait. Shares move within seconds, so what is told to callers is bounded.
-func (d *Dispatcher) limited(wait time.Duration) Decision {
+// rejectLimited rejects a request whose turn would come after a wait. Shares move within seconds, so what is told to callers is bounded.
+func (d *Dispatcher) rejectLimited(wait time.Duration) Decision {
 	return Decision{RetryAfter: d.cfg.Queue.BoundRetryAfter(wait), Limited: true}
 }
 
--- a/core/kwendpointlimit/lender.go
+++ b/core/kwendpointlimit/lender.go
@@ -11,19 +11,9 @@
 )
 
 const (
-	// keptShare is the part of its even share that an entry never yields, so that it can begin to use an endpoint again at once.
-	keptShare = 0.25
-	// useHeadroom is how many times its use an entry keeps of its even share.
-	useHeadroom = 1.5
-	// wantTime is for how long an entry that found no turn counts as short of them, and an entry yields nothing of a new limit.
-	wantTime = 5 * time.Second
 	// loanTerm is how long a loan is valid, counted by the entry from when it sent the watch, and by the leader from its reply. It covers
 	// three watches.
 	loanTerm = time.Second
-	// yieldTerm is for how long a report may be on its way to a leader that lends what it yields.
-	yieldTerm = 10 * time.Second
-	// startTime is for how long an entry that has just started keeps to keptShare: until the loans of what its predecessor yielded end.
-	startTime = 2 * loanTerm
 	// newsMemory is for how long the end of a limit is remembered.
 	newsMemory = 10 * time.Second
 	// maxReports bounds the limits in one message.
--- a/core/kwendpointlimit/limits.go
+++ b/core/kwendpointlimit/limits.go
@@ -4,7 +4,6 @@
 	"encoding/binary"
 	"maps"
 	"math"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,11 +15,6 @@
 )
 
 const (
-	// turnLife is how long a turn to send a request stays valid at an entry that has less than one in that time. Without it, many
-	// entries with small shares would save up one request each and could send them all at once.
-	turnLife = time.Second
-	// burstTime bounds what an entry with a larger share saves up, and so what a limited endpoint gets at one moment.
-	burstTime = 200 * time.Millisecond
 	// probeRate is the rate at which all entries together still send requests to an endpoint with a lower limit. The answers tell
 	// when that ends.
 	probeRate Rate = 0.1
@@ -28,8 +22,6 @@
 	entryCountMemory = 10 * time.Second
 	// minStartEntries is the least number of entries that an entry assumes until it has known their number for entryCountMemory.
 	minStartEntries = 6
-	// useWindow is the time constant of the moving average of what an entry uses of a limit.
-	useWindow = 5 * time.Second
 	// reportedChange is the relative change from which on a limit counts as another one.
 	reportedChange = 0.2
 )
@@ -135,8 +127,8 @@
 	l.none.Store(true)
 }
 
-// limited returns the limit of a process, or false if it has none; the caller holds the lock.
-func (l *Limits) limited(p kwmembership.Process) (*limit, bool) {
+// limitOf returns the limit of a process, or false if it has none; the caller holds the lock.
+func (l *Limits) limitOf(p kwmembership.Process) (*limit, bool) {
 	k, ok := l.known[p]
 	return k, ok && k.notice.Kind == Limited
 }
@@ -187,7 +179,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	k, ok := l.limited(p)
+	k, ok := l.limitOf(p)
 	if !ok {
 		return 0
 	}
@@ -202,7 +194,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if k, ok := l.limited(p); ok {
+	if k, ok := l.limitOf(p); ok {
 		l.advance(now, k)
 		k.turns--
 		k.addUse(now, 1)
@@ -216,7 +208,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if k, ok := l.limited(p); ok {
+	if k, ok := l.limitOf(p); ok {
 		l.advance(now, k)
 		k.turns++
 		k.addUse(now, -1)
@@ -230,7 +222,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	k, ok := l.limited(p)
+	k, ok := l.limitOf(p)
 	if !ok {
 		return 0, false
 	}
@@ -251,28 +243,6 @@
 	return max(k.notice.Rate, probeRate) * Rate(part)
 }
 
-// Want records that a request would have been sent to a process if there had been a turn.
-func (l *Limits) Want(now time.Time, p kwmembership.Process) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if k, ok := l.limited(p); ok {
-		k.wantedAt = now
-	}
-}
-
-// yield returns what this entry does not need of its even share, in parts of the whole limit; the caller holds the lock.
-func (l *Limits) yield(now time.Time, k *limit) (part float64, short bool) {
-	if now.Sub(k.wantedAt) < wantTime {
-		return 0, true
-	}
-	if now.Sub(k.began) < wantTime || now.Sub(k.lenderAt) > startTime {
-		return 0, false
-	}
-	even := 1 / float64(l.entries)
-	used := useHeadroom * float64(k.use/max(k.notice.Rate, probeRate))
-	return max(0, even-max(used, keptShare*even)), false
-}
-
 // Reports returns the limits that this entry knows, the newest ones if there are too many, for the leader.
 func (l *Limits) Reports(now time.Time) []Report {
 	l.mu.Lock()
@@ -305,7 +275,7 @@
 		if l.record(now, sentAt.Add(-max(0, loan.Age)), loan.Process, loan.Notice) {
 			news = append(news, loan)
 		}
-		if k, ok := l.limited(loan.Process); ok {
+		if k, ok := l.limitOf(loan.Process); ok {
 			l.advance(now, k)
 			k.loan = timedPart{min(max(0, loan.Part), 1), sentAt.Add(loanTerm)}
 			k.lenderAt = now
@@ -314,64 +284,3 @@
 	}
 	return news
 }
-
-// addYield records what this entry reports to yield. Earlier yields that are no larger end before it and need not be kept.
-func (k *limit) addYield(now time.Time, part float64) {
-	k.yields = slices.DeleteFunc(k.yields, func(t timedPart) bool { return t.part <= part })
-	k.yields = append(k.yields, timedPart{part, now.Add(yieldTerm)})
-}
-
-// endYields ends all yields but the last one, which the leader has confirmed, at the time when no loan of them is left.
-func (k *limit) endYields(at time.Time) {
-	for i := range max(0, len(k.yields)-1) {
-		if at.Before(k.yields[i].until) {
-			k.yields[i].until = at
-		}
-	}
-}
-
-// addUse adds requests to the moving average of the use.
-func (k *limit) addUse(now time.Time, requests int) {
-	if elapsed := now.Sub(k.usedAt).Seconds(); elapsed > 0 {
-		k.use *= Rate(math.Exp(-elapsed / useWindow.Seconds()))
-		k.usedAt = now
-	}
-	k.use = max(0, k.use+Rate(float64(requests)/useWindow.Seconds()))
-}
-
-// advance adds the turns that have come since the last update, and drops those that were not used in time; the caller holds the lock.
-func (l *Limits) advance(now time.Time, k *limit) {
-	if end := k.loan.until; k.updated.Before(end) && now.After(end) {
-		l.advanceTo(end, k)
-	}
-	l.advanceTo(now, k)
-}
-
-// advanceTo is advance over a time in which the share does not change.
-func (l *Limits) advanceTo(now time.Time, k *limit) {
-	if !now.After(k.updated) {
-		return
-	}
-	share := float64(l.share(k.updated, k))
-	k.turns += share * now.Sub(k.updated).Seconds()
-	k.updated = now
-	whole, part := math.Modf(k.turns)
-	k.turns = min(whole, max(1, math.Floor(share*burstTime.Seconds()))) + part
-}
-
-// wait returns how long until the next turn at a rate, 0 if it has come and is still valid.
-func (k *limit) wait(share Rate) time.Duration {
-	if k.turns >= 1 {
-		_, part := math.Modf(k.turns)
-		if part <= float64(share)*turnLife.Seconds() {
-			return 0
-		}
-		return secondsUp((1 - part) / float64(share))
-	}
-	return secondsUp((1 - k.turns) / float64(share))
-}
-
-// secondsUp converts seconds to a duration and rounds up, so that a turn that is waited for has come.
-func secondsUp(s float64) time.Duration {
-	return time.Duration(math.Ceil(min(s, maxTime.Seconds())*float64(time.Second))) + time.Microsecond
-}
--- a/io/kwdirectentry/limits.go
+++ b/io/kwdirectentry/limits.go
@@ -156,9 +156,9 @@
 	})
 }
 
-// limited reports whether an endpoint may get no call now because of its limit; waited means that the call is the first of those that wait
+// atLimit reports whether an endpoint may get no call now because of its limit; waited means that the call is the first of those that wait
 // for a turn.
-func (s *scheduler) limited(now time.Time, a kwmembership.Announcement, waited bool) bool {
+func (s *scheduler) atLimit(now time.Time, a kwmembership.Announcement, waited bool) bool {
 	if s.limits.None() {
 		return false
 	}
--- a/io/kwdirectentry/scheduler.go
+++ b/io/kwdirectentry/scheduler.go
@@ -231,7 +231,7 @@
 			if a.Zone != s.cfg.Zone {
 				load += crossZonePenalty
 			}
-			if s.limited(now, a, waited) {
+			if s.atLimit(now, a, waited) {
 				atLimit = append(atLimit, candidate{a, load})
 				continue
 			}
