Decide on waiting calls apart from I/O, in fair order between workspaces

Which calls wait for a turn of a limited endpoint was decided among the sockets, by priority and arrival alone: the calls of one busy workspace took all turns before any of another. kwdispatch.CallQueue now holds that decision, and the first call of each workspace goes before the second of any.

--- a/core/kwqueue/queue.go
+++ b/core/kwqueue/queue.go
@@ -73,6 +73,15 @@
 	return w, 0
 }
 
+// PushUntil queues a request until a deadline, without a look at its expected wait.
+func (q *Queue) PushUntil(now time.Time, priority int, deadline time.Time) *Waiter {
+	w := &Waiter{Priority: priority, arrived: now, deadline: deadline, sequence: q.nextSequence}
+	position, _ := slices.BinarySearchFunc(q.waiters, w, compareWaiters)
+	q.nextSequence++
+	q.waiters = slices.Insert(q.waiters, position, w)
+	return w
+}
+
 // MaxWait returns how long a request may wait, see Push.
 func (q *Queue) MaxWait(objective, remaining time.Duration) time.Duration {
 	return min(time.Duration(float64(objective)*q.cfg.MaxWaitFactor), remaining)
--- a/io/kwdirectentry/limits.go
+++ b/io/kwdirectentry/limits.go
@@ -10,7 +10,6 @@
 	"knapweedproxy/core/kwendpointlimit"
 	"knapweedproxy/core/kwid"
 	"knapweedproxy/core/kwmembership"
-	"knapweedproxy/core/kwqueue"
 )
 
 // endpointLimits finds the limits of the listed processes of endpoints.
@@ -57,10 +56,6 @@
 	e.limits.Return(now, process)
 }
 
-// callWaitShare is the share of its remaining time that a call may wait for a turn of an endpoint. A call that is rejected comes back
-// late too, so a late answer is better.
-const callWaitShare = 0.5
-
 // limitedError rejects a request whose endpoints are all at the limits that they have named; room is when one is expected to take it.
 func limitedError(service kwid.ServiceName, room time.Duration) *kwcode.Error {
 	return kwcode.New(kwcode.EndpointLimit, "every endpoint of service %q that could serve the request is at its limit", service).After(room)
@@ -83,68 +78,66 @@
 	return endpoint, ok
 }
 
-// awaitTurn has a call wait for a turn, in the order of priority and arrival among the calls of its service; err rejects it.
+// awaitTurn has a call wait for a turn in the queue of its service; err rejects it.
 func (s *scheduler) awaitTurn(
 	ctx context.Context, u *unaryState, candidates func() []kwmembership.Announcement,
 ) (endpoint kwmembership.Announcement, ok bool, err *kwcode.Error) {
 	q, exclude := u.q, u.attempts.exclude
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	queue := s.callQueues[q.service]
-	if queue == nil {
-		queue = kwqueue.NewQueue(s.cfg.Queue)
-		s.callQueues[q.service] = queue
-	}
+	queue := s.callQueue(q.service)
 	now := time.Now()
-	wait, rate := s.turnOf(now, candidates(), exclude)
-	if wait <= 0 {
+	turns, limited := s.turnsOf(now, candidates(), exclude)
+	if !limited {
 		return endpoint, false, nil
 	}
-	longest := time.Duration(callWaitShare * float64(q.remaining()))
-	if wait += rate.Time(queue.Len()); wait > longest {
-		return endpoint, false, limitedError(q.service, s.cfg.Queue.BoundRetryAfter(wait))
-	}
-	// The objective is chosen such that the queue allows the longest wait.
-	waiter, _ := queue.Push(now, q.urgency().Priority(q.basePriority()), time.Duration(float64(longest)/s.cfg.Queue.MaxWaitFactor)+1, longest)
+	decision := queue.Join(now, q.urgency().Priority(q.basePriority()), q.workspaceName(), q.remaining(), turns)
+	waiter := decision.Waiter
 	if waiter == nil {
-		return endpoint, false, limitedError(q.service, s.cfg.Queue.BoundRetryAfter(wait))
+		return endpoint, false, limitedError(q.service, decision.RetryAfter)
 	}
 	wake := make(chan struct{}, 1)
 	s.wakeups[waiter] = wake
 	defer func() {
-		queue.Remove(waiter)
+		queue.Leave(waiter)
 		delete(s.wakeups, waiter)
 		if next := queue.Head(); next != nil {
 			s.wake(next)
+		} else {
+			delete(s.callQueues, q.service)
 		}
 	}()
-	timer := time.NewTimer(wait)
+	timer := time.NewTimer(decision.Sleep)
 	defer timer.Stop()
 	for {
 		s.waitForWakeup(ctx, wake, timer)
-		now = time.Now()
 		if ctx.Err() != nil {
 			return endpoint, false, nil
 		}
-		left := waiter.Deadline().Sub(now)
+		now = time.Now()
 		if queue.Head() == waiter {
 			if endpoint, ok = s.pickUnaryLocked(now, candidates(), exclude, nil, true); ok {
 				return endpoint, true, nil
 			}
-			if wait, _ = s.turnOf(now, candidates(), exclude); wait <= 0 {
-				return endpoint, false, nil
-			}
-			if wait > left {
-				return endpoint, false, limitedError(q.service, s.cfg.Queue.BoundRetryAfter(wait))
-			}
-			left = wait
 		}
-		if left <= 0 {
-			wait, rate = s.turnOf(now, candidates(), exclude)
-			return endpoint, false, limitedError(q.service, s.cfg.Queue.BoundRetryAfter(wait+rate.Time(queue.Len())))
+		if turns, limited = s.turnsOf(now, candidates(), exclude); !limited {
+			return endpoint, false, nil
+		}
+		if decision = queue.Again(now, waiter, turns); decision.Waiter == nil {
+			return endpoint, false, limitedError(q.service, decision.RetryAfter)
 		}
-		timer.Reset(left)
+		timer.Reset(decision.Sleep)
+	}
+}
+
+// callQueue returns the queue of the calls of a service; the caller holds the lock.
+func (s *scheduler) callQueue(service kwid.ServiceName) *kwdispatch.CallQueue {
+	queue := s.callQueues[service]
+	if queue == nil {
+		queue = kwdispatch.NewCallQueue(s.cfg.Queue)
+		s.callQueues[service] = queue
 	}
+	return queue
 }
 
 // anyLimited reports whether one of some endpoints has a limit.
@@ -170,22 +163,22 @@
 	return limited && !waited && queue != nil && queue.Len() > 0
 }
 
-// turnOf returns how long until the first of some endpoints that are at their limits takes another request, and the rate at which they do
-// together; 0 if none is at a limit.
-func (s *scheduler) turnOf(now time.Time, candidates []kwmembership.Announcement, exclude endpointSet) (wait time.Duration, rate kwendpointlimit.Rate) {
+// turnsOf returns when those of some endpoints that have a limit take requests, or false if none has one.
+func (s *scheduler) turnsOf(now time.Time, candidates []kwmembership.Announcement, exclude endpointSet) (turns kwdispatch.Turns, limited bool) {
 	for _, a := range candidates {
 		p := a.Process()
 		if exclude[a.ID] || s.leavers.Leaving(p) || s.pauses.Remaining(now, p) > 0 {
 			continue
 		}
-		share, limited := s.limits.Share(now, p)
-		if !limited {
+		share, ok := s.limits.Share(now, p)
+		if !ok {
 			continue
 		}
-		rate += share
-		if turn := max(time.Nanosecond, s.limits.Wait(now, p)); wait == 0 || turn < wait {
-			wait = turn
+		if wait := s.limits.Wait(now, p); !limited || wait < turns.Wait {
+			turns.Wait = wait
 		}
+		turns.Rate += share
+		limited = true
 	}
-	return wait, rate
+	return turns, limited
 }
--- a/io/kwdirectentry/request.go
+++ b/io/kwdirectentry/request.go
@@ -81,6 +81,14 @@
 	return q.route.Priority
 }
 
+// workspaceName returns the name of the caller's workspace, empty if it has none.
+func (q *request) workspaceName() kwid.WorkspaceName {
+	if q.workspace == nil {
+		return ""
+	}
+	return q.workspace.Name
+}
+
 // upstreamRequest returns the request as it is sent to an endpoint.
 func (q *request) upstreamRequest(d kwupstream.Dialect, out kwupstream.ForwardMeta) *kwupstream.Request {
 	out.Timeout = q.remaining()
--- a/io/kwdirectentry/scheduler.go
+++ b/io/kwdirectentry/scheduler.go
@@ -35,7 +35,7 @@
 	pauses           *kwretry.Pauses
 	limits           *kwendpointlimit.Limits
 	// callQueues holds the calls that wait for a turn of an endpoint, by service.
-	callQueues map[kwid.ServiceName]*kwqueue.Queue
+	callQueues map[kwid.ServiceName]*kwdispatch.CallQueue
 	wakeups    map[*kwqueue.Waiter]chan struct{}
 	// stallQueries and probes limit how often an endpoint is queried for stalled requests and probed.
 	stallQueries, probes *endpointLimiter
@@ -71,7 +71,7 @@
 		announcedLeavers: kwmembership.NewLeavers(),
 		pauses:           pauses,
 		limits:           limits,
-		callQueues:       make(map[kwid.ServiceName]*kwqueue.Queue),
+		callQueues:       make(map[kwid.ServiceName]*kwdispatch.CallQueue),
 		wakeups:          make(map[*kwqueue.Waiter]chan struct{}),
 		stallQueries:     newEndpointLimiter(faultCheckInterval),
 		probes:           newEndpointLimiter(faultCheckInterval),
