Give workspaces turns in the queue of streams while endpoints have limits

Streams that waited for a turn of a limited first server went by priority and arrival, so those of one busy workspace took all turns. While endpoints have limits the first waiting stream of each workspace now goes before the second of any, as calls do. Without limits the order is as it was.

TestWorkspacesTakeTurnsUnderLimits: a second stream of the busy workspace was next, now the first of the other one.

--- a/core/kwdispatch/dispatcher.go
+++ b/core/kwdispatch/dispatcher.go
@@ -60,6 +60,8 @@
 	MaxAnswerTokens int
 	// DeclaredPriority is the priority that the declaration gives the request; 0 is the highest.
 	DeclaredPriority int
+	// Workspace is the caller's workspace, empty if it has none.
+	Workspace kwid.WorkspaceName
 	// Excluded holds the endpoints that have failed or refused the request.
 	Excluded map[kwid.EndpointID]bool
 	// Unreached holds the endpoints that have opened no connection for the request in time, which count as silent.
@@ -94,6 +96,8 @@
 	cfg   Config
 	loads *Loads
 	queue *kwqueue.Queue
+	// order holds the requests that began to wait while endpoints had limits.
+	order fairOrder
 	// latency estimates the time to the first event, by the first endpoint of a chain.
 	latency map[kwid.EndpointID]*kwqueue.LatencyEstimator
 	// forecasts tell how long answers take, by service.
@@ -105,7 +109,7 @@
 // New returns a Dispatcher without load.
 func New(cfg Config) *Dispatcher {
 	return &Dispatcher{
-		cfg: cfg, loads: NewLoads(cfg.Entry), queue: kwqueue.NewQueue(cfg.Queue),
+		cfg: cfg, loads: NewLoads(cfg.Entry), queue: kwqueue.NewQueue(cfg.Queue), order: make(fairOrder),
 		latency:   make(map[kwid.EndpointID]*kwqueue.LatencyEstimator),
 		forecasts: make(map[kwid.ServiceName]*Forecast),
 	}
@@ -149,8 +153,12 @@
 	if onlyLimits && !r.Broken && wait > d.queue.MaxWait(urgency.WaitObjective(r.FirstEventObjective), left) {
 		return d.rejectLimited(wait)
 	}
-	waiter, retryAfter := d.queue.Push(now, urgency.Priority(r.DeclaredPriority), urgency.WaitObjective(r.FirstEventObjective), left)
+	rank := d.order.rank(urgency.Priority(r.DeclaredPriority), r.Workspace)
+	waiter, retryAfter := d.queue.Push(now, rank, urgency.WaitObjective(r.FirstEventObjective), left)
 	if waiter != nil {
+		if d.limitsRequests() {
+			d.order[waiter] = r.Workspace
+		}
 		return Decision{Waiter: waiter, Recheck: d.recheck(now, fleet, waiter)}
 	}
 	if chain, ok := d.reserve(now, fleet, r, true); ok {
@@ -170,34 +178,37 @@
 	ended, head := !now.Before(waiter.Deadline()), d.queue.Head() == waiter
 	if ended || head {
 		if chain, ok := d.reserve(now, fleet, r, ended); ok {
-			d.queue.Remove(waiter)
+			d.Withdraw(waiter)
 			return Decision{Granted: true, Chain: chain}
 		}
 	}
 	if pause := d.pauseOfAll(now, fleet, r); pause > 0 {
-		d.queue.Remove(waiter)
+		d.Withdraw(waiter)
 		return Decision{RetryAfter: pause, Paused: true}
 	}
 	if d.endsLate(now, fleet, r) {
-		d.queue.Remove(waiter)
+		d.Withdraw(waiter)
 		return Decision{EndsLate: true}
 	}
 	if ended || head && !r.Broken {
 		// The limits may have fallen since the request began to wait.
 		if wait, onlyLimits := d.limitWait(now, fleet, r, 0); onlyLimits && now.Add(wait).After(waiter.Deadline()) {
-			d.queue.Remove(waiter)
+			d.Withdraw(waiter)
 			return d.rejectLimited(wait)
 		}
 	}
 	if ended {
-		d.queue.Remove(waiter)
+		d.Withdraw(waiter)
 		return Decision{RetryAfter: d.queue.RetryAfter(now)}
 	}
 	return Decision{Waiter: waiter, Recheck: d.recheck(now, fleet, waiter)}
 }
 
 // Withdraw removes a request that no longer waits from the queue.
-func (d *Dispatcher) Withdraw(waiter *kwqueue.Waiter) { d.queue.Remove(waiter) }
+func (d *Dispatcher) Withdraw(waiter *kwqueue.Waiter) {
+	d.queue.Remove(waiter)
+	delete(d.order, waiter)
+}
 
 // Next returns the request that is to be woken when something has changed, or nil if none waits.
 func (d *Dispatcher) Next() *kwqueue.Waiter { return d.queue.Head() }
--- a/core/kwdispatch/limit_test.go
+++ b/core/kwdispatch/limit_test.go
@@ -218,3 +218,34 @@
 		}
 	}
 }
+
+// TestWorkspacesTakeTurnsUnderLimits has a busy workspace and another one wait for turns of a limited first server.
+func TestWorkspacesTakeTurnsUnderLimits(t *testing.T) {
+	now := time.Unix(100, 0)
+	d, limits := limitedDispatcher(now)
+	fleet := testFleet(1000)
+	fleet.Servers = fleet.Servers[:2]
+	limits.name(now, "a-fast-0", 30)
+	requests := make(map[*kwqueue.Waiter]Request)
+	for i := range 6 {
+		r := request(now)
+		r.Workspace = "busy"
+		if i == 5 {
+			r.Workspace = "other"
+		}
+		if dec := d.Dispatch(now, fleet, r); dec.Waiter != nil {
+			requests[dec.Waiter] = r
+		} else if !dec.Granted {
+			t.Fatalf("request %d: got %+v, want it to be granted or to wait", i, dec)
+		}
+	}
+	first := requests[d.Next()].Workspace
+	now = now.Add(limits.Wait(now, "a-fast-0"))
+	head := d.Next()
+	if dec := d.Retry(now, fleet, requests[head], head); !dec.Granted {
+		t.Fatalf("got %+v, want the head to be granted", dec)
+	}
+	if second := requests[d.Next()].Workspace; first != "busy" || second != "other" {
+		t.Errorf("got %q and then %q at the head of the queue, want the workspaces in turn", first, second)
+	}
+}
--- a/io/kwdirectentry/queue.go
+++ b/io/kwdirectentry/queue.go
@@ -41,6 +41,7 @@
 		AnswerTokens:        c.r.answerTokens(),
 		MaxAnswerTokens:     c.r.meta.MaxAnswerTokens,
 		DeclaredPriority:    c.r.basePriority(),
+		Workspace:           c.r.workspaceName(),
 		Excluded:            c.exclude,
 		Unreached:           c.unreached,
 	}
