Resume the streams of a silent VM without probing it again

A stream that ends with an endpoint at fault is checked for a crash, which connects to the endpoint, and a silent VM answers only with the time-out of the probe that had just found it silent. Callers accept a pause of 250 to 300 ms.

A silent VM refuses nothing, so it is not a crash.

Result: TestResumeDoesNotProbeASilentStageAgain made one more probe right after the first and makes none now.

--- a/io/kwdirectentry/fault_detection.go
+++ b/io/kwdirectentry/fault_detection.go
@@ -102,6 +102,9 @@
 // which may only be silent for a while, other chains are sought.
 func (g *Gateway) ejectFaulty(stage kwchainsearch.Stage, result kwchainsearch.ConnectResult) {
 	lost := result == kwchainsearch.Refused
+	if process, known := g.scheduler.leavers.Process(stage.Endpoint); known && !lost {
+		g.crashLog.recordUnresponsive(time.Now(), process)
+	}
 	g.eject("", stage.Endpoint, stage.Address, !lost, "failed a probe of a silent chain", kwevent.F("refused", lost))
 	if lost {
 		g.noteRefusal(stage.Endpoint, syscall.ECONNREFUSED)
--- a/io/kwdirectentry/fault_detection_test.go
+++ b/io/kwdirectentry/fault_detection_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"sync/atomic"
 	"testing"
@@ -80,6 +81,52 @@
 	}
 }
 
+// A stage has just failed a probe without an answer. The streams that resume elsewhere must not wait for another probe of it, which
+// took 120 ms more of a pause of 300 ms that callers accept.
+func TestResumeDoesNotProbeASilentStageAgain(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	var probes atomic.Int32
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			probes.Add(1)
+			_ = c.Close()
+		}
+	}()
+	g := newTestGateway(t, "127.0.0.1:1", "127.0.0.1:1")
+	stage := kwchainsearch.Stage{Endpoint: "silent", Address: l.Addr().String(), Layers: kwid.LayerRange{To: 8}}
+	setModelServers(g, kwmembership.Announcement{ID: stage.Endpoint, Address: stage.Address, Layers: stage.Layers})
+	process, _ := g.scheduler.leavers.Process(stage.Endpoint)
+	// It returns only once its report to a leader has failed.
+	ejected := make(chan struct{})
+	go func() {
+		defer close(ejected)
+		g.ejectFaulty(stage, kwchainsearch.Unresponsive)
+	}()
+	t.Cleanup(func() { <-ejected })
+	time.Sleep(50 * time.Millisecond)
+	q := &request{r: httptest.NewRequest(http.MethodPost, "/notes/x", nil)}
+	countAfterCheck := func() int32 {
+		g.checkForCrash(q, process, stage.Address, nil)
+		time.Sleep(50 * time.Millisecond)
+		return probes.Load()
+	}
+	if got := countAfterCheck(); got != 0 {
+		t.Errorf("right after a probe without an answer: got %d more probes, want none", got)
+	}
+	time.Sleep(faultCheckInterval)
+	if got := countAfterCheck(); got != 1 {
+		t.Errorf("after %v: got %d probes, want 1", faultCheckInterval, got)
+	}
+}
+
 // An entry that is cut off from all endpoints must not eject any of them.
 func TestIsolatedGatewayEjectsNoEndpoint(t *testing.T) {
 	g := newTestGateway(t, closedAddress(t), "127.0.0.1:1")
--- a/io/kwdirectentry/quarantine.go
+++ b/io/kwdirectentry/quarantine.go
@@ -111,7 +111,7 @@
 		return
 	}
 	refuses := func() bool { return kwupstream.Probe(g.ctx, address) == kwchainsearch.Refused }
-	if !g.crashLog.crashed(process, refuses) {
+	if !g.crashLog.crashed(time.Now(), process, refuses) {
 		g.partGuard.RecordAbandoned(time.Now(), process, q.digest)
 		return
 	}
@@ -163,9 +163,20 @@
 type crashLog struct {
 	mu     sync.Mutex
 	checks map[kwmembership.Process]*crashCheck
+	// unresponsive tells when a probe of a process last got no answer.
+	unresponsive map[kwmembership.Process]time.Time
 }
 
-func newCrashLog() *crashLog { return &crashLog{checks: make(map[kwmembership.Process]*crashCheck)} }
+func newCrashLog() *crashLog {
+	return &crashLog{checks: make(map[kwmembership.Process]*crashCheck), unresponsive: make(map[kwmembership.Process]time.Time)}
+}
+
+// recordUnresponsive records that a probe of a process has got no answer.
+func (l *crashLog) recordUnresponsive(now time.Time, process kwmembership.Process) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.unresponsive[process] = now
+}
 
 // crashCheck is a probe of one endpoint; crashed is valid once done is closed.
 type crashCheck struct {
@@ -173,10 +184,16 @@
 	crashed bool
 }
 
-// crashed reports whether a process of an endpoint has crashed; probe finds out, unless an earlier probe has or is about to.
-func (l *crashLog) crashed(process kwmembership.Process, probe func() bool) bool {
+// crashed reports whether a process of an endpoint has crashed; probe finds out, unless an earlier probe has or is about to. A process
+// whose last probe got no answer a moment ago has not: its VM is silent, and another probe would hold the streams that resume for its
+// whole time-out.
+func (l *crashLog) crashed(now time.Time, process kwmembership.Process, probe func() bool) bool {
 	l.mu.Lock()
 	check, ok := l.checks[process]
+	if !ok && now.Sub(l.unresponsive[process]) < faultCheckInterval {
+		l.mu.Unlock()
+		return false
+	}
 	if !ok {
 		check = &crashCheck{done: make(chan struct{})}
 		l.checks[process] = check
@@ -201,4 +218,5 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	maps.DeleteFunc(l.checks, func(process kwmembership.Process, _ *crashCheck) bool { return !known(process) })
+	maps.DeleteFunc(l.unresponsive, func(process kwmembership.Process, _ time.Time) bool { return !known(process) })
 }
