Rearrange a zone step by step after a server is lost for good

The placer tells plans which zones a server left within the last 7 s; these are not rearranged. It no longer sends an order to give up layers if a server departed while the plan was computed, since that one may have held them too.

--- a/core/kwplacement/plan.go
+++ b/core/kwplacement/plan.go
@@ -24,6 +24,8 @@
 	OrderPending bool
 	// JustJoined means that the server is so new that the one it may replace has perhaps not announced its departure yet.
 	JustJoined bool
+	// PeerMayReturn means that a server of the same availability zone was lost or left so recently that it may return or be replaced.
+	PeerMayReturn bool
 }
 
 // Order tells a server to hold a range of layers.
@@ -36,8 +38,8 @@
 const minRequests = 32
 
 // Plan returns the orders that bring the servers of one engine to a sound placement, in which every layer is held; there are
-// none if nothing has to change. A server of a sound placement is moved for a gain only while fewer than ConcurrentLoads
-// servers load layers.
+// none if nothing has to change. Servers of a sound placement are moved for a gain only as far as no more than ConcurrentLoads
+// servers load layers then.
 func Plan(e *kwdeclaration.Engine, servers []Server) []Order {
 	m := newModel(e)
 	var out []Order
@@ -60,10 +62,14 @@
 		}
 	}
 	for _, pool := range sound {
-		if loading >= max(1, e.ConcurrentLoads) {
+		limit := max(1, e.ConcurrentLoads) - loading
+		if limit <= 0 {
 			break
 		}
-		moves := m.improve(pool)
+		moves := m.rearrange(pool, limit)
+		if len(moves) == 0 {
+			moves = m.improve(pool)
+		}
 		loading += len(moves)
 		out = append(out, moves...)
 	}
--- a/core/kwplacement/repair.go
+++ b/core/kwplacement/repair.go
@@ -16,7 +16,11 @@
 	pool = slices.Clone(pool)
 	coverage := m.coverage(pool)
 	ordered := make(map[kwid.EndpointID]bool)
-	for _, o := range m.fillEmpty(pool, coverage) {
+	fill := m.fillEmpty(pool, coverage)
+	if slices.Min(m.coverage(before)) > 0 {
+		fill = m.fillTowards(before, pool, fill)
+	}
+	for _, o := range fill {
 		ordered[o.Endpoint] = true
 		out = append(out, o)
 	}
--- a/core/kwplacement/spread.go
+++ b/core/kwplacement/spread.go
@@ -91,6 +91,11 @@
 
 // rangeCost is the number of layers that a server must load for a range, and the step time of the range on it.
 func rangeCost(s Server, layers kwid.LayerRange) float64 {
+	return float64(layersToLoad(s, layers)) + stepTimeWeight*s.StepTimeFactor*float64(layers.Len())
+}
+
+// layersToLoad returns how many layers of a range a server does not hold.
+func layersToLoad(s Server, layers kwid.LayerRange) int {
 	kept := max(0, int(min(layers.To, s.Layers.To)-max(layers.From, s.Layers.From)))
-	return float64(layers.Len()-kept) + stepTimeWeight*s.StepTimeFactor*float64(layers.Len())
+	return layers.Len() - kept
 }
--- a/core/kwplacement/throughput.go
+++ b/core/kwplacement/throughput.go
@@ -96,7 +96,7 @@
 // improve moves at most one redundant server of a sound pool, to the range by which the pool gains most.
 func (m model) improve(pool []Server) []Order {
 	coverage := m.coverage(pool)
-	if slices.Min(coverage) == 0 || slices.ContainsFunc(pool, func(s Server) bool { return s.OrderPending || s.JustJoined && s.Layers.Len() == 0 }) {
+	if slices.Min(coverage) == 0 || unsettled(pool) {
 		return nil
 	}
 	best := rangeChoice{throughput: minMoveGainFactor * m.throughput(pool)}
@@ -113,3 +113,8 @@
 	}
 	return []Order{{Endpoint: pool[best.server].ID, Layers: best.layers}}
 }
+
+// unsettled reports whether an order to a server of a pool is pending or a server has just joined without layers.
+func unsettled(pool []Server) bool {
+	return slices.ContainsFunc(pool, func(s Server) bool { return s.OrderPending || s.JustJoined && s.Layers.Len() == 0 })
+}
--- a/io/kwdirectcontrol/fleet.go
+++ b/io/kwdirectcontrol/fleet.go
@@ -23,6 +23,7 @@
 func (p *placer) liveFleet(now time.Time, service *kwdeclaration.Service, rows []kwmembership.RosterRow) fleet {
 	f := fleet{announcements: make(map[kwid.EndpointID]kwmembership.Announcement), empty: true}
 	departed := departedAddresses(service.Name, rows)
+	mayReturn := p.zonesAwaitingReturn(now, service.Name, rows)
 	for _, row := range rows {
 		a := row.Announcement
 		// A row may have been recorded by a build that did not check heartbeats.
@@ -40,7 +41,7 @@
 		}
 		server := kwplacement.Server{
 			ID: a.ID, Zone: a.Zone, Address: a.Address, MemoryMB: accelerator.MemoryMB, StepTimeFactor: accelerator.StepTimeFactor, Layers: a.Layers,
-			JustJoined: now.Sub(s.firstSeen) < justJoinedTime,
+			JustJoined: now.Sub(s.firstSeen) < justJoinedTime, PeerMayReturn: mayReturn[a.Zone],
 		}
 		if s.ordered {
 			server.Layers, server.OrderPending = s.target, true
@@ -72,6 +73,39 @@
 	return out
 }
 
+// zonesAwaitingReturn returns the availability zones that a server of a service has departed from within returnWait, unless
+// another one is live at its address.
+func (p *placer) zonesAwaitingReturn(now time.Time, service kwid.ServiceName, rows []kwmembership.RosterRow) map[kwid.AvailabilityZone]bool {
+	live := make(map[string]bool)
+	for _, row := range rows {
+		if row.State == kwmembership.Live {
+			live[row.Announcement.Address] = true
+		}
+	}
+	out := make(map[kwid.AvailabilityZone]bool)
+	for _, row := range rows {
+		a := row.Announcement
+		at, departed := p.departedAt[a.ID]
+		if a.Service == service && departed && !live[a.Address] && now.Sub(at) < returnWait {
+			out[a.Zone] = true
+		}
+	}
+	return out
+}
+
+// holds reports whether a range includes all layers of another.
+func holds(layers, other kwid.LayerRange) bool {
+	return other.Len() <= 0 || layers.From <= other.From && layers.To >= other.To
+}
+
+// lostServer reports whether one of the servers is not part of a fleet any more.
+func lostServer(servers []kwplacement.Server, f fleet) bool {
+	return slices.ContainsFunc(servers, func(s kwplacement.Server) bool {
+		_, ok := f.announcements[s.ID]
+		return !ok
+	})
+}
+
 // orderStateOf returns the order state of the running process of an endpoint. It ends an order once the endpoint
 // announces the ordered layers, or once the deadline has passed.
 func (p *placer) orderStateOf(now time.Time, a kwmembership.Announcement) *orderState {
--- a/io/kwdirectcontrol/placer.go
+++ b/io/kwdirectcontrol/placer.go
@@ -33,6 +33,9 @@
 	// justJoinedTime is how long a new server gets no layers while the others serve all layers, since the server that it
 	// may replace has perhaps not yet announced that it leaves; longer than a heartbeat interval.
 	justJoinedTime = 2 * time.Second
+	// returnWait is how long after a server has departed its zone is not rearranged, since the server may return: crashed and
+	// cut-off servers are back within 6 s (deploy/days), and known to be after a heartbeat interval at most.
+	returnWait = 7 * time.Second
 )
 
 type placerConfig struct {
@@ -56,6 +59,8 @@
 	lastJoin          time.Time
 	knownRows         int
 	orderStates       map[kwid.EndpointID]*orderState
+	// departedAt is when this leader first saw that each server which is leaving, lost or gone is.
+	departedAt map[kwid.EndpointID]time.Time
 	// planned holds the input of the last plan of each service; an unchanged fleet is not planned again.
 	planned map[kwid.ServiceName][]kwplacement.Server
 	// planning holds the services whose plan is being computed.
@@ -99,6 +104,7 @@
 		p.pendingOrders = 0
 		clear(p.planned)
 		clear(p.planning)
+		clear(p.departedAt)
 		p.lastJoin = now
 		p.knownRows = 0
 	}
@@ -109,6 +115,7 @@
 	}
 	rows := t.Roster.Since(0)
 	p.trackJoins(now, rows)
+	p.trackDepartures(now, rows)
 	finished := p.takeFinishedPlans()
 	for i := range p.index.Declaration.Services {
 		service := &p.index.Declaration.Services[i]
@@ -159,6 +166,22 @@
 	p.knownRows = len(rows)
 }
 
+// trackDepartures updates departedAt. For a new leader, the servers that an earlier one knew as departed depart anew.
+func (p *placer) trackDepartures(now time.Time, rows []kwmembership.RosterRow) {
+	departedAt := make(map[kwid.EndpointID]time.Time)
+	for _, row := range rows {
+		if row.State == kwmembership.Live {
+			continue
+		}
+		at, ok := p.departedAt[row.Announcement.ID]
+		if !ok {
+			at = now
+		}
+		departedAt[row.Announcement.ID] = at
+	}
+	p.departedAt = departedAt
+}
+
 // planService sends the orders of a service's finished plan, and starts the next plan if the fleet has changed.
 func (p *placer) planService(now time.Time, service *kwdeclaration.Service, rows []kwmembership.RosterRow, finished plan) {
 	f := p.liveFleet(now, service, rows)
@@ -203,11 +226,14 @@
 }
 
 // sendPlannedOrders sends the orders of a finished plan to the servers that have not changed since the plan was
-// started. The next plan covers the others.
+// started. A server keeps the layers that it holds if another one has departed since, which perhaps held them too. The next
+// plan covers the others.
 func (p *placer) sendPlannedOrders(now time.Time, finished plan, e *kwdeclaration.Engine, f fleet) {
+	lost := lostServer(finished.servers, f)
 	for _, o := range finished.orders {
-		if unchanged(finished.servers, f.servers, o.Endpoint) {
-			p.startOrder(now, f.announcements[o.Endpoint], o.Layers, e)
+		a := f.announcements[o.Endpoint]
+		if unchanged(finished.servers, f.servers, o.Endpoint) && (!lost || holds(o.Layers, a.Layers)) {
+			p.startOrder(now, a, o.Layers, e)
 		}
 	}
 }
--- a/io/kwdirectcontrol/placer_test.go
+++ b/io/kwdirectcontrol/placer_test.go
@@ -14,6 +14,7 @@
 	"knapweedproxy/core/kwhlc"
 	"knapweedproxy/core/kwid"
 	"knapweedproxy/core/kwmembership"
+	"knapweedproxy/core/kwplacement"
 	"knapweedproxy/core/kwreconcile"
 	"knapweedproxy/core/kwstatemachine"
 	"knapweedproxy/io/kwdirectproto"
@@ -221,6 +222,52 @@
 	}
 }
 
+// TestPlacerAwaitsReturn guards against rearranging a zone while a crashed server may return: plans must be told so for
+// returnWait, but not once a server has started at its address.
+func TestPlacerAwaitsReturn(t *testing.T) {
+	for _, returns := range []bool{true, false} {
+		p := newPlacerHarness(t)
+		p.heartbeat("e1", "x:1", 1, kwid.LayerRange{To: 10})
+		p.heartbeat("e2", "x:2", 1, kwid.LayerRange{To: 10})
+		p.settle()
+		p.tables.Roster.Deregister(p.now, "e2", 1)
+		awaits := func() bool {
+			p.settle()
+			return p.placer.planned[testService][0].PeerMayReturn
+		}
+		if got := awaits(); !got {
+			t.Errorf("awaits the return of a server that has just departed: got %t, want true", got)
+		}
+		if returns {
+			p.heartbeat("e3", "x:2", 1, kwid.LayerRange{To: 10})
+		} else {
+			p.now = p.now.Add(returnWait)
+		}
+		if got := awaits(); got {
+			t.Errorf("awaits a server that has returned (%t) or not in time: got %t, want false", returns, got)
+		}
+	}
+}
+
+// TestPlacerKeepsLayersOfDeparted has a server depart while a plan is being computed by which another one gives up the same
+// layers: it must keep them.
+func TestPlacerKeepsLayersOfDeparted(t *testing.T) {
+	for _, departs := range []bool{false, true} {
+		p := newPlacerHarness(t)
+		p.heartbeat("e1", "x:1", 1, kwid.LayerRange{To: 10})
+		p.heartbeat("e2", "x:2", 1, kwid.LayerRange{To: 10})
+		p.settle()
+		planned := plan{epoch: 1, service: testService, servers: p.placer.planned[testService], orders: []kwplacement.Order{{Endpoint: "e1", Layers: kwid.LayerRange{To: 5}}}}
+		if departs {
+			p.tables.Roster.Deregister(p.now, "e2", 1)
+		}
+		p.placer.finishedPlans = append(p.placer.finishedPlans, planned)
+		if got := len(p.settle()) > 0; got == departs {
+			t.Errorf("a holder of the same layers departed: %t; gave up layers: got %t, want %t", departs, got, !departs)
+		}
+	}
+}
+
 // TestPlacerSurvivesImpossibleLayers guards against a server that ends each leader in turn by a range of layers that cannot exist.
 func TestPlacerSurvivesImpossibleLayers(t *testing.T) {
 	p := newPlacerHarness(t)
