--- a/io/kwdirectcontrol/fleet.go
+++ b/io/kwdirectcontrol/fleet.go
@@ -74,7 +74,8 @@
 }
 
 // zonesAwaitingReturn returns the availability zones that a server of a service has departed from within returnWait, unless
-// another one is live at its address.
+// another one is live at its address. For a new leader these are all zones: it does not know the orders of the earlier one, by
+// which servers may be giving up layers that they still announce.
 func (p *placer) zonesAwaitingReturn(now time.Time, service kwid.ServiceName, rows []kwmembership.RosterRow) map[kwid.AvailabilityZone]bool {
 	live := make(map[string]bool)
 	for _, row := range rows {
@@ -82,11 +83,13 @@
 			live[row.Announcement.Address] = true
 		}
 	}
+	newLeader := now.Sub(p.leadingSince) < returnWait
 	out := make(map[kwid.AvailabilityZone]bool)
 	for _, row := range rows {
 		a := row.Announcement
 		at, departed := p.departedAt[a.ID]
-		if a.Service == service && departed && !live[a.Address] && now.Sub(at) < returnWait {
+		mayReturn := departed && !live[a.Address] && now.Sub(at) < returnWait
+		if a.Service == service && (newLeader || mayReturn) {
 			out[a.Zone] = true
 		}
 	}
--- a/io/kwdirectcontrol/placer.go
+++ b/io/kwdirectcontrol/placer.go
@@ -51,8 +51,10 @@
 // placer is the controller that plans the placement of layers and sends orders to model servers while this process
 // leads.
 type placer struct {
-	cfg               placerConfig
-	epoch             uint64
+	cfg   placerConfig
+	epoch uint64
+	// leadingSince is when the epoch began here.
+	leadingSince      time.Time
 	declarationNumber kwdeclaration.Number
 	index             *kwdeclaration.Index
 	nextRun           time.Time
@@ -105,7 +107,7 @@
 		clear(p.planned)
 		clear(p.planning)
 		clear(p.departedAt)
-		p.lastJoin = now
+		p.lastJoin, p.leadingSince = now, now
 		p.knownRows = 0
 	}
 	p.updateDeclaration(t)
--- a/io/kwdirectcontrol/placer_test.go
+++ b/io/kwdirectcontrol/placer_test.go
@@ -222,29 +222,29 @@
 	}
 }
 
-// TestPlacerAwaitsReturn guards against rearranging a zone while a crashed server may return: plans must be told so for
-// returnWait, but not once a server has started at its address.
+// TestPlacerAwaitsReturn guards against rearranging a zone while a crashed server may return, or while orders of an earlier leader
+// may be in progress: plans must be told so for returnWait, but not once a server has started at the address of the crashed one.
 func TestPlacerAwaitsReturn(t *testing.T) {
-	for _, returns := range []bool{true, false} {
-		p := newPlacerHarness(t)
-		p.heartbeat("e1", "x:1", 1, kwid.LayerRange{To: 10})
-		p.heartbeat("e2", "x:2", 1, kwid.LayerRange{To: 10})
+	p := newPlacerHarness(t)
+	p.heartbeat("e1", "x:1", 1, kwid.LayerRange{To: 10})
+	p.heartbeat("e2", "x:2", 1, kwid.LayerRange{To: 10})
+	steps := []struct {
+		name string
+		do   func()
+		want bool
+	}{
+		{"a new leader", func() {}, true},
+		{"a leader of some time", func() { p.now = p.now.Add(returnWait) }, false},
+		{"after a departure", func() { p.tables.Roster.Deregister(p.now, "e2", 1) }, true},
+		{"after a start at the same address", func() { p.heartbeat("e3", "x:2", 1, kwid.LayerRange{To: 10}) }, false},
+		{"after another departure", func() { p.tables.Roster.Deregister(p.now, "e3", 1) }, true},
+		{"when the server has not returned in time", func() { p.now = p.now.Add(returnWait) }, false},
+	}
+	for _, s := range steps {
+		s.do()
 		p.settle()
-		p.tables.Roster.Deregister(p.now, "e2", 1)
-		awaits := func() bool {
-			p.settle()
-			return p.placer.planned[testService][0].PeerMayReturn
-		}
-		if got := awaits(); !got {
-			t.Errorf("awaits the return of a server that has just departed: got %t, want true", got)
-		}
-		if returns {
-			p.heartbeat("e3", "x:2", 1, kwid.LayerRange{To: 10})
-		} else {
-			p.now = p.now.Add(returnWait)
-		}
-		if got := awaits(); got {
-			t.Errorf("awaits a server that has returned (%t) or not in time: got %t, want false", returns, got)
+		if got := p.placer.planned[testService][0].PeerMayReturn; got != s.want {
+			t.Errorf("%s: a server may return: got %t, want %t", s.name, got, s.want)
 		}
 	}
 }
