--- a/core/kwplacement/rearrange.go
+++ b/core/kwplacement/rearrange.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// rearrangedKVShare is the share of the KV cache of a new placement that a rearranged pool leaves free on each server. On random
-	// fleets, a share of 0.8 saves a tenth of the orders but costs 0.03 of the throughput (docs/design/17-placement-after-loss.md).
+	// rearrangedKVShare is the share of the KV cache of a new placement that a rearranged pool leaves free on each server. A share of
+	// 0.8 saves a tenth of the orders on random fleets but costs 0.03 of the throughput (docs/design/17-placement-after-loss.md).
 	rearrangedKVShare = 0.9
 	// minRearrangeGain is the factor by which a rearrangement must raise the throughput of a pool even if it needs no loads, since
 	// each order keeps an engine from others for a heartbeat interval.
