--- a/io/kwdirectcontrol/placer_test.go
+++ b/io/kwdirectcontrol/placer_test.go
@@ -14,6 +14,7 @@
 	"knapweedproxy/core/kwhlc"
 	"knapweedproxy/core/kwid"
 	"knapweedproxy/core/kwmembership"
+	"knapweedproxy/core/kwplacement"
 	"knapweedproxy/core/kwreconcile"
 	"knapweedproxy/core/kwstatemachine"
 	"knapweedproxy/io/kwdirectproto"
@@ -221,6 +222,52 @@
 	}
 }
 
+// TestPlacerAwaitsReturn guards against rearranging a zone while a crashed server may return, or while orders of an earlier leader
+// may be in progress: plans must be told so for returnWait, but not once a server has started at the address of the crashed one.
+func TestPlacerAwaitsReturn(t *testing.T) {
+	p := newPlacerHarness(t)
+	p.heartbeat("e1", "x:1", 1, kwid.LayerRange{To: 10})
+	p.heartbeat("e2", "x:2", 1, kwid.LayerRange{To: 10})
+	steps := []struct {
+		name string
+		do   func()
+		want bool
+	}{
+		{"a new leader", func() {}, true},
+		{"a leader of some time", func() { p.now = p.now.Add(returnWait) }, false},
+		{"after a departure", func() { p.tables.Roster.Deregister(p.now, "e2", 1) }, true},
+		{"after a start at the same address", func() { p.heartbeat("e3", "x:2", 1, kwid.LayerRange{To: 10}) }, false},
+		{"after another departure", func() { p.tables.Roster.Deregister(p.now, "e3", 1) }, true},
+		{"when the server has not returned in time", func() { p.now = p.now.Add(returnWait) }, false},
+	}
+	for _, s := range steps {
+		s.do()
+		p.settle()
+		if got := p.placer.planned[testService][0].PeerMayReturn; got != s.want {
+			t.Errorf("%s: a server may return: got %t, want %t", s.name, got, s.want)
+		}
+	}
+}
+
+// TestPlacerKeepsLayersOfDeparted has a server depart while a plan is being computed by which another one gives up the same
+// layers: it must keep them.
+func TestPlacerKeepsLayersOfDeparted(t *testing.T) {
+	for _, departs := range []bool{false, true} {
+		p := newPlacerHarness(t)
+		p.heartbeat("e1", "x:1", 1, kwid.LayerRange{To: 10})
+		p.heartbeat("e2", "x:2", 1, kwid.LayerRange{To: 10})
+		p.settle()
+		planned := plan{epoch: 1, service: testService, servers: p.placer.planned[testService], orders: []kwplacement.Order{{Endpoint: "e1", Layers: kwid.LayerRange{To: 5}}}}
+		if departs {
+			p.tables.Roster.Deregister(p.now, "e2", 1)
+		}
+		p.placer.finishedPlans = append(p.placer.finishedPlans, planned)
+		if got := len(p.settle()) > 0; got == departs {
+			t.Errorf("a holder of the same layers departed: %t; gave up layers: got %t, want %t", departs, got, !departs)
+		}
+	}
+}
+
 // TestPlacerSurvivesImpossibleLayers guards against a server that ends each leader in turn by a range of layers that cannot exist.
 func TestPlacerSurvivesImpossibleLayers(t *testing.T) {
 	p := newPlacerHarness(t)
