--- a/io/kwdirectcontrol/placer.go
+++ b/io/kwdirectcontrol/placer.go
@@ -33,8 +33,8 @@
 	// justJoinedTime is how long a new server gets no layers while the others serve all layers, since the server that it
 	// may replace has perhaps not yet announced that it leaves; longer than a heartbeat interval.
 	justJoinedTime = 2 * time.Second
-	// returnWait is how long after a server has departed its zone is not rearranged, since the server may return: crashed and
-	// cut-off servers are back within 6 s (deploy/days), and known to be after a heartbeat interval at most.
+	// returnWait is how long after a server has departed its zone is not rearranged, since the server may return: a process that
+	// crashed, or a VM that was cut off for a moment, is back within seconds and known after a heartbeat interval at most.
 	returnWait = 7 * time.Second
 )
 
