Let urgent streams wait as long as less urgent ones of their service

Cause: the longest wait in the queue was 0.7 of a class's own objective, so a request with an objective of 500 ms was rejected after 350 ms where one of a less urgent class with 1.2 s waited on for 840 ms and got the next chain.

Change: the index of the declaration computes for each service and priority the longest objective among the streams of that priority and of less urgent ones (workspaces with a priority of their own included), and the dispatcher bounds the wait by it. A service with one priority and one objective has the same bound as before.

--- a/core/kwdeclaration/index.go
+++ b/core/kwdeclaration/index.go
@@ -16,6 +16,7 @@
 	// workspaces holds the workspace of each key.
 	workspaces map[string]*Workspace
 	services   map[kwid.ServiceName]*Service
+	classes    map[kwid.ServiceName]PriorityClasses
 }
 
 // NewIndex returns the index of a checked declaration, which must not change afterwards.
@@ -25,6 +26,7 @@
 		routes:      make(map[string][]*Route),
 		workspaces:  make(map[string]*Workspace),
 		services:    make(map[kwid.ServiceName]*Service),
+		classes:     priorityClasses(d),
 	}
 	for i := range d.Routes {
 		r := &d.Routes[i]
@@ -64,6 +66,11 @@
 	return x.services[name]
 }
 
+// PriorityClasses returns the priorities at which requests of a service come.
+func (x *Index) PriorityClasses(name kwid.ServiceName) PriorityClasses {
+	return x.classes[name]
+}
+
 // RequiresKey reports whether the route's requests need a key: the route is not public and some workspace is declared.
 func (x *Index) RequiresKey(r *Route) bool {
 	return len(x.Declaration.Workspaces) > 0 && !r.Public
--- a/core/kwdispatch/dispatcher.go
+++ b/core/kwdispatch/dispatcher.go
@@ -44,6 +44,9 @@
 	Size    kwchainsearch.RequestSize
 	// FirstEventObjective is the desired time to the first event, EventGapObjective the longest desired gap between two events.
 	FirstEventObjective, EventGapObjective time.Duration
+	// WaitObjective is the longest time-to-first-event objective among the streams of the service whose priority is the request's own or a
+	// less urgent one; 0 stands for FirstEventObjective.
+	WaitObjective time.Duration
 	// FirstEventTimeout is how long the first event may take before another chain is tried.
 	FirstEventTimeout time.Duration
 	// WaitingSince is when the request arrived at the entry.
@@ -72,6 +75,12 @@
 	return kwqueue.UrgencyOf(now, r.WaitingSince, r.FirstEventObjective, r.Broken)
 }
 
+// waitObjective returns the objective that bounds the wait in the queue. It answers classes of different objectives: a more urgent request
+// may wait as long as a less urgent one, which would be served in its place otherwise.
+func (r Request) waitObjective(now time.Time) time.Duration {
+	return r.urgency(now).WaitObjective(max(r.FirstEventObjective, r.WaitObjective))
+}
+
 // Decision is what becomes of a request.
 type Decision struct {
 	// Granted means that capacity is reserved on Chain until Release.
@@ -150,11 +159,11 @@
 	}
 	urgency := r.urgency(now)
 	wait, onlyLimits := d.limitWait(now, fleet, r, d.queue.Len())
-	if onlyLimits && !r.Broken && wait > d.queue.MaxWait(urgency.WaitObjective(r.FirstEventObjective), left) {
+	if onlyLimits && !r.Broken && wait > d.queue.MaxWait(r.waitObjective(now), left) {
 		return d.rejectLimited(wait)
 	}
 	rank := d.order.rank(urgency.Priority(r.DeclaredPriority), r.Workspace)
-	waiter, retryAfter := d.queue.Push(now, rank, urgency.WaitObjective(r.FirstEventObjective), left)
+	waiter, retryAfter := d.queue.Push(now, rank, r.waitObjective(now), left)
 	if waiter != nil {
 		if d.limitsRequests() {
 			d.order[waiter] = r.Workspace
--- a/io/kwdirectentry/queue.go
+++ b/io/kwdirectentry/queue.go
@@ -33,6 +33,7 @@
 		Size:                c.size,
 		FirstEventObjective: c.r.route.LatencyObjective,
 		EventGapObjective:   c.r.route.EventGapObjective,
+		WaitObjective:       c.r.view.index.PriorityClasses(c.r.service).WaitObjective(c.r.basePriority()),
 		FirstEventTimeout:   firstEventTimeout(c.r),
 		WaitingSince:        c.r.arrived,
 		Deadline:            deadline,
