Shed less urgent streams at the tail as soon as urgent ones take their turn

Cause: a request that had joined the queue stayed until the end of its wait, also after urgent ones had joined before it and its turn could no longer come in time. Its caller lost the time in which it could have come back.

Change: when a request joins, those at the tail with a lower declared priority that can no longer expect their turn within their wait limit are removed, and their callers get a rejection (entry-overloaded) with the time until the queue has been served. Decision.Shed tells the scheduler which waiters to wake. A queue with a single declared priority sheds nothing.

Test: TestUrgentShedTail, and TestSchedulerWakesShedRequests at the entry: the rejection comes at once, before at the end of the wait of 1.05 s.

--- a/core/kwdispatch/call_queue.go
+++ b/core/kwdispatch/call_queue.go
@@ -48,13 +48,14 @@
 func (c *CallQueue) Head() *kwqueue.Waiter { return c.queue.Head() }
 
 // Join decides on a call that has found no turn and whose caller waits for left.
-func (c *CallQueue) Join(now time.Time, priority int, workspace kwid.WorkspaceName, left time.Duration, turns Turns) CallDecision {
+func (c *CallQueue) Join(now time.Time, place kwqueue.Place, workspace kwid.WorkspaceName, left time.Duration, turns Turns) CallDecision {
 	longest := time.Duration(callWaitShare * float64(left))
 	wait := turns.Wait + turns.Rate.Time(c.queue.Len())
 	if wait > longest {
 		return CallDecision{RetryAfter: c.cfg.BoundRetryAfter(wait)}
 	}
-	waiter := c.queue.PushUntil(now, c.order.rank(priority, workspace), now.Add(longest))
+	place.Round = c.order.round(workspace)
+	waiter := c.queue.PushUntil(place, now.Add(longest))
 	c.order[waiter] = workspace
 	return CallDecision{Waiter: waiter, Sleep: wait}
 }
--- a/core/kwdispatch/classes_test.go
+++ b/core/kwdispatch/classes_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"knapweedproxy/core/kwchainsearch"
+	"knapweedproxy/core/kwqueue"
 )
 
 // classRequest returns a request of a class of a service whose longest objective is 1.2 s.
@@ -30,7 +31,7 @@
 		}
 		chain = decision.Chain
 	}
-	for range 30 {
+	for range 200 {
 		d.Release(*now, chain, requestTokens)
 		d.Loads().Reserve(chain, requestTokens)
 		*now = now.Add(interval)
@@ -62,3 +63,35 @@
 		t.Errorf("after 600ms: got %+v, want a chain", got)
 	}
 }
+
+// TestUrgentShedTail has urgent requests join before less urgent ones that then cannot expect their turn in time. Those at the tail must
+// be rejected at once and not at the end of their wait; others of the same declared priority must stay.
+func TestUrgentShedTail(t *testing.T) {
+	now := time.Unix(100, 0)
+	fleet := testFleet(1)
+	// In 840 ms, the longest wait of all, eight requests leave.
+	d, _ := fullDispatcher(t, &now, fleet, 100*time.Millisecond)
+	var waiters []*kwqueue.Waiter
+	for i := range 8 {
+		decision := d.Dispatch(now, fleet, classRequest(now, 2-i/6, longestObjective))
+		if decision.Waiter == nil || len(decision.Shed) > 0 {
+			t.Fatalf("request %d: got %+v, want it to wait behind all", i, decision)
+		}
+		waiters = append(waiters, decision.Waiter)
+	}
+	if late := d.Dispatch(now, fleet, classRequest(now, 2, longestObjective)); late.Waiter != nil || len(late.Shed) > 0 {
+		t.Errorf("another request of the least urgent priority: got %+v, want a rejection", late)
+	}
+	r := classRequest(now, 0, firstEventObjective)
+	urgent := d.Dispatch(now, fleet, r)
+	if urgent.Waiter == nil || len(urgent.Shed) != 1 || urgent.Shed[0] != waiters[5] {
+		t.Fatalf("an urgent request: got %+v, want it to wait and only the last of the least urgent to be shed", urgent)
+	}
+	got := d.Retry(now, fleet, classRequest(now, 2, longestObjective), waiters[5])
+	if got.Waiter != nil || !got.Displaced || got.RetryAfter < 800*time.Millisecond {
+		t.Errorf("the request that was shed: got %+v, want a rejection with the time until there is room, about 900ms", got)
+	}
+	if got, want := d.Waiting(), 8; got != want {
+		t.Errorf("got %d requests that wait, want %d", got, want)
+	}
+}
--- a/core/kwdispatch/dispatcher.go
+++ b/core/kwdispatch/dispatcher.go
@@ -96,6 +96,10 @@
 	Limited bool
 	// Recheck is when a waiting request at the head of the queue is to be decided on again although nothing has changed, 0 if never.
 	Recheck time.Duration
+	// Displaced means that the request is rejected since more urgent ones have taken its turn.
+	Displaced bool
+	// Shed holds the requests that wait no longer since this one has joined the queue; each is to be decided on again at once.
+	Shed []*kwqueue.Waiter
 	// EndsLate means that the request is rejected since no chain would end its answer before the entry exits.
 	EndsLate bool
 }
@@ -157,18 +161,17 @@
 	if !r.Deadline.IsZero() {
 		left = r.Deadline.Sub(now)
 	}
-	urgency := r.urgency(now)
 	wait, onlyLimits := d.limitWait(now, fleet, r, d.queue.Len())
 	if onlyLimits && !r.Broken && wait > d.queue.MaxWait(r.waitObjective(now), left) {
 		return d.rejectLimited(wait)
 	}
-	rank := d.order.rank(urgency.Priority(r.DeclaredPriority), r.Workspace)
-	waiter, retryAfter := d.queue.Push(now, rank, r.waitObjective(now), left)
+	place := kwqueue.Place{Declared: r.DeclaredPriority, Urgency: r.urgency(now), Round: d.order.round(r.Workspace)}
+	waiter, retryAfter := d.queue.Push(now, place, r.waitObjective(now), left)
 	if waiter != nil {
 		if d.limitsRequests() {
 			d.order[waiter] = r.Workspace
 		}
-		return Decision{Waiter: waiter, Recheck: d.recheck(now, fleet, waiter)}
+		return Decision{Waiter: waiter, Recheck: d.recheck(now, fleet, waiter), Shed: d.shedTail(now, waiter)}
 	}
 	if chain, ok := d.reserve(now, fleet, r, true); ok {
 		return Decision{Granted: true, Chain: chain}
@@ -179,11 +182,23 @@
 	return Decision{RetryAfter: retryAfter}
 }
 
+// shedTail removes the requests that can no longer expect their turn in time behind one that has joined the queue.
+func (d *Dispatcher) shedTail(now time.Time, joined *kwqueue.Waiter) []*kwqueue.Waiter {
+	shed := d.queue.ShedTail(now, joined)
+	for _, waiter := range shed {
+		delete(d.order, waiter)
+	}
+	return shed
+}
+
 // unlimited stands for the time left of a request without a deadline.
 const unlimited = time.Hour
 
 // Retry decides again on a request that waits, after it was woken or its wait has ended.
 func (d *Dispatcher) Retry(now time.Time, fleet Fleet, r Request, waiter *kwqueue.Waiter) Decision {
+	if retryAfter, shed := waiter.Shed(); shed {
+		return Decision{RetryAfter: retryAfter, Displaced: true}
+	}
 	ended, head := !now.Before(waiter.Deadline()), d.queue.Head() == waiter
 	if ended || head {
 		if chain, ok := d.reserve(now, fleet, r, ended); ok {
--- a/core/kwqueue/queue.go
+++ b/core/kwqueue/queue.go
@@ -1,6 +1,7 @@
 package kwqueue
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -27,18 +28,30 @@
 	}
 }
 
+// Place says where in the queue a request belongs.
+type Place struct {
+	// Declared is the priority that the declaration gives the request; the lowest value is served first.
+	Declared int
+	Urgency  Urgency
+	// Round orders requests of equal priority; the lowest value is served first.
+	Round int
+}
+
 // Waiter is a queued request.
 type Waiter struct {
-	// Priority orders requests; the lowest value is served first.
-	Priority int
-	arrived  time.Time
+	Place
 	deadline time.Time
 	sequence uint64
+	// shedAfter is the Retry-After time of a request that was shed.
+	shedAfter time.Duration
 }
 
 // Deadline returns when the wait in the queue times out.
 func (w *Waiter) Deadline() time.Time { return w.deadline }
 
+// Shed returns the Retry-After time of a request that was removed from the queue for more urgent ones.
+func (w *Waiter) Shed() (retryAfter time.Duration, shed bool) { return w.shedAfter, w.shedAfter > 0 }
+
 // Queue holds requests that wait for a free slot, by priority and then in arrival order. It is not safe for concurrent use;
 // the caller's lock protects it.
 type Queue struct {
@@ -60,9 +73,9 @@
 
 // Push queues a request. If its expected wait exceeds its limit it returns nil and the Retry-After time. The limit is
 // MaxWaitFactor times the objective, at most the time remaining until the request's own deadline.
-func (q *Queue) Push(now time.Time, priority int, objective, remaining time.Duration) (*Waiter, time.Duration) {
+func (q *Queue) Push(now time.Time, place Place, objective, remaining time.Duration) (*Waiter, time.Duration) {
 	maxWait := q.MaxWait(objective, remaining)
-	w := &Waiter{Priority: priority, arrived: now, deadline: now.Add(maxWait), sequence: q.nextSequence}
+	w := &Waiter{Place: place, deadline: now.Add(maxWait), sequence: q.nextSequence}
 	position, _ := slices.BinarySearchFunc(q.waiters, w, compareWaiters)
 	wait := q.expectedWait(now, position+1)
 	if wait > maxWait {
@@ -74,8 +87,8 @@
 }
 
 // PushUntil queues a request until a deadline, without a look at its expected wait.
-func (q *Queue) PushUntil(now time.Time, priority int, deadline time.Time) *Waiter {
-	w := &Waiter{Priority: priority, arrived: now, deadline: deadline, sequence: q.nextSequence}
+func (q *Queue) PushUntil(place Place, deadline time.Time) *Waiter {
+	w := &Waiter{Place: place, deadline: deadline, sequence: q.nextSequence}
 	position, _ := slices.BinarySearchFunc(q.waiters, w, compareWaiters)
 	q.nextSequence++
 	q.waiters = slices.Insert(q.waiters, position, w)
@@ -88,8 +101,8 @@
 }
 
 func compareWaiters(a, b *Waiter) int {
-	if a.Priority != b.Priority {
-		return a.Priority - b.Priority
+	if c := cmp.Or(cmp.Compare(a.Urgency.Priority(a.Declared), b.Urgency.Priority(b.Declared)), cmp.Compare(a.Round, b.Round)); c != 0 {
+		return c
 	}
 	if a.sequence < b.sequence {
 		return -1
@@ -110,6 +123,22 @@
 	q.waiters = slices.DeleteFunc(q.waiters, func(x *Waiter) bool { return x == w })
 }
 
+// ShedTail removes the requests at the tail that can no longer expect their turn in time since a request has joined before them, and
+// returns them. It answers urgent requests that arrive faster than capacity is freed: those that they displace do better to come back
+// at a time when there is room than to wait in vain. Only requests of a lower declared priority are removed.
+func (q *Queue) ShedTail(now time.Time, joined *Waiter) (shed []*Waiter) {
+	for n := len(q.waiters); n > 0; n-- {
+		tail := q.waiters[n-1]
+		if tail.Declared <= joined.Declared || tail.Urgency == Broken || !now.Add(q.expectedWait(now, n)).After(tail.deadline) {
+			break
+		}
+		tail.shedAfter = q.RetryAfter(now)
+		q.waiters = q.waiters[:n-1]
+		shed = append(shed, tail)
+	}
+	return shed
+}
+
 // RecordDeparture counts a request that has released its slot.
 func (q *Queue) RecordDeparture(now time.Time) {
 	q.updateRate(now)
--- a/core/kwqueue/queue_test.go
+++ b/core/kwqueue/queue_test.go
@@ -9,7 +9,7 @@
 
 func push(t *testing.T, q *Queue, now time.Time, priority int) *Waiter {
 	t.Helper()
-	w, retryAfter := q.Push(now, priority, objective, time.Minute)
+	w, retryAfter := q.Push(now, Place{Declared: priority, Urgency: OnTime}, objective, time.Minute)
 	if w == nil {
 		t.Fatalf("request rejected with Retry-After %v", retryAfter)
 	}
@@ -25,7 +25,7 @@
 	for i, want := range []*Waiter{first, second, lowPriority} {
 		got := q.Head()
 		if got != want {
-			t.Fatalf("position %d: got priority %d, want %d", i, got.Priority, want.Priority)
+			t.Fatalf("position %d: got priority %d, want %d", i, got.Declared, want.Declared)
 		}
 		q.Remove(got)
 	}
@@ -41,7 +41,7 @@
 	if got, want := w.Deadline(), now.Add(objective*7/10); !got.Equal(want) {
 		t.Errorf("deadline: got %v, want %v", got, want)
 	}
-	short, _ := q.Push(now, 1, objective, 100*time.Millisecond)
+	short, _ := q.Push(now, Place{Declared: 1, Urgency: OnTime}, objective, 100*time.Millisecond)
 	if got, want := short.Deadline(), now.Add(100*time.Millisecond); !got.Equal(want) {
 		t.Errorf("deadline with little time remaining: got %v, want %v", got, want)
 	}
@@ -62,7 +62,7 @@
 	maxRetryAfter := time.Duration(0)
 	for i := range 10 * departuresPerSecond * overload {
 		now = now.Add(interval)
-		w, retryAfter := q.Push(now, 1, objective, time.Minute)
+		w, retryAfter := q.Push(now, Place{Declared: 1, Urgency: OnTime}, objective, time.Minute)
 		if w == nil {
 			rejected++
 			maxRetryAfter = max(maxRetryAfter, retryAfter)
--- a/io/kwdirectentry/limits.go
+++ b/io/kwdirectentry/limits.go
@@ -10,6 +10,7 @@
 	"knapweedproxy/core/kwendpointlimit"
 	"knapweedproxy/core/kwid"
 	"knapweedproxy/core/kwmembership"
+	"knapweedproxy/core/kwqueue"
 )
 
 // endpointLimits finds the limits of the listed processes of endpoints.
@@ -91,7 +92,7 @@
 	if !limited {
 		return endpoint, false, nil
 	}
-	decision := queue.Join(now, q.urgency().Priority(q.basePriority()), q.workspaceName(), q.remaining(), turns)
+	decision := queue.Join(now, kwqueue.Place{Declared: q.basePriority(), Urgency: q.urgency()}, q.workspaceName(), q.remaining(), turns)
 	waiter := decision.Waiter
 	if waiter == nil {
 		return endpoint, false, limitedError(q.service, decision.RetryAfter)
--- a/io/kwdirectentry/queue.go
+++ b/io/kwdirectentry/queue.go
@@ -110,6 +110,9 @@
 	case decision.Granted:
 		return decision.Chain, 0, nil
 	case decision.Waiter != nil:
+		for _, shed := range decision.Shed {
+			s.wake(shed)
+		}
 		chain, err := s.waitInQueue(ctx, req, decision)
 		return chain, time.Since(begin), err
 	}
@@ -179,6 +182,10 @@
 		if decision.Limited {
 			return kwchainsearch.Chain{}, limitedError(req.r.service, decision.RetryAfter)
 		}
+		if decision.Displaced {
+			err := kwcode.New(kwcode.EntryOverloaded, "more urgent requests have taken the turn of this one of service %q", req.r.service)
+			return kwchainsearch.Chain{}, err.After(decision.RetryAfter)
+		}
 		if decision.Waiter == nil {
 			return kwchainsearch.Chain{}, kwcode.New(kwcode.NoChain, "no chain of service %q has capacity", req.r.service).After(decision.RetryAfter)
 		}
--- a/io/kwdirectentry/scheduler_test.go
+++ b/io/kwdirectentry/scheduler_test.go
@@ -312,3 +312,40 @@
 		}
 	}
 }
+
+// TestSchedulerWakesShedRequests checks that a request which urgent ones displace gets its rejection at once, and not when its wait is
+// over.
+func TestSchedulerWakesShedRequests(t *testing.T) {
+	f := newSchedulerFixture(1)
+	f.fill(t)
+	for i := range 30 {
+		f.scheduler.dispatcher.Release(time.Now().Add(time.Duration(i-30)*500*time.Millisecond), kwchainsearch.Chain{}, 0)
+	}
+	// About two requests leave in a second, so that only one can expect its turn in 1.05 s.
+	route := func(priority int) *kwdeclaration.Route {
+		r := *f.route
+		r.Priority, r.LatencyObjective = priority, 1500*time.Millisecond
+		return &r
+	}
+	rejected := make(chan error, 1)
+	begin := time.Now()
+	go func() {
+		_, _, err := f.scheduler.acquireChain(t.Context(), f.chainRequest(&request{route: route(2), service: testService, arrived: begin}))
+		rejected <- err
+	}()
+	for f.queueLen() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	for range 3 {
+		go func() {
+			_, _, _ = f.scheduler.acquireChain(t.Context(), f.chainRequest(&request{route: route(0), service: testService, arrived: begin}))
+		}()
+	}
+	err := <-rejected
+	if got := kwcode.FromError(err).Code; got != kwcode.EntryOverloaded {
+		t.Errorf("got %v, want %v", err, kwcode.EntryOverloaded)
+	}
+	if got := time.Since(begin); got > 700*time.Millisecond {
+		t.Errorf("got the rejection after %v, want it at once", got)
+	}
+}
