Rank late requests before less urgent ones

Cause: lateness cost a whole declared priority, so a late request tied with those of the next less urgent class, in the queue and in engines.

Change: each declared priority has two ranks in the queue, on time and late. Engines have ten priorities, so EnginePriority now goes by the position of the declared priority among those of the service (from the index of the declaration): exact for up to four declared priorities, the most urgent ones with lateness apart for up to nine. The order of a service with one declared priority is the same as before, in the queue and in engines; the values that engines get may differ from those of entries of an older version while a new one is rolled out.

--- a/core/kwqueue/urgency.go
+++ b/core/kwqueue/urgency.go
@@ -29,7 +29,10 @@
 const (
 	// brokenPriority ranks broken streams before all other requests.
 	brokenPriority = -1
-	// latePenalty ranks a late request behind those of its declared priority that can still be on time.
+	// ranksPerPriority is the number of ranks of one declared priority: a late request ranks behind those of its priority that can still be
+	// on time, but before those of a less urgent one.
+	ranksPerPriority = 2
+	// latePenalty is the distance between the two.
 	latePenalty = 1
 	// brokenWaitFactor is how many latency objectives a broken stream may wait for another chain: callers leave after four without
 	// an event, and one has passed.
@@ -45,9 +48,9 @@
 	case Broken:
 		return brokenPriority
 	case Late:
-		return declared + latePenalty
+		return declared*ranksPerPriority + latePenalty
 	}
-	return declared
+	return declared * ranksPerPriority
 }
 
 // WaitObjective returns the objective that bounds the wait of a request in the queue.
@@ -64,9 +67,20 @@
 // LowestEnginePriority is the largest value of an engine's priorities; 0 is the most urgent.
 const LowestEnginePriority = 9
 
-// EnginePriority returns the priority at which engines admit a request, in the same order as the queue. Engines admit prompts of
-// several entries, so the order of one entry's queue does not suffice after an outage: without it, the prompts of callers that
-// are late anyway delay those that are not, and streams that resume wait behind new ones.
-func (u Urgency) EnginePriority(declared int) int {
-	return max(0, min(u.Priority(max(0, declared))-brokenPriority, LowestEnginePriority))
+// EnginePriority returns the priority at which engines admit a request whose declared priority is at a position among those of its
+// service, in the same order as the queue. Engines admit prompts of several entries, so the order of one entry's queue does not suffice
+// after an outage: without it, the prompts of callers that are late anyway delay those that are not, and streams that resume wait behind
+// new ones. There are ten engine priorities: late requests of the least urgent priorities are not told apart from others if there are
+// more than four, and priorities beyond the ninth not from each other.
+func (u Urgency) EnginePriority(position, priorities int) int {
+	if u == Broken {
+		return 0
+	}
+	position = max(0, position)
+	apart := max(0, LowestEnginePriority-max(1, priorities))
+	rank := 1 + position + min(position, apart)
+	if u == Late && position < apart {
+		rank += latePenalty
+	}
+	return min(rank, LowestEnginePriority)
 }
--- a/io/kwdirectentry/request.go
+++ b/io/kwdirectentry/request.go
@@ -92,7 +92,8 @@
 // upstreamRequest returns the request as it is sent to an endpoint.
 func (q *request) upstreamRequest(d kwupstream.Dialect, out kwupstream.ForwardMeta) *kwupstream.Request {
 	out.Timeout = q.remaining()
-	out.Priority = q.urgency().EnginePriority(q.basePriority())
+	classes := q.view.index.PriorityClasses(q.service)
+	out.Priority = q.urgency().EnginePriority(classes.Position(q.basePriority()), classes.Len())
 	if q.workspace != nil {
 		out.Workspace = q.workspace.Name
 	}
