Give workspaces turns in every queue, also without limits of endpoints

Cause: workspaces took turns only while endpoints named limits. A busy workspace took all capacity of an entry otherwise. The round of a request was counted once, as it joined: a workspace that sent its next request as soon as one had had its turn was always in the first round, before the second request of any other.

Change: the queue itself keeps the rounds, as start-time fair queueing does: each request of a workspace is one round after its last, and at least in the present round. A request that leaves before its turn gives it to the next of its workspace. Joining looks up one number; before, it counted the queue. A declaration without workspaces has one, the empty one, and its requests are served in order of arrival, as before.

Test: TestWorkspacesTakeTurns and TestWorkspacesTakeTurnsWithoutLimits (the first request of a second workspace was fifth instead of second).

--- a/core/kwdispatch/call_queue.go
+++ b/core/kwdispatch/call_queue.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"knapweedproxy/core/kwendpointlimit"
-	"knapweedproxy/core/kwid"
 	"knapweedproxy/core/kwqueue"
 )
 
@@ -18,12 +17,11 @@
 type CallQueue struct {
 	cfg   kwqueue.Config
 	queue *kwqueue.Queue
-	order fairOrder
 }
 
 // NewCallQueue returns an empty CallQueue.
 func NewCallQueue(cfg kwqueue.Config) *CallQueue {
-	return &CallQueue{cfg: cfg, queue: kwqueue.NewQueue(cfg), order: make(fairOrder)}
+	return &CallQueue{cfg: cfg, queue: kwqueue.NewQueue(cfg)}
 }
 
 // Turns tell when the endpoints of a call take requests again: the first of them after Wait, and all of them together at Rate.
@@ -48,15 +46,13 @@
 func (c *CallQueue) Head() *kwqueue.Waiter { return c.queue.Head() }
 
 // Join decides on a call that has found no turn and whose caller waits for left.
-func (c *CallQueue) Join(now time.Time, place kwqueue.Place, workspace kwid.WorkspaceName, left time.Duration, turns Turns) CallDecision {
+func (c *CallQueue) Join(now time.Time, place kwqueue.Place, left time.Duration, turns Turns) CallDecision {
 	longest := time.Duration(callWaitShare * float64(left))
 	wait := turns.Wait + turns.Rate.Time(c.queue.Len())
 	if wait > longest {
 		return CallDecision{RetryAfter: c.cfg.BoundRetryAfter(wait)}
 	}
-	place.Round = c.order.round(workspace)
 	waiter := c.queue.PushUntil(place, now.Add(longest))
-	c.order[waiter] = workspace
 	return CallDecision{Waiter: waiter, Sleep: wait}
 }
 
@@ -75,5 +71,4 @@
 // Leave removes a call that no longer waits.
 func (c *CallQueue) Leave(waiter *kwqueue.Waiter) {
 	c.queue.Remove(waiter)
-	delete(c.order, waiter)
 }
--- a/core/kwdispatch/call_queue_test.go
+++ b/core/kwdispatch/call_queue_test.go
@@ -15,7 +15,7 @@
 	c := NewCallQueue(kwqueue.DefaultConfig())
 	names := make(map[*kwqueue.Waiter]kwid.WorkspaceName)
 	join := func(priority int, workspace kwid.WorkspaceName) {
-		d := c.Join(now, kwqueue.Place{Declared: priority, Urgency: kwqueue.OnTime}, workspace, time.Minute, Turns{Wait: 100 * time.Millisecond, Rate: 10})
+		d := c.Join(now, kwqueue.Place{Declared: priority, Urgency: kwqueue.OnTime, Workspace: workspace}, time.Minute, Turns{Wait: 100 * time.Millisecond, Rate: 10})
 		if d.Waiter == nil || d.Sleep <= 0 {
 			t.Fatalf("got %+v, want the call to wait", d)
 		}
@@ -49,7 +49,7 @@
 	turns := Turns{Wait: 100 * time.Millisecond, Rate: 10}
 	waiting := 0
 	for range 20 {
-		d := c.Join(now, kwqueue.Place{Declared: 1, Urgency: kwqueue.OnTime}, "w", time.Second, turns)
+		d := c.Join(now, kwqueue.Place{Declared: 1, Urgency: kwqueue.OnTime, Workspace: "w"}, time.Second, turns)
 		if d.Waiter != nil {
 			waiting++
 		} else if d.RetryAfter < 500*time.Millisecond {
--- a/core/kwdispatch/classes_test.go
+++ b/core/kwdispatch/classes_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"knapweedproxy/core/kwchainsearch"
+	"knapweedproxy/core/kwid"
 	"knapweedproxy/core/kwqueue"
 )
 
@@ -95,3 +96,32 @@
 		t.Errorf("got %d requests that wait, want %d", got, want)
 	}
 }
+
+// TestWorkspacesTakeTurnsWithoutLimits has one workspace fill the queue of a fleet whose endpoints name no limits. The first request of
+// another one must come second, and all in order of arrival where no workspaces are declared.
+func TestWorkspacesTakeTurnsWithoutLimits(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		other kwid.WorkspaceName
+		want  int
+	}{{"two workspaces", "other", 1}, {"none", "", 4}} {
+		now := time.Unix(100, 0)
+		fleet := testFleet(1)
+		d, _ := fullDispatcher(t, &now, fleet, 50*time.Millisecond)
+		var last *kwqueue.Waiter
+		for i := range 5 {
+			r := request(now)
+			if r.Workspace = "busy"; i == 4 || c.other == "" {
+				r.Workspace = c.other
+			}
+			last = d.Dispatch(now, fleet, r).Waiter
+		}
+		got := 0
+		for ; d.Next() != last && d.Next() != nil; got++ {
+			d.Withdraw(d.Next())
+		}
+		if got != c.want {
+			t.Errorf("%s: got %d requests before the last, want %d", c.name, got, c.want)
+		}
+	}
+}
--- a/core/kwdispatch/dispatcher.go
+++ b/core/kwdispatch/dispatcher.go
@@ -109,8 +109,6 @@
 	cfg   Config
 	loads *Loads
 	queue *kwqueue.Queue
-	// order holds the requests that began to wait while endpoints had limits.
-	order fairOrder
 	// latency estimates the time to the first event, by the first endpoint of a chain.
 	latency map[kwid.EndpointID]*kwqueue.LatencyEstimator
 	// forecasts tell how long answers take, by service.
@@ -122,7 +120,7 @@
 // New returns a Dispatcher without load.
 func New(cfg Config) *Dispatcher {
 	return &Dispatcher{
-		cfg: cfg, loads: NewLoads(cfg.Entry), queue: kwqueue.NewQueue(cfg.Queue), order: make(fairOrder),
+		cfg: cfg, loads: NewLoads(cfg.Entry), queue: kwqueue.NewQueue(cfg.Queue),
 		latency:   make(map[kwid.EndpointID]*kwqueue.LatencyEstimator),
 		forecasts: make(map[kwid.ServiceName]*Forecast),
 	}
@@ -165,13 +163,10 @@
 	if onlyLimits && !r.Broken && wait > d.queue.MaxWait(r.waitObjective(now), left) {
 		return d.rejectLimited(wait)
 	}
-	place := kwqueue.Place{Declared: r.DeclaredPriority, Urgency: r.urgency(now), Round: d.order.round(r.Workspace)}
+	place := kwqueue.Place{Declared: r.DeclaredPriority, Urgency: r.urgency(now), Workspace: r.Workspace}
 	waiter, retryAfter := d.queue.Push(now, place, r.waitObjective(now), left)
 	if waiter != nil {
-		if d.limitsRequests() {
-			d.order[waiter] = r.Workspace
-		}
-		return Decision{Waiter: waiter, Recheck: d.recheck(now, fleet, waiter), Shed: d.shedTail(now, waiter)}
+		return Decision{Waiter: waiter, Recheck: d.recheck(now, fleet, waiter), Shed: d.queue.ShedTail(now, waiter)}
 	}
 	if chain, ok := d.reserve(now, fleet, r, true); ok {
 		return Decision{Granted: true, Chain: chain}
@@ -182,15 +177,6 @@
 	return Decision{RetryAfter: retryAfter}
 }
 
-// shedTail removes the requests that can no longer expect their turn in time behind one that has joined the queue.
-func (d *Dispatcher) shedTail(now time.Time, joined *kwqueue.Waiter) []*kwqueue.Waiter {
-	shed := d.queue.ShedTail(now, joined)
-	for _, waiter := range shed {
-		delete(d.order, waiter)
-	}
-	return shed
-}
-
 // unlimited stands for the time left of a request without a deadline.
 const unlimited = time.Hour
 
@@ -231,7 +217,6 @@
 // Withdraw removes a request that no longer waits from the queue.
 func (d *Dispatcher) Withdraw(waiter *kwqueue.Waiter) {
 	d.queue.Remove(waiter)
-	delete(d.order, waiter)
 }
 
 // Next returns the request that is to be woken when something has changed, or nil if none waits.
--- a/core/kwqueue/queue.go
+++ b/core/kwqueue/queue.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"knapweedproxy/core/kwid"
 )
 
 // Config configures a Queue.
@@ -33,14 +35,16 @@
 	// Declared is the priority that the declaration gives the request; the lowest value is served first.
 	Declared int
 	Urgency  Urgency
-	// Round orders requests of equal priority; the lowest value is served first.
-	Round int
+	// Workspace is the caller's workspace, empty if it has none. Requests of equal rank take turns by workspace.
+	Workspace kwid.WorkspaceName
 }
 
 // Waiter is a queued request.
 type Waiter struct {
 	Place
 	deadline time.Time
+	// round orders requests of equal rank.
+	round    int
 	sequence uint64
 	// shedAfter is the Retry-After time of a request that was shed.
 	shedAfter time.Duration
@@ -52,11 +56,15 @@
 // Shed returns the Retry-After time of a request that was removed from the queue for more urgent ones.
 func (w *Waiter) Shed() (retryAfter time.Duration, shed bool) { return w.shedAfter, w.shedAfter > 0 }
 
-// Queue holds requests that wait for a free slot, by priority and then in arrival order. It is not safe for concurrent use;
+// rank orders requests by priority and lateness.
+func (w *Waiter) rank() int { return w.Urgency.Priority(w.Declared) }
+
+// Queue holds requests that wait for a free slot, by priority, lateness, turns of workspaces and then in arrival order. It is not safe for concurrent use;
 // the caller's lock protects it.
 type Queue struct {
 	cfg           Config
 	waiters       []*Waiter
+	turns         map[int]*turns
 	nextSequence  uint64
 	departureRate float64
 	rateUpdated   time.Time
@@ -65,7 +73,7 @@
 
 // NewQueue returns an empty queue.
 func NewQueue(cfg Config) *Queue {
-	return &Queue{cfg: cfg}
+	return &Queue{cfg: cfg, turns: make(map[int]*turns)}
 }
 
 // Len returns the number of queued requests.
@@ -76,22 +84,20 @@
 func (q *Queue) Push(now time.Time, place Place, objective, remaining time.Duration) (*Waiter, time.Duration) {
 	maxWait := q.MaxWait(objective, remaining)
 	w := &Waiter{Place: place, deadline: now.Add(maxWait), sequence: q.nextSequence}
+	w.round = q.turns[w.rank()].next(w.Workspace)
 	position, _ := slices.BinarySearchFunc(q.waiters, w, compareWaiters)
 	wait := q.expectedWait(now, position+1)
 	if wait > maxWait {
 		return nil, q.RetryAfter(now)
 	}
-	q.nextSequence++
-	q.waiters = slices.Insert(q.waiters, position, w)
+	q.insert(w)
 	return w, 0
 }
 
 // PushUntil queues a request until a deadline, without a look at its expected wait.
 func (q *Queue) PushUntil(place Place, deadline time.Time) *Waiter {
-	w := &Waiter{Place: place, deadline: deadline, sequence: q.nextSequence}
-	position, _ := slices.BinarySearchFunc(q.waiters, w, compareWaiters)
-	q.nextSequence++
-	q.waiters = slices.Insert(q.waiters, position, w)
+	w := &Waiter{Place: place, deadline: deadline}
+	q.insert(w)
 	return w
 }
 
@@ -101,15 +107,16 @@
 }
 
 func compareWaiters(a, b *Waiter) int {
-	if c := cmp.Or(cmp.Compare(a.Urgency.Priority(a.Declared), b.Urgency.Priority(b.Declared)), cmp.Compare(a.Round, b.Round)); c != 0 {
-		return c
-	}
-	if a.sequence < b.sequence {
-		return -1
-	}
-	return 1
+	return cmp.Or(cmp.Compare(a.rank(), b.rank()), cmp.Compare(a.round, b.round), cmp.Compare(a.sequence, b.sequence))
 }
 
+func (q *Queue) insertSorted(w *Waiter) {
+	position, _ := slices.BinarySearchFunc(q.waiters, w, compareWaiters)
+	q.waiters = slices.Insert(q.waiters, position, w)
+}
+
+func (q *Queue) sort() { slices.SortFunc(q.waiters, compareWaiters) }
+
 // Head returns the request that is served next, or nil if the queue is empty.
 func (q *Queue) Head() *Waiter {
 	if len(q.waiters) == 0 {
@@ -120,7 +127,13 @@
 
 // Remove removes a request from any position in the queue.
 func (q *Queue) Remove(w *Waiter) {
-	q.waiters = slices.DeleteFunc(q.waiters, func(x *Waiter) bool { return x == w })
+	i := slices.Index(q.waiters, w)
+	if i < 0 {
+		return
+	}
+	first := i == 0 || q.waiters[i-1].rank() != w.rank()
+	q.waiters = slices.Delete(q.waiters, i, i+1)
+	q.leaveRound(w, first)
 }
 
 // ShedTail removes the requests at the tail that can no longer expect their turn in time since a request has joined before them, and
@@ -133,7 +146,7 @@
 			break
 		}
 		tail.shedAfter = q.RetryAfter(now)
-		q.waiters = q.waiters[:n-1]
+		q.Remove(tail)
 		shed = append(shed, tail)
 	}
 	return shed
--- a/io/kwdirectentry/limits.go
+++ b/io/kwdirectentry/limits.go
@@ -92,7 +92,7 @@
 	if !limited {
 		return endpoint, false, nil
 	}
-	decision := queue.Join(now, kwqueue.Place{Declared: q.basePriority(), Urgency: q.urgency()}, q.workspaceName(), q.remaining(), turns)
+	decision := queue.Join(now, kwqueue.Place{Declared: q.basePriority(), Urgency: q.urgency(), Workspace: q.workspaceName()}, q.remaining(), turns)
 	waiter := decision.Waiter
 	if waiter == nil {
 		return endpoint, false, limitedError(q.service, decision.RetryAfter)
