--- a/core/kwdispatch/dispatcher.go
+++ b/core/kwdispatch/dispatcher.go
@@ -44,6 +44,9 @@
 	Size    kwchainsearch.RequestSize
 	// FirstEventObjective is the desired time to the first event, EventGapObjective the longest desired gap between two events.
 	FirstEventObjective, EventGapObjective time.Duration
+	// WaitObjective is the longest time-to-first-event objective among the streams of the service whose priority is the request's own or a
+	// less urgent one; 0 stands for FirstEventObjective.
+	WaitObjective time.Duration
 	// FirstEventTimeout is how long the first event may take before another chain is tried.
 	FirstEventTimeout time.Duration
 	// WaitingSince is when the request arrived at the entry.
@@ -72,6 +75,12 @@
 	return kwqueue.UrgencyOf(now, r.WaitingSince, r.FirstEventObjective, r.Broken)
 }
 
+// waitObjective returns the objective that bounds the wait in the queue. It answers classes of different objectives: a more urgent request
+// may wait as long as a less urgent one, which would be served in its place otherwise.
+func (r Request) waitObjective(now time.Time) time.Duration {
+	return r.urgency(now).WaitObjective(max(r.FirstEventObjective, r.WaitObjective))
+}
+
 // Decision is what becomes of a request.
 type Decision struct {
 	// Granted means that capacity is reserved on Chain until Release.
@@ -87,6 +96,10 @@
 	Limited bool
 	// Recheck is when a waiting request at the head of the queue is to be decided on again although nothing has changed, 0 if never.
 	Recheck time.Duration
+	// Displaced means that the request is rejected since more urgent ones have taken its turn.
+	Displaced bool
+	// Shed holds the requests that wait no longer since this one has joined the queue; each is to be decided on again at once.
+	Shed []*kwqueue.Waiter
 	// EndsLate means that the request is rejected since no chain would end its answer before the entry exits.
 	EndsLate bool
 }
@@ -96,8 +109,6 @@
 	cfg   Config
 	loads *Loads
 	queue *kwqueue.Queue
-	// order holds the requests that began to wait while endpoints had limits.
-	order fairOrder
 	// latency estimates the time to the first event, by the first endpoint of a chain.
 	latency map[kwid.EndpointID]*kwqueue.LatencyEstimator
 	// forecasts tell how long answers take, by service.
@@ -109,7 +120,7 @@
 // New returns a Dispatcher without load.
 func New(cfg Config) *Dispatcher {
 	return &Dispatcher{
-		cfg: cfg, loads: NewLoads(cfg.Entry), queue: kwqueue.NewQueue(cfg.Queue), order: make(fairOrder),
+		cfg: cfg, loads: NewLoads(cfg.Entry), queue: kwqueue.NewQueue(cfg.Queue),
 		latency:   make(map[kwid.EndpointID]*kwqueue.LatencyEstimator),
 		forecasts: make(map[kwid.ServiceName]*Forecast),
 	}
@@ -148,18 +159,14 @@
 	if !r.Deadline.IsZero() {
 		left = r.Deadline.Sub(now)
 	}
-	urgency := r.urgency(now)
 	wait, onlyLimits := d.limitWait(now, fleet, r, d.queue.Len())
-	if onlyLimits && !r.Broken && wait > d.queue.MaxWait(urgency.WaitObjective(r.FirstEventObjective), left) {
+	if onlyLimits && !r.Broken && wait > d.queue.MaxWait(r.waitObjective(now), left) {
 		return d.rejectLimited(wait)
 	}
-	rank := d.order.rank(urgency.Priority(r.DeclaredPriority), r.Workspace)
-	waiter, retryAfter := d.queue.Push(now, rank, urgency.WaitObjective(r.FirstEventObjective), left)
+	place := kwqueue.Place{Declared: r.DeclaredPriority, Urgency: r.urgency(now), Workspace: r.Workspace}
+	waiter, retryAfter := d.queue.Push(now, place, r.waitObjective(now), left)
 	if waiter != nil {
-		if d.limitsRequests() {
-			d.order[waiter] = r.Workspace
-		}
-		return Decision{Waiter: waiter, Recheck: d.recheck(now, fleet, waiter)}
+		return Decision{Waiter: waiter, Recheck: d.recheck(now, fleet, waiter), Shed: d.queue.ShedTail(now, waiter)}
 	}
 	if chain, ok := d.reserve(now, fleet, r, true); ok {
 		return Decision{Granted: true, Chain: chain}
@@ -175,6 +182,9 @@
 
 // Retry decides again on a request that waits, after it was woken or its wait has ended.
 func (d *Dispatcher) Retry(now time.Time, fleet Fleet, r Request, waiter *kwqueue.Waiter) Decision {
+	if retryAfter, shed := waiter.Shed(); shed {
+		return Decision{RetryAfter: retryAfter, Displaced: true}
+	}
 	ended, head := !now.Before(waiter.Deadline()), d.queue.Head() == waiter
 	if ended || head {
 		if chain, ok := d.reserve(now, fleet, r, ended); ok {
@@ -207,7 +217,6 @@
 // Withdraw removes a request that no longer waits from the queue.
 func (d *Dispatcher) Withdraw(waiter *kwqueue.Waiter) {
 	d.queue.Remove(waiter)
-	delete(d.order, waiter)
 }
 
 // Next returns the request that is to be woken when something has changed, or nil if none waits.
--- a/core/kwqueue/queue.go
+++ b/core/kwqueue/queue.go
@@ -1,9 +1,12 @@
 package kwqueue
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
+
+	"knapweedproxy/core/kwid"
 )
 
 // Config configures a Queue.
@@ -27,23 +30,41 @@
 	}
 }
 
+// Place says where in the queue a request belongs.
+type Place struct {
+	// Declared is the priority that the declaration gives the request; the lowest value is served first.
+	Declared int
+	Urgency  Urgency
+	// Workspace is the caller's workspace, empty if it has none. Requests of equal rank take turns by workspace.
+	Workspace kwid.WorkspaceName
+}
+
 // Waiter is a queued request.
 type Waiter struct {
-	// Priority orders requests; the lowest value is served first.
-	Priority int
-	arrived  time.Time
+	Place
 	deadline time.Time
+	// round orders requests of equal rank.
+	round    int
 	sequence uint64
+	// shedAfter is the Retry-After time of a request that was shed.
+	shedAfter time.Duration
 }
 
 // Deadline returns when the wait in the queue times out.
 func (w *Waiter) Deadline() time.Time { return w.deadline }
 
-// Queue holds requests that wait for a free slot, by priority and then in arrival order. It is not safe for concurrent use;
+// Shed returns the Retry-After time of a request that was removed from the queue for more urgent ones.
+func (w *Waiter) Shed() (retryAfter time.Duration, shed bool) { return w.shedAfter, w.shedAfter > 0 }
+
+// rank orders requests by priority and lateness.
+func (w *Waiter) rank() int { return w.Urgency.Priority(w.Declared) }
+
+// Queue holds requests that wait for a free slot, by priority, lateness, turns of workspaces and then in arrival order. It is not safe for concurrent use;
 // the caller's lock protects it.
 type Queue struct {
 	cfg           Config
 	waiters       []*Waiter
+	turns         map[int]*turns
 	nextSequence  uint64
 	departureRate float64
 	rateUpdated   time.Time
@@ -52,7 +73,7 @@
 
 // NewQueue returns an empty queue.
 func NewQueue(cfg Config) *Queue {
-	return &Queue{cfg: cfg}
+	return &Queue{cfg: cfg, turns: make(map[int]*turns)}
 }
 
 // Len returns the number of queued requests.
@@ -60,25 +81,23 @@
 
 // Push queues a request. If its expected wait exceeds its limit it returns nil and the Retry-After time. The limit is
 // MaxWaitFactor times the objective, at most the time remaining until the request's own deadline.
-func (q *Queue) Push(now time.Time, priority int, objective, remaining time.Duration) (*Waiter, time.Duration) {
+func (q *Queue) Push(now time.Time, place Place, objective, remaining time.Duration) (*Waiter, time.Duration) {
 	maxWait := q.MaxWait(objective, remaining)
-	w := &Waiter{Priority: priority, arrived: now, deadline: now.Add(maxWait), sequence: q.nextSequence}
+	w := &Waiter{Place: place, deadline: now.Add(maxWait), sequence: q.nextSequence}
+	w.round = q.turns[w.rank()].next(w.Workspace)
 	position, _ := slices.BinarySearchFunc(q.waiters, w, compareWaiters)
 	wait := q.expectedWait(now, position+1)
 	if wait > maxWait {
 		return nil, q.RetryAfter(now)
 	}
-	q.nextSequence++
-	q.waiters = slices.Insert(q.waiters, position, w)
+	q.insert(w)
 	return w, 0
 }
 
 // PushUntil queues a request until a deadline, without a look at its expected wait.
-func (q *Queue) PushUntil(now time.Time, priority int, deadline time.Time) *Waiter {
-	w := &Waiter{Priority: priority, arrived: now, deadline: deadline, sequence: q.nextSequence}
-	position, _ := slices.BinarySearchFunc(q.waiters, w, compareWaiters)
-	q.nextSequence++
-	q.waiters = slices.Insert(q.waiters, position, w)
+func (q *Queue) PushUntil(place Place, deadline time.Time) *Waiter {
+	w := &Waiter{Place: place, deadline: deadline}
+	q.insert(w)
 	return w
 }
 
@@ -88,15 +107,16 @@
 }
 
 func compareWaiters(a, b *Waiter) int {
-	if a.Priority != b.Priority {
-		return a.Priority - b.Priority
-	}
-	if a.sequence < b.sequence {
-		return -1
-	}
-	return 1
+	return cmp.Or(cmp.Compare(a.rank(), b.rank()), cmp.Compare(a.round, b.round), cmp.Compare(a.sequence, b.sequence))
+}
+
+func (q *Queue) insertSorted(w *Waiter) {
+	position, _ := slices.BinarySearchFunc(q.waiters, w, compareWaiters)
+	q.waiters = slices.Insert(q.waiters, position, w)
 }
 
+func (q *Queue) sort() { slices.SortFunc(q.waiters, compareWaiters) }
+
 // Head returns the request that is served next, or nil if the queue is empty.
 func (q *Queue) Head() *Waiter {
 	if len(q.waiters) == 0 {
@@ -107,7 +127,29 @@
 
 // Remove removes a request from any position in the queue.
 func (q *Queue) Remove(w *Waiter) {
-	q.waiters = slices.DeleteFunc(q.waiters, func(x *Waiter) bool { return x == w })
+	i := slices.Index(q.waiters, w)
+	if i < 0 {
+		return
+	}
+	first := i == 0 || q.waiters[i-1].rank() != w.rank()
+	q.waiters = slices.Delete(q.waiters, i, i+1)
+	q.leaveRound(w, first)
+}
+
+// ShedTail removes the requests at the tail that can no longer expect their turn in time since a request has joined before them, and
+// returns them. It answers urgent requests that arrive faster than capacity is freed: those that they displace do better to come back
+// at a time when there is room than to wait in vain. Only requests of a lower declared priority are removed.
+func (q *Queue) ShedTail(now time.Time, joined *Waiter) (shed []*Waiter) {
+	for n := len(q.waiters); n > 0; n-- {
+		tail := q.waiters[n-1]
+		if tail.Declared <= joined.Declared || tail.Urgency == Broken || !now.Add(q.expectedWait(now, n)).After(tail.deadline) {
+			break
+		}
+		tail.shedAfter = q.RetryAfter(now)
+		q.Remove(tail)
+		shed = append(shed, tail)
+	}
+	return shed
 }
 
 // RecordDeparture counts a request that has released its slot.
