Make Retry-After a promise of room, and keep it for callers that come back

Change: each rejection reserves a slot in a schedule at 0.6 of the rate at which the entry serves requests (the lesser of first events and departures over 10 s; the most urgent first; 300 ms to 4 s). That includes requests that were shed or refused by all endpoints. A caller with at least 150 ms less time than the longest of its route counts as coming back: it goes before others of its rank and round. While an entry has rejected requests within 10 s, other requests of the same or a less urgent priority leave room in each zone for as many callers as are to come back until loads are known (at most a quarter of a server), and callers that come back share that room with fewer entries. All of it goes by what the entry itself has promised and seen, since callers come back to any entry at random. Without rejections, nothing changes.

The simulation adds up the reported loads once instead of for each report (370 entries took four times as long); results are the same.

--- a/core/kwdispatch/dispatcher.go
+++ b/core/kwdispatch/dispatcher.go
@@ -63,6 +63,8 @@
 	MaxAnswerTokens int
 	// DeclaredPriority is the priority that the declaration gives the request; 0 is the highest.
 	DeclaredPriority int
+	// Returning means that the caller was rejected before and comes back.
+	Returning bool
 	// Workspace is the caller's workspace, empty if it has none.
 	Workspace kwid.WorkspaceName
 	// Excluded holds the endpoints that have failed or refused the request.
@@ -113,6 +115,8 @@
 	latency map[kwid.EndpointID]*kwqueue.LatencyEstimator
 	// forecasts tell how long answers take, by service.
 	forecasts map[kwid.ServiceName]*Forecast
+	// returns are the callers that come back, by service.
+	returns map[kwid.ServiceName]*returns
 	// wantedAt is when recordWant last looked.
 	wantedAt time.Time
 }
@@ -123,6 +127,7 @@
 		cfg: cfg, loads: NewLoads(cfg.Entry), queue: kwqueue.NewQueue(cfg.Queue),
 		latency:   make(map[kwid.EndpointID]*kwqueue.LatencyEstimator),
 		forecasts: make(map[kwid.ServiceName]*Forecast),
+		returns:   make(map[kwid.ServiceName]*returns),
 	}
 }
 
@@ -137,6 +142,7 @@
 // RetainServices forgets the services that are no longer known.
 func (d *Dispatcher) RetainServices(known func(kwid.ServiceName) bool) {
 	maps.DeleteFunc(d.forecasts, func(name kwid.ServiceName, _ *Forecast) bool { return !known(name) })
+	maps.DeleteFunc(d.returns, func(name kwid.ServiceName, _ *returns) bool { return !known(name) })
 }
 
 // Dispatch decides on a request. It is granted the best chain that has room and can be expected to send its first event in time,
@@ -144,6 +150,7 @@
 // cannot serve, a request waits only if it can expect its turn before its wait limit; any other is rejected at once, unless some
 // chain has room although its answer will be late. A broken stream passes the queue, since its caller's pause has begun.
 func (d *Dispatcher) Dispatch(now time.Time, fleet Fleet, r Request) Decision {
+	d.observeReturn(now, r)
 	if d.queue.Len() == 0 || r.Broken {
 		if chain, ok := d.reserve(now, fleet, r, false); ok {
 			return Decision{Granted: true, Chain: chain}
@@ -163,7 +170,7 @@
 	if onlyLimits && !r.Broken && wait > d.queue.MaxWait(r.waitObjective(now), left) {
 		return d.rejectLimited(wait)
 	}
-	place := kwqueue.Place{Declared: r.DeclaredPriority, Urgency: r.urgency(now), Workspace: r.Workspace}
+	place := kwqueue.Place{Declared: r.DeclaredPriority, Urgency: r.urgency(now), Workspace: r.Workspace, Returning: r.Returning}
 	waiter, retryAfter := d.queue.Push(now, place, r.waitObjective(now), left)
 	if waiter != nil {
 		return Decision{Waiter: waiter, Recheck: d.recheck(now, fleet, waiter), Shed: d.queue.ShedTail(now, waiter)}
@@ -174,7 +181,7 @@
 	if onlyLimits {
 		return d.rejectLimited(max(wait, retryAfter))
 	}
-	return Decision{RetryAfter: retryAfter}
+	return Decision{RetryAfter: d.Promise(now, r)}
 }
 
 // unlimited stands for the time left of a request without a deadline.
@@ -183,6 +190,7 @@
 // Retry decides again on a request that waits, after it was woken or its wait has ended.
 func (d *Dispatcher) Retry(now time.Time, fleet Fleet, r Request, waiter *kwqueue.Waiter) Decision {
 	if retryAfter, shed := waiter.Shed(); shed {
+		d.recordPromise(now, r, retryAfter)
 		return Decision{RetryAfter: retryAfter, Displaced: true}
 	}
 	ended, head := !now.Before(waiter.Deadline()), d.queue.Head() == waiter
@@ -209,7 +217,7 @@
 	}
 	if ended {
 		d.Withdraw(waiter)
-		return Decision{RetryAfter: d.queue.RetryAfter(now)}
+		return Decision{RetryAfter: d.Promise(now, r)}
 	}
 	return Decision{Waiter: waiter, Recheck: d.recheck(now, fleet, waiter)}
 }
@@ -247,6 +255,9 @@
 // EndFirstEventWait records that a request no longer waits for its first event, and whether it received one.
 func (d *Dispatcher) EndFirstEventWait(now time.Time, id kwid.EndpointID, began time.Time, received bool) {
 	d.latencyOf(id).End(now, began, received)
+	if received {
+		d.queue.RecordServed(now)
+	}
 }
 
 const (
@@ -316,11 +327,12 @@
 // loadedServers returns the servers of a fleet with their load.
 func (d *Dispatcher) loadedServers(now time.Time, fleet Fleet, r Request) []kwchainsearch.Server {
 	servers := slices.Clone(fleet.Servers)
+	withheld := d.withholding(now, r)
 	for i := range servers {
 		load := d.loads.Of(now, servers[i].ID)
 		servers[i].Used, servers[i].Running = load.Used, load.Running
 		size := kwchainsearch.LayerTokens(r.Size.TotalTokens * float64(servers[i].Layers.Len()))
-		servers[i].Withheld = d.loads.Withheld(now, &servers[i], size)
+		servers[i].Withheld = withheld(&servers[i], size)
 	}
 	return servers
 }
--- a/core/kwdispatch/loads.go
+++ b/core/kwdispatch/loads.go
@@ -58,13 +58,23 @@
 // where all entries see the same free room in the same report and would fill it many times over; engines refuse what exceeds it.
 // If there is room for fewer requests than there are entries, a random part of the entries may use it until the next report.
 func (l *Loads) Withheld(now time.Time, server *kwchainsearch.Server, requestSize kwchainsearch.LayerTokens) kwchainsearch.LayerTokens {
-	if l.entriesPerZone <= 1 || requestSize <= 0 {
+	return l.withheld(now, server, requestSize, 0, l.entriesPerZone)
+}
+
+// withheld is Withheld for an even share among some entries of what exceeds a reserve.
+func (l *Loads) withheld(
+	now time.Time, server *kwchainsearch.Server, requestSize, reserve kwchainsearch.LayerTokens, sharers int,
+) kwchainsearch.LayerTokens {
+	if requestSize <= 0 {
 		return 0
 	}
+	if sharers <= 1 {
+		return reserve
+	}
 	taken := l.own[server.ID].Used - l.ownAtReport[server.ID].Used
 	free := server.Capacity - l.Of(now, server.ID).Used
-	places := float64((free + taken) / requestSize)
-	allowed := kwchainsearch.LayerTokens(math.Floor(places/float64(l.entriesPerZone)+l.rounding(server.Zone))) * requestSize
+	places := float64(max(0, free+taken-reserve) / requestSize)
+	allowed := kwchainsearch.LayerTokens(math.Floor(places/float64(sharers)+l.rounding(server.Zone))) * requestSize
 	return max(0, free-max(0, allowed-taken))
 }
 
--- a/core/kwdispatch/simulation_test.go
+++ b/core/kwdispatch/simulation_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -25,6 +26,12 @@
 	// backlog is the time whose requests arrive together at the start, as after an outage.
 	backlog  time.Duration
 	duration time.Duration
+	// elsewhere has rejected callers come back at any entry, with the rest of their time.
+	elsewhere bool
+	// before is how long requests arrive at 0.7 of the rate that the fleet serves before the pattern.
+	before time.Duration
+	// after is how long requests arrive at half of the rate that the fleet serves after the duration.
+	after time.Duration
 	// reclaimed takes the fast copy of the first zone away at half of the duration.
 	reclaimed bool
 }
@@ -40,6 +47,10 @@
 	longestQueue time.Duration
 	// longestHeld is the longest time from an arrival to its rejection.
 	longestHeld time.Duration
+	// promised holds the times after which rejected callers were to come back.
+	promised []time.Duration
+	// refusedAgain counts the callers that came back and were refused by engines.
+	refusedAgain int
 }
 
 func (o outcome) share(n int) float64 { return float64(n) / float64(max(1, o.requests)) }
@@ -58,6 +69,7 @@
 	paused     map[kwid.EndpointID]time.Time
 	reported   map[kwid.EndpointID]Load
 	waiting    map[*kwqueue.Waiter]*simRequest
+	detector   *ReturnDetector
 }
 
 // simRequest is one request at an entry.
@@ -67,6 +79,8 @@
 	arrived  time.Time
 	attempts int
 	returned bool
+	// left is the time of the caller that is left.
+	left time.Duration
 }
 
 // simulation plays many entries that share the servers of a fleet and know each other's load only from reports.
@@ -77,9 +91,14 @@
 	servers map[kwid.EndpointID]*simServer
 	entries []*simEntry
 	outcome outcome
+	// reported is the load that all entries have reported.
+	reported map[kwid.EndpointID]Load
 	// entriesPerZone is the number of entries that each entry believes to share its zone with.
 	entriesPerZone int
 	lastSeq        int
+	// pick returns an entry at random.
+	pick      func() *simEntry
+	elsewhere bool
 }
 
 type event struct {
@@ -130,7 +149,9 @@
 
 // simulate plays a load pattern. Without sharing, each entry believes to be the only one of its zone.
 func simulate(entries int, p loadPattern, seed uint64, sharing bool) outcome {
-	s := &simulation{now: time.Unix(1000, 0), fleet: zonedFleet(), servers: make(map[kwid.EndpointID]*simServer), entriesPerZone: 1}
+	s := &simulation{
+		now: time.Unix(1000, 0), reported: make(map[kwid.EndpointID]Load), fleet: zonedFleet(), servers: make(map[kwid.EndpointID]*simServer), entriesPerZone: 1, elsewhere: p.elsewhere,
+	}
 	if sharing {
 		s.entriesPerZone = (entries + 4) / 5
 	}
@@ -138,9 +159,9 @@
 		s.servers[server.ID] = &simServer{Server: server, freeAt: s.now}
 	}
 	rng := rand.New(rand.NewPCG(seed, uint64(entries)))
-	start := s.now
+	start := s.now.Add(p.before)
 	for i := range entries {
-		e := &simEntry{paused: make(map[kwid.EndpointID]time.Time), waiting: make(map[*kwqueue.Waiter]*simRequest)}
+		e := &simEntry{paused: make(map[kwid.EndpointID]time.Time), waiting: make(map[*kwqueue.Waiter]*simRequest), detector: NewReturnDetector()}
 		e.dispatcher = New(Config{
 			Entry: kwid.NodeID(fmt.Sprint("e", i)), Zone: kwid.AvailabilityZone(fmt.Sprint("z", i%5)), Queue: kwqueue.DefaultConfig(),
 			Unavailable: func(now time.Time, id kwid.EndpointID) bool { return now.Before(e.paused[id]) },
@@ -153,7 +174,7 @@
 		e.dispatcher.Loads().ApplyReport(firstReport, nil, s.entriesPerZone)
 		s.entries = append(s.entries, e)
 		phase := time.Duration(rng.Int64N(int64(reportInterval)))
-		s.every(start.Add(phase), start.Add(p.duration), func() { s.report(e) })
+		s.every(s.now.Add(phase), start.Add(p.duration+p.after), func() { s.report(e) })
 	}
 	s.addArrivals(rng, start, p)
 	if p.reclaimed {
@@ -197,42 +218,59 @@
 		sum += 0.3 + rng.ExpFloat64()
 		cumulative = append(cumulative, sum)
 	}
-	arrive := func(at time.Time) {
+	s.pick = func() *simEntry {
 		i, _ := slices.BinarySearch(cumulative, rng.Float64()*sum)
-		e := s.entries[i]
+		return s.entries[i]
+	}
+	arrive := func(at time.Time) {
+		e := s.pick()
 		s.at(at, func() {
 			s.outcome.requests++
-			s.arrive(e, false)
+			s.arrive(e, callerTime)
 		})
 	}
 	const backlogSpread = 200 * time.Millisecond
 	for range int(rate * p.backlog.Seconds()) {
 		arrive(start.Add(time.Duration(rng.Int64N(int64(backlogSpread)))))
 	}
-	for t := start; t.Before(start.Add(p.duration)); {
-		t = t.Add(time.Duration(rng.ExpFloat64() / rate * float64(time.Second)))
-		arrive(t)
+	addPhase := func(from time.Time, duration time.Duration, rate float64) {
+		for t := from; t.Before(from.Add(duration)); {
+			t = t.Add(time.Duration(rng.ExpFloat64() / rate * float64(time.Second)))
+			arrive(t)
+		}
 	}
+	addPhase(start, p.duration, rate)
+	addPhase(start.Add(-p.before), p.before, 0.7*simulatedRate)
+	addPhase(start.Add(p.duration), p.after, 0.5*simulatedRate)
 }
 
+// callerTime is how long the callers of a simulation have for a request and its repetition.
+const callerTime = 8 * time.Second
+
 // report exchanges the load of an entry with that of the others.
 func (s *simulation) report(e *simEntry) {
+	s.addReported(e, -1)
+	others := maps.Clone(s.reported)
 	e.reported = e.dispatcher.Loads().Own()
-	others := make(map[kwid.EndpointID]Load)
-	for _, other := range s.entries {
-		if other == e {
-			continue
-		}
-		for id, l := range other.reported {
-			others[id] = Load{Used: others[id].Used + l.Used, Running: others[id].Running + l.Running}
-		}
-	}
+	s.addReported(e, 1)
 	e.dispatcher.Loads().ApplyReport(s.now, others, s.entriesPerZone)
 	s.wake(e)
 }
 
-func (s *simulation) arrive(e *simEntry, returned bool) {
-	r := &simRequest{Request: request(s.now), entry: e, arrived: s.now, returned: returned}
+// addReported adds the load that an entry has reported to the total, or takes it away. All loads are whole numbers.
+func (s *simulation) addReported(e *simEntry, sign int) {
+	for id, l := range e.reported {
+		total := s.reported[id]
+		s.reported[id] = Load{Used: total.Used + kwchainsearch.LayerTokens(sign)*l.Used, Running: total.Running + sign*l.Running}
+	}
+}
+
+func (s *simulation) arrive(e *simEntry, left time.Duration) {
+	r := &simRequest{Request: request(s.now), entry: e, arrived: s.now, returned: left < callerTime, left: left}
+	if s.elsewhere {
+		r.Deadline = s.now.Add(left)
+		r.Returning = e.detector.Observe(s.now, "r", left)
+	}
 	r.Size = kwchainsearch.RequestSize{TotalTokens: 950, PromptTokens: 750}
 	r.Excluded = make(map[kwid.EndpointID]bool)
 	s.dispatch(r)
@@ -288,12 +326,23 @@
 	}
 	s.outcome.rejected++
 	s.outcome.returned++
-	s.at(s.now.Add(after), func() { s.arrive(r.entry, true) })
+	s.outcome.promised = append(s.outcome.promised, after)
+	left := r.left - s.now.Add(after).Sub(r.arrived)
+	s.at(s.now.Add(after), func() {
+		e := r.entry
+		if s.elsewhere {
+			e = s.pick()
+		}
+		s.arrive(e, left)
+	})
 }
 
 // maxAttempts is how often a request is sent to engines.
 const maxAttempts = 2
 
+// extraAttempts is how many further attempts entries make for requests that engines have refused.
+const extraAttempts = 1
+
 // send has the engines of a chain accept a request, or one of them refuse it.
 func (s *simulation) send(r *simRequest, chain kwchainsearch.Chain) {
 	r.attempts++
@@ -302,11 +351,18 @@
 		r.entry.dispatcher.Release(s.now, chain, r.Size.TotalTokens)
 		r.entry.paused[full] = s.now.Add(250 * time.Millisecond)
 		r.Excluded[full] = true
-		if r.attempts < maxAttempts {
+		if r.attempts < maxAttempts || s.elsewhere && r.attempts < maxAttempts+extraAttempts {
 			s.dispatch(r)
 			return
 		}
-		s.reject(r, kwqueue.DefaultConfig().RetryAfterMin)
+		if r.returned {
+			s.outcome.refusedAgain++
+		}
+		after := kwqueue.DefaultConfig().RetryAfterMin
+		if s.elsewhere {
+			after = r.entry.dispatcher.Promise(s.now, r.Request)
+		}
+		s.reject(r, after)
 		return
 	}
 	began, ready := s.now, s.now
--- a/core/kwqueue/queue.go
+++ b/core/kwqueue/queue.go
@@ -37,6 +37,9 @@
 	Urgency  Urgency
 	// Workspace is the caller's workspace, empty if it has none. Requests of equal rank take turns by workspace.
 	Workspace kwid.WorkspaceName
+	// Returning means that the caller was rejected before and comes back: it goes before others of its rank and workspace, and before those
+	// of other workspaces in the same round.
+	Returning bool
 }
 
 // Waiter is a queued request.
@@ -69,6 +72,7 @@
 	departureRate float64
 	rateUpdated   time.Time
 	departures    int
+	schedule      schedule
 }
 
 // NewQueue returns an empty queue.
@@ -84,7 +88,7 @@
 func (q *Queue) Push(now time.Time, place Place, objective, remaining time.Duration) (*Waiter, time.Duration) {
 	maxWait := q.MaxWait(objective, remaining)
 	w := &Waiter{Place: place, deadline: now.Add(maxWait), sequence: q.nextSequence}
-	w.round = q.turns[w.rank()].next(w.Workspace)
+	w.round = q.nextRound(w)
 	position, _ := slices.BinarySearchFunc(q.waiters, w, compareWaiters)
 	wait := q.expectedWait(now, position+1)
 	if wait > maxWait {
@@ -107,7 +111,17 @@
 }
 
 func compareWaiters(a, b *Waiter) int {
-	return cmp.Or(cmp.Compare(a.rank(), b.rank()), cmp.Compare(a.round, b.round), cmp.Compare(a.sequence, b.sequence))
+	return cmp.Or(cmp.Compare(a.rank(), b.rank()), cmp.Compare(a.round, b.round), compareReturning(a, b), cmp.Compare(a.sequence, b.sequence))
+}
+
+func compareReturning(a, b *Waiter) int {
+	switch {
+	case a.Returning == b.Returning:
+		return 0
+	case a.Returning:
+		return -1
+	}
+	return 1
 }
 
 func (q *Queue) insertSorted(w *Waiter) {
@@ -115,8 +129,6 @@
 	q.waiters = slices.Insert(q.waiters, position, w)
 }
 
-func (q *Queue) sort() { slices.SortFunc(q.waiters, compareWaiters) }
-
 // Head returns the request that is served next, or nil if the queue is empty.
 func (q *Queue) Head() *Waiter {
 	if len(q.waiters) == 0 {
@@ -145,7 +157,7 @@
 		if tail.Declared <= joined.Declared || tail.Urgency == Broken || !now.Add(q.expectedWait(now, n)).After(tail.deadline) {
 			break
 		}
-		tail.shedAfter = q.RetryAfter(now)
+		tail.shedAfter = q.Promise(now, tail.Declared)
 		q.Remove(tail)
 		shed = append(shed, tail)
 	}
@@ -156,6 +168,14 @@
 func (q *Queue) RecordDeparture(now time.Time) {
 	q.updateRate(now)
 	q.departures++
+	q.schedule.fade(now)
+	q.schedule.departures++
+}
+
+// RecordServed counts a request whose answer has begun, by which promises go: requests that endpoints refuse leave too.
+func (q *Queue) RecordServed(now time.Time) {
+	q.schedule.fade(now)
+	q.schedule.served++
 }
 
 // updateRate adds the departures since the last update to the moving average.
--- a/core/kwqueue/turns.go
+++ b/core/kwqueue/turns.go
@@ -1,6 +1,10 @@
 package kwqueue
 
-import "knapweedproxy/core/kwid"
+import (
+	"slices"
+
+	"knapweedproxy/core/kwid"
+)
 
 // turns gives the waiting requests of one rank turns by workspace, as start-time fair queueing does: each request of a workspace belongs
 // to a later round than the one before, and the first of a workspace to the present round. It answers a busy workspace whose requests
@@ -26,6 +30,19 @@
 	return t.round
 }
 
+// nextRound returns the round of a request that is to join. A caller that comes back takes the turn of the first of its workspace that does
+// not, and moves those to later rounds.
+func (q *Queue) nextRound(w *Waiter) int {
+	if w.Returning {
+		for _, x := range q.waiters {
+			if x.rank() == w.rank() && x.Workspace == w.Workspace && !x.Returning {
+				return x.round
+			}
+		}
+	}
+	return q.turns[w.rank()].next(w.Workspace)
+}
+
 // insert adds a request to the queue in its round.
 func (q *Queue) insert(w *Waiter) {
 	t := q.turns[w.rank()]
@@ -33,9 +50,12 @@
 		t = &turns{last: make(map[kwid.WorkspaceName]int)}
 		q.turns[w.rank()] = t
 	}
-	w.round = t.next(w.Workspace)
-	t.last[w.Workspace] = w.round
+	w.round = q.nextRound(w)
+	t.last[w.Workspace] = t.next(w.Workspace)
 	t.waiting++
+	if w.round < t.last[w.Workspace] {
+		q.moveRounds(w, w.round, 1)
+	}
 	w.sequence = q.nextSequence
 	q.nextSequence++
 	q.insertSorted(w)
@@ -55,19 +75,19 @@
 		return
 	}
 	t.last[w.Workspace]--
-	q.moveRounds(w, -1)
+	q.moveRounds(w, w.round+1, -1)
 }
 
-// moveRounds moves the requests of the same rank and workspace in later rounds than a request's to other rounds.
-func (q *Queue) moveRounds(w *Waiter, by int) {
+// moveRounds moves the requests of the same rank and workspace as a request, from a round on, to earlier or later rounds.
+func (q *Queue) moveRounds(w *Waiter, from, by int) {
 	moved := false
 	for _, x := range q.waiters {
-		if x != w && x.rank() == w.rank() && x.Workspace == w.Workspace && x.round > w.round {
+		if x.rank() == w.rank() && x.Workspace == w.Workspace && x.round >= from {
 			x.round += by
 			moved = true
 		}
 	}
 	if moved {
-		q.sort()
+		slices.SortFunc(q.waiters, compareWaiters)
 	}
 }
--- a/io/kwdirectentry/metrics.go
+++ b/io/kwdirectentry/metrics.go
@@ -20,6 +20,7 @@
 	quarantined  metrics.Counter
 	held         metrics.Counter
 	limitWaits   metrics.Counter
+	returned     metrics.Counter
 	limitRefused metrics.Counter
 }
 
@@ -41,6 +42,7 @@
 		quarantined:  metrics.GetOrRegisterCounter("requests.quarantined", r),
 		held:         metrics.GetOrRegisterCounter("requests.held", r),
 		limitWaits:   metrics.GetOrRegisterCounter("requests.limit-waits", r),
+		returned:     metrics.GetOrRegisterCounter("requests.returned", r),
 		limitRefused: metrics.GetOrRegisterCounter("requests.limit-refused", r),
 	}
 }
--- a/io/kwdirectentry/queue.go
+++ b/io/kwdirectentry/queue.go
@@ -42,6 +42,7 @@
 		AnswerTokens:        c.r.answerTokens(),
 		MaxAnswerTokens:     c.r.meta.MaxAnswerTokens,
 		DeclaredPriority:    c.r.basePriority(),
+		Returning:           c.r.returning,
 		Workspace:           c.r.workspaceName(),
 		Excluded:            c.exclude,
 		Unreached:           c.unreached,
--- a/io/kwdirectentry/request.go
+++ b/io/kwdirectentry/request.go
@@ -47,6 +47,8 @@
 	suspectRequest bool
 	// requestTrial means that the leader lets the request pass although it is kept from servers.
 	requestTrial bool
+	// returning means that the caller was rejected before and comes back.
+	returning bool
 	// broken means that the caller has received part of a stream that has broken off.
 	broken bool
 	// waited is the time spent waiting for a view and in the queue, firstEvent the time from arrival to the first event.
@@ -152,6 +154,7 @@
 	ctx, cancel := context.WithDeadline(ctx, q.deadline)
 	defer cancel()
 	if q.route.Kind == kwdeclaration.Streaming {
+		q.returning = g.scheduler.observeCaller(q.arrived, q.route.Name, q.meta.Timeout)
 		g.serveStream(ctx, q)
 		return
 	}
@@ -283,6 +286,10 @@
 		g.metrics.limitWaits.Inc(1)
 		fields = append(fields, kwevent.F("limited", true))
 	}
+	if q.returning {
+		g.metrics.returned.Inc(1)
+		fields = append(fields, kwevent.F("returning", true))
+	}
 	if q.endpoint != "" {
 		fields = append(fields, kwevent.F("endpoint", q.endpoint))
 	}
--- a/io/kwdirectentry/scheduler.go
+++ b/io/kwdirectentry/scheduler.go
@@ -37,6 +37,8 @@
 	// callQueues holds the calls that wait for a turn of an endpoint, by service.
 	callQueues map[kwid.ServiceName]*kwdispatch.CallQueue
 	wakeups    map[*kwqueue.Waiter]chan struct{}
+	// returnDetector recognises the callers of streams that were rejected before.
+	returnDetector *kwdispatch.ReturnDetector
 	// stallQueries and probes limit how often an endpoint is queried for stalled requests and probed.
 	stallQueries, probes *endpointLimiter
 }
@@ -73,6 +75,7 @@
 		limits:           limits,
 		callQueues:       make(map[kwid.ServiceName]*kwdispatch.CallQueue),
 		wakeups:          make(map[*kwqueue.Waiter]chan struct{}),
+		returnDetector:   kwdispatch.NewReturnDetector(),
 		stallQueries:     newEndpointLimiter(faultCheckInterval),
 		probes:           newEndpointLimiter(faultCheckInterval),
 	}
@@ -99,6 +102,7 @@
 	known := func(id kwid.EndpointID) bool { _, ok := v.endpoints[id]; return ok }
 	s.dispatcher.Retain(known)
 	s.dispatcher.RetainServices(v.hasService)
+	s.returnDetector.Retain(v.hasRoute)
 	s.stallQueries.retain(known)
 	s.probes.retain(known)
 	others := make(map[kwid.EndpointID]kwdispatch.Load, len(loads))
@@ -146,6 +150,20 @@
 	s.wakeNext()
 }
 
+// observeCaller records the time that the caller of a stream has left, as it has said, and reports whether it was rejected before.
+func (s *scheduler) observeCaller(now time.Time, route string, remaining time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.returnDetector.Observe(now, route, remaining)
+}
+
+// promise returns when the caller of a request that endpoints have refused is to come back.
+func (s *scheduler) promise(ctx context.Context, req chainRequest) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dispatcher.Promise(time.Now(), req.dispatchRequest(ctx))
+}
+
 // wakeNext wakes the request at the head of the queue; the caller holds the lock.
 func (s *scheduler) wakeNext() {
 	if waiter := s.dispatcher.Next(); waiter != nil {
--- a/io/kwdirectentry/stream.go
+++ b/io/kwdirectentry/stream.go
@@ -415,7 +415,7 @@
 	default:
 		err := s.attempts.lastErr
 		if err.RetryAfter == 0 {
-			err = err.After(g.cfg.Queue.RetryAfterMin)
+			err = err.After(g.scheduler.promise(ctx, s.chainRequest(g)))
 		}
 		g.reject(q, err)
 	}
--- a/io/kwdirectentry/view.go
+++ b/io/kwdirectentry/view.go
@@ -267,6 +267,10 @@
 	return len(v.live[name]) > 0 || v.index != nil && v.index.Service(name) != nil
 }
 
+func (v *view) hasRoute(name string) bool {
+	return v.index != nil && slices.ContainsFunc(v.index.Declaration.Routes, func(r kwdeclaration.Route) bool { return r.Name == name })
+}
+
 // modelEngine returns the engine of a service whose servers hold layers of a model, nil for any other service.
 func (v *view) modelEngine(name kwid.ServiceName) *kwdeclaration.Engine {
 	if v.index == nil {
