Admit requests by priority across entries: the leader's tally, the entry's gate, and their replay

Cause: each entry orders only its own callers, so one grants capacity to a less urgent request while another rejects a more urgent one.

Change: entries count the requests of each class, a leader's Tally turns the sums into shares of the classes, and an entry's Gate applies them in Dispatcher.Dispatch. A request beyond its share goes behind all others, or is rejected at once if a more urgent class is short both here and elsewhere.

--- a/core/kwdispatch/dispatcher.go
+++ b/core/kwdispatch/dispatcher.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"knapweedproxy/core/kwadmission"
 	"knapweedproxy/core/kwchainsearch"
 	"knapweedproxy/core/kwdeclaration"
 	"knapweedproxy/core/kwid"
@@ -27,6 +28,8 @@
 	PauseOf func(now time.Time, id kwid.EndpointID) time.Duration
 	// Limits are the limits on the requests that first endpoints take; nil stands for none.
 	Limits RequestLimits
+	// Admission keeps back requests while more urgent ones are short of capacity; nil stands for none.
+	Admission Admission
 }
 
 // Fleet is what an entry knows of the model servers of a service.
@@ -60,6 +63,8 @@
 	MaxAnswerTokens int
 	// DeclaredPriority is the priority that the declaration gives the request; 0 is the highest.
 	DeclaredPriority int
+	// Admitted means that admission control has let the request in before.
+	Admitted bool
 	// Workspace is the caller's workspace, empty if it has none.
 	Workspace kwid.WorkspaceName
 	// Excluded holds the endpoints that have failed or refused the request.
@@ -89,6 +94,8 @@
 	Recheck time.Duration
 	// EndsLate means that the request is rejected since no chain would end its answer before the entry exits.
 	EndsLate bool
+	// Admission is the verdict of admission control on an arriving request.
+	Admission kwadmission.Verdict
 }
 
 // Dispatcher holds what the decisions of one entry depend on. It is not safe for concurrent use; the caller's lock protects it.
@@ -102,6 +109,8 @@
 	latency map[kwid.EndpointID]*kwqueue.LatencyEstimator
 	// forecasts tell how long answers take, by service.
 	forecasts map[kwid.ServiceName]*Forecast
+	// admitted holds the classes of the requests that wait under admission control.
+	admitted map[*kwqueue.Waiter]admissionClass
 	// wantedAt is when recordWant last looked.
 	wantedAt time.Time
 }
@@ -112,6 +121,7 @@
 		cfg: cfg, loads: NewLoads(cfg.Entry), queue: kwqueue.NewQueue(cfg.Queue), order: make(fairOrder),
 		latency:   make(map[kwid.EndpointID]*kwqueue.LatencyEstimator),
 		forecasts: make(map[kwid.ServiceName]*Forecast),
+		admitted:  make(map[*kwqueue.Waiter]admissionClass),
 	}
 }
 
@@ -128,11 +138,11 @@
 	maps.DeleteFunc(d.forecasts, func(name kwid.ServiceName, _ *Forecast) bool { return !known(name) })
 }
 
-// Dispatch decides on a request. It is granted the best chain that has room and can be expected to send its first event in time,
+// dispatch decides on a request that admission control has let in. It is granted the best chain that has room and can be expected to send its first event in time,
 // so that requests wait here, where the most urgent goes first, and not inside the engines. Under a load that all chains together
 // cannot serve, a request waits only if it can expect its turn before its wait limit; any other is rejected at once, unless some
 // chain has room although its answer will be late. A broken stream passes the queue, since its caller's pause has begun.
-func (d *Dispatcher) Dispatch(now time.Time, fleet Fleet, r Request) Decision {
+func (d *Dispatcher) dispatch(now time.Time, fleet Fleet, r Request) Decision {
 	if d.queue.Len() == 0 || r.Broken {
 		if chain, ok := d.reserve(now, fleet, r, false); ok {
 			return Decision{Granted: true, Chain: chain}
@@ -173,8 +183,8 @@
 // unlimited stands for the time left of a request without a deadline.
 const unlimited = time.Hour
 
-// Retry decides again on a request that waits, after it was woken or its wait has ended.
-func (d *Dispatcher) Retry(now time.Time, fleet Fleet, r Request, waiter *kwqueue.Waiter) Decision {
+// retry is Retry without counts of admission control.
+func (d *Dispatcher) retry(now time.Time, fleet Fleet, r Request, waiter *kwqueue.Waiter) Decision {
 	ended, head := !now.Before(waiter.Deadline()), d.queue.Head() == waiter
 	if ended || head {
 		if chain, ok := d.reserve(now, fleet, r, ended); ok {
@@ -208,6 +218,7 @@
 func (d *Dispatcher) Withdraw(waiter *kwqueue.Waiter) {
 	d.queue.Remove(waiter)
 	delete(d.order, waiter)
+	d.abandonWait(waiter)
 }
 
 // Next returns the request that is to be woken when something has changed, or nil if none waits.
--- a/core/kwdispatch/simulation_test.go
+++ b/core/kwdispatch/simulation_test.go
@@ -67,6 +67,9 @@
 	arrived  time.Time
 	attempts int
 	returned bool
+	// onServed and onRejected, if set, replace the counts of the outcome.
+	onServed   func()
+	onRejected func(retryAfter time.Duration)
 }
 
 // simulation plays many entries that share the servers of a fleet and know each other's load only from reports.
@@ -282,6 +285,10 @@
 }
 
 func (s *simulation) reject(r *simRequest, after time.Duration) {
+	if r.onRejected != nil {
+		r.onRejected(after)
+		return
+	}
 	s.outcome.longestHeld = max(s.outcome.longestHeld, s.now.Sub(r.arrived))
 	if r.returned {
 		return
@@ -301,7 +308,7 @@
 		s.outcome.refusals++
 		r.entry.dispatcher.Release(s.now, chain, r.Size.TotalTokens)
 		r.entry.paused[full] = s.now.Add(250 * time.Millisecond)
-		r.Excluded[full] = true
+		r.Excluded[full], r.Admitted = true, true
 		if r.attempts < maxAttempts {
 			s.dispatch(r)
 			return
@@ -359,6 +366,8 @@
 
 func (s *simulation) countServed(r *simRequest) {
 	switch {
+	case r.onServed != nil:
+		r.onServed()
 	case r.returned:
 		s.outcome.returnedServed++
 	case s.now.Sub(r.arrived) > firstEventObjective:
