Carry admission by priority from entries to the leader and back

Cause: the shares of classes were decided in core only.

Change: Watch.Admission and View.Admission (field 18, empty where no priorities differ, ignored by older versions) carry counts and shares; the leader keeps a kwadmission.Tally of its epoch, each entry a Gate that covers services whose streams have different priorities. Rejections are 1019 with a time to come back; log lines give share, version and age; metrics count by class and workspace.

Result: TestAdmissionAcrossEntries (report, tally, gate, change of leader over loopback) passes, also with the race detector (11.5 s); kwdirectentry, kwdirectcontrol and kwdirectproto pass.

--- a/io/kwdirectcontrol/server.go
+++ b/io/kwdirectcontrol/server.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"knapweedproxy/core/kwadmission"
 	"knapweedproxy/core/kwcode"
 	"knapweedproxy/core/kwdeclaration"
 	"knapweedproxy/core/kwendpointlimit"
@@ -37,9 +38,11 @@
 	promptParts  *promptParts
 	// limits is owned by the control goroutine.
 	limits *kwendpointlimit.Lender
-	ctx    context.Context
-	cancel context.CancelFunc
-	wg     sync.WaitGroup
+	// admission is owned by the control goroutine.
+	admission *kwadmission.Tally
+	ctx       context.Context
+	cancel    context.CancelFunc
+	wg        sync.WaitGroup
 	// done receives the first failure.
 	done chan error
 }
@@ -60,6 +63,7 @@
 	s.lender = kwretry.NewLender(cfg.RetryBudget)
 	s.promptParts = newPromptParts(deps.Events)
 	s.limits = kwendpointlimit.NewLender()
+	s.admission = kwadmission.NewTally(kwadmission.DefaultConfig())
 	s.placer = newPlacer(placerConfig{
 		Decoder: deps.Decoder, Engines: deps.Engines, Events: deps.Events, Run: s.background, ReportLeaving: s.reportOwnLeaver,
 	})
--- a/io/kwdirectcontrol/watch.go
+++ b/io/kwdirectcontrol/watch.go
@@ -75,6 +75,12 @@
 			return err
 		}
 	}
+	if len(req.Admission) > 0 {
+		err := s.runAsLeader(ctx, func(now time.Time, t *kwreconcile.Tables) { s.admission.Record(now, t.Epoch, req.Entry, req.Admission) })
+		if err != nil {
+			return err
+		}
+	}
 	if len(req.SoundParts) == 0 && len(req.QuarantinedParts) == 0 && req.LastSoundAge == nil && !reportsRequests(req) {
 		return nil
 	}
@@ -128,6 +134,9 @@
 			s.addLoads(&v, req, t.Roster)
 			s.promptParts.addTo(&v, now)
 			s.addLimits(&v, now, req.Entry, t)
+			if len(req.Admission) > 0 {
+				v.Admission = s.admission.Shares(now, t.Epoch)
+			}
 		}
 	})
 	if err != nil || !replies {
--- a/io/kwdirectentry/queue.go
+++ b/io/kwdirectentry/queue.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"knapweedproxy/core/kwadmission"
 	"knapweedproxy/core/kwchainsearch"
 	"knapweedproxy/core/kwcode"
 	"knapweedproxy/core/kwdeclaration"
@@ -42,6 +43,7 @@
 		MaxAnswerTokens:     c.r.meta.MaxAnswerTokens,
 		DeclaredPriority:    c.r.basePriority(),
 		Workspace:           c.r.workspaceName(),
+		Admitted:            c.r.admission.Counted,
 		Excluded:            c.exclude,
 		Unreached:           c.unreached,
 	}
@@ -105,6 +107,9 @@
 		return kwchainsearch.Chain{}, 0, err
 	}
 	decision := s.dispatcher.Dispatch(begin, fleet, req.dispatchRequest(ctx))
+	if decision.Admission.Counted {
+		req.r.admission = decision.Admission
+	}
 	switch {
 	case decision.Granted:
 		return decision.Chain, 0, nil
@@ -112,6 +117,9 @@
 		chain, err := s.waitInQueue(ctx, req, decision)
 		return chain, time.Since(begin), err
 	}
+	if decision.Admission.Action == kwadmission.Reject {
+		return kwchainsearch.Chain{}, 0, withheldError(req.r, decision)
+	}
 	if decision.EndsLate {
 		return kwchainsearch.Chain{}, 0, endsLateError()
 	}
--- a/io/kwdirectentry/request.go
+++ b/io/kwdirectentry/request.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"knapweedproxy/core/kwadmission"
 	"knapweedproxy/core/kwcode"
 	"knapweedproxy/core/kwdeclaration"
 	"knapweedproxy/core/kwid"
@@ -57,6 +58,8 @@
 	longestPause time.Duration
 	// limited means that the request has waited while endpoints were at the limits that they have named.
 	limited bool
+	// admission is the verdict of admission control, if it covers the request.
+	admission kwadmission.Verdict
 	// endpoint and chain are those of the last attempt, for the log.
 	endpoint    kwid.EndpointID
 	chain       string
@@ -282,6 +285,7 @@
 		g.metrics.limitWaits.Inc(1)
 		fields = append(fields, kwevent.F("limited", true))
 	}
+	fields = append(fields, admissionFields(q)...)
 	if q.endpoint != "" {
 		fields = append(fields, kwevent.F("endpoint", q.endpoint))
 	}
--- a/io/kwdirectentry/scheduler.go
+++ b/io/kwdirectentry/scheduler.go
@@ -8,7 +8,9 @@
 	"sync"
 	"time"
 
+	"knapweedproxy/core/kwadmission"
 	"knapweedproxy/core/kwchainsearch"
+	"knapweedproxy/core/kwdeclaration"
 	"knapweedproxy/core/kwdispatch"
 	"knapweedproxy/core/kwendpointlimit"
 	"knapweedproxy/core/kwid"
@@ -34,6 +36,9 @@
 	announcedLeavers *kwmembership.Leavers
 	pauses           *kwretry.Pauses
 	limits           *kwendpointlimit.Limits
+	admission        *kwadmission.Gate
+	// admissionIndex is the declaration that the services of admission were found in.
+	admissionIndex *kwdeclaration.Index
 	// callQueues holds the calls that wait for a turn of an endpoint, by service.
 	callQueues map[kwid.ServiceName]*kwdispatch.CallQueue
 	wakeups    map[*kwqueue.Waiter]chan struct{}
@@ -56,13 +61,14 @@
 		return leavers.EndpointLeaving(id) || pauseOf(now, id) > 0
 	}
 	limits := kwendpointlimit.NewLimits(cfg.Node)
+	admission := kwadmission.NewGate(kwadmission.DefaultGateConfig(cfg.Node))
 	unavailable := func(now time.Time, id kwid.EndpointID) bool { return ejector.Ejected(now, id) || closed(now, id) }
 	silent := func(now time.Time, id kwid.EndpointID) bool { return ejector.Silent(now, id) && !closed(now, id) }
 	return &scheduler{
 		cfg: cfg,
 		dispatcher: kwdispatch.New(kwdispatch.Config{
 			Entry: cfg.Node, Zone: cfg.Zone, Queue: cfg.Queue, Unavailable: unavailable, Silent: silent, PauseOf: pauseOf,
-			Limits: endpointLimits{limits, leavers},
+			Limits: endpointLimits{limits, leavers}, Admission: admission,
 		}),
 		inFlight:         make(map[kwid.EndpointID]int),
 		reportedInFlight: make(map[kwid.EndpointID]int),
@@ -71,6 +77,7 @@
 		announcedLeavers: kwmembership.NewLeavers(),
 		pauses:           pauses,
 		limits:           limits,
+		admission:        admission,
 		callQueues:       make(map[kwid.ServiceName]*kwdispatch.CallQueue),
 		wakeups:          make(map[*kwqueue.Waiter]chan struct{}),
 		stallQueries:     newEndpointLimiter(faultCheckInterval),
@@ -96,6 +103,7 @@
 		started, ok := processes[p.Endpoint]
 		return ok && started == p.StartedMillis
 	})
+	s.setAdmissionServices(v)
 	known := func(id kwid.EndpointID) bool { _, ok := v.endpoints[id]; return ok }
 	s.dispatcher.Retain(known)
 	s.dispatcher.RetainServices(v.hasService)
--- a/io/kwdirectentry/stream.go
+++ b/io/kwdirectentry/stream.go
@@ -109,6 +109,7 @@
 		chain, waited, err := g.scheduler.acquireChain(queueCtx, s.chainRequest(g))
 		heldInQueue := errors.Is(context.Cause(queueCtx), errHeld)
 		leaveQueue()
+		g.countAdmission(q, waited, err)
 		q.waited += waited
 		g.metrics.queueWait.Update(waited)
 		if q.callerLeft() {
--- a/io/kwdirectentry/view.go
+++ b/io/kwdirectentry/view.go
@@ -93,6 +93,7 @@
 	}
 	begin := time.Now()
 	req.Limits = g.scheduler.limits.Reports(begin)
+	req.Admission = g.scheduler.admissionRows(begin)
 	if own := g.scheduler.ownLoads(); old.leaderUnpacksLoads {
 		req.PackedLoads = kwdirectproto.PackLoads(old.indexLoads(own))
 	} else {
@@ -120,6 +121,7 @@
 	g.view.Store(next)
 	g.scheduler.applyView(next, loads)
 	g.applyLoans(begin, reply.Limits)
+	g.scheduler.applyAdmission(time.Now(), reply.Admission)
 	g.crashLog.retain(func(process kwmembership.Process) bool {
 		row, ok := next.endpoints[process.Endpoint]
 		return ok && row.Announcement.StartedMillis == process.StartedMillis
--- a/io/kwdirectproto/messages.go
+++ b/io/kwdirectproto/messages.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"knapweedproxy/core/kwadmission"
 	"knapweedproxy/core/kwchainsearch"
 	"knapweedproxy/core/kwdeclaration"
 	"knapweedproxy/core/kwendpointlimit"
@@ -162,6 +163,8 @@
 	SuspectRequests []kwquarantine.SuspectRequest `cbor:"16,keyasint,omitempty"`
 	// Limits are the limits of endpoints that the entry uses or has just learned of.
 	Limits []kwendpointlimit.Report `cbor:"17,keyasint,omitempty"`
+	// Admission are the counts of the request classes that are under admission control.
+	Admission []kwadmission.Row `cbor:"18,keyasint,omitempty"`
 }
 
 // View is what an entry serves requests by. The leader replies under its lease, so no newer declaration or endpoint
@@ -198,4 +201,6 @@
 	HeldRequests []kwquarantine.HeldRequest `cbor:"16,keyasint,omitempty"`
 	// Limits are the limits of endpoints that the entry has reported or that are news, with what it may use of them.
 	Limits []kwendpointlimit.Loan `cbor:"17,keyasint,omitempty"`
+	// Admission are the shares of the classes of the services that the entry has reported; empty while a new leader gathers reports.
+	Admission []kwadmission.ServiceShares `cbor:"18,keyasint,omitempty"`
 }
