Merge admission by priority and promised returns

Requests beyond the share of their class go behind all others by a field of their own, so that the schedule of returns knows their declared priority; a request that the gate rejects reserves a time to return as others do.

--- a/core/kwdispatch/dispatcher.go
+++ b/core/kwdispatch/dispatcher.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"knapweedproxy/core/kwadmission"
 	"knapweedproxy/core/kwchainsearch"
 	"knapweedproxy/core/kwdeclaration"
 	"knapweedproxy/core/kwid"
@@ -27,6 +28,8 @@
 	PauseOf func(now time.Time, id kwid.EndpointID) time.Duration
 	// Limits are the limits on the requests that first endpoints take; nil stands for none.
 	Limits RequestLimits
+	// Admission keeps back requests while more urgent ones are short of capacity; nil stands for none.
+	Admission Admission
 }
 
 // Fleet is what an entry knows of the model servers of a service.
@@ -65,6 +68,10 @@
 	DeclaredPriority int
 	// Returning means that the caller was rejected before and comes back.
 	Returning bool
+	// Admitted means that admission control has let the request in before.
+	Admitted bool
+	// behind means that the request goes behind all others of its entry.
+	behind bool
 	// Workspace is the caller's workspace, empty if it has none.
 	Workspace kwid.WorkspaceName
 	// Excluded holds the endpoints that have failed or refused the request.
@@ -104,6 +111,8 @@
 	Shed []*kwqueue.Waiter
 	// EndsLate means that the request is rejected since no chain would end its answer before the entry exits.
 	EndsLate bool
+	// Admission is the verdict of admission control on an arriving request.
+	Admission kwadmission.Verdict
 }
 
 // Dispatcher holds what the decisions of one entry depend on. It is not safe for concurrent use; the caller's lock protects it.
@@ -117,6 +126,8 @@
 	forecasts map[kwid.ServiceName]*Forecast
 	// returns are the callers that come back, by service.
 	returns map[kwid.ServiceName]*returns
+	// admitted holds the classes of the requests that wait under admission control.
+	admitted map[*kwqueue.Waiter]admissionClass
 	// wantedAt is when recordWant last looked.
 	wantedAt time.Time
 }
@@ -128,6 +139,7 @@
 		latency:   make(map[kwid.EndpointID]*kwqueue.LatencyEstimator),
 		forecasts: make(map[kwid.ServiceName]*Forecast),
 		returns:   make(map[kwid.ServiceName]*returns),
+		admitted:  make(map[*kwqueue.Waiter]admissionClass),
 	}
 }
 
@@ -145,12 +157,12 @@
 	maps.DeleteFunc(d.returns, func(name kwid.ServiceName, _ *returns) bool { return !known(name) })
 }
 
-// Dispatch decides on a request. It is granted the best chain that has room and can be expected to send its first event in time,
+// dispatch is Dispatch without admission control. A request is granted the best chain that has room and can be expected to send its first
+// event in time,
 // so that requests wait here, where the most urgent goes first, and not inside the engines. Under a load that all chains together
 // cannot serve, a request waits only if it can expect its turn before its wait limit; any other is rejected at once, unless some
 // chain has room although its answer will be late. A broken stream passes the queue, since its caller's pause has begun.
-func (d *Dispatcher) Dispatch(now time.Time, fleet Fleet, r Request) Decision {
-	d.observeReturn(now, r)
+func (d *Dispatcher) dispatch(now time.Time, fleet Fleet, r Request) Decision {
 	if d.queue.Len() == 0 || r.Broken {
 		if chain, ok := d.reserve(now, fleet, r, false); ok {
 			return Decision{Granted: true, Chain: chain}
@@ -170,7 +182,7 @@
 	if onlyLimits && !r.Broken && wait > d.queue.MaxWait(r.waitObjective(now), left) {
 		return d.rejectLimited(wait)
 	}
-	place := kwqueue.Place{Declared: r.DeclaredPriority, Urgency: r.urgency(now), Workspace: r.Workspace, Returning: r.Returning}
+	place := kwqueue.Place{Declared: r.queuePriority(), Urgency: r.urgency(now), Workspace: r.Workspace, Returning: r.Returning}
 	waiter, retryAfter := d.queue.Push(now, place, r.waitObjective(now), left)
 	if waiter != nil {
 		return Decision{Waiter: waiter, Recheck: d.recheck(now, fleet, waiter), Shed: d.queue.ShedTail(now, waiter)}
@@ -187,8 +199,8 @@
 // unlimited stands for the time left of a request without a deadline.
 const unlimited = time.Hour
 
-// Retry decides again on a request that waits, after it was woken or its wait has ended.
-func (d *Dispatcher) Retry(now time.Time, fleet Fleet, r Request, waiter *kwqueue.Waiter) Decision {
+// retry is Retry without counts of admission control.
+func (d *Dispatcher) retry(now time.Time, fleet Fleet, r Request, waiter *kwqueue.Waiter) Decision {
 	if retryAfter, shed := waiter.Shed(); shed {
 		d.recordPromise(now, r, retryAfter)
 		return Decision{RetryAfter: retryAfter, Displaced: true}
@@ -225,6 +237,7 @@
 // Withdraw removes a request that no longer waits from the queue.
 func (d *Dispatcher) Withdraw(waiter *kwqueue.Waiter) {
 	d.queue.Remove(waiter)
+	d.abandonWait(waiter)
 }
 
 // Next returns the request that is to be woken when something has changed, or nil if none waits.
