--- a/core/kwadmission/shares.go
+++ b/core/kwadmission/shares.go
@@ -73,10 +73,10 @@
 		// Entries report every 300 ms.
 		LongestWait: 300 * time.Millisecond,
 		// With a lead of 0.3 up to 0.06 less was served at 370 entries; with none, single replays had a class 0.07 behind.
-		Lead: 0.05, Slack: 0.05,
+		Lead: 0.1, Slack: 0.05,
 		// Reports are 200 to 500 ms old, so the next step sees the effect of the last.
 		StepInterval: 600 * time.Millisecond,
-		// A gain of 0.5 makes up for a difference in about two steps.
-		Gain: 0.5, MinLower: 0.05, MaxLower: 0.35, Raise: 0.05,
+		// With a gain of 0.5 bursts of 2 s were over before the shares had followed, with 2 more was lost.
+		Gain: 1, MinLower: 0.05, MaxLower: 0.35, Raise: 0.05,
 	}
 }
