Let operators limit hedged requests

Cause: the limit on hedges (docs/hard-load.md, part 5) has no setting. Result: go test -race ./core/kwdeclaration ./platform passes. Nothing uses the setting yet.

--- a/core/kwdeclaration/check.go
+++ b/core/kwdeclaration/check.go
@@ -19,6 +19,9 @@
 	if err := d.checkRoutes(services); err != nil {
 		return err
 	}
+	if share := d.Limits.HedgeShare; share != nil && !ValidHedgeShare(*share) {
+		return kwcode.New(kwcode.SettingsBadValue, "limits: a share of %v of the requests hedged is not between 0 and 1", *share)
+	}
 	return d.checkWorkspaces()
 }
 
@@ -40,6 +43,9 @@
 	return seen, nil
 }
 
+// ValidHedgeShare reports whether a share of the requests can be the limit on hedged requests.
+func ValidHedgeShare(share float64) bool { return share >= 0 && share <= 1 }
+
 // routeKey identifies a route: no two routes may have the same host and prefix.
 type routeKey struct{ host, prefix string }
 
--- a/core/kwdeclaration/declaration.go
+++ b/core/kwdeclaration/declaration.go
@@ -124,6 +124,8 @@
 	MaxBodyBytes   int64
 	HeaderTimeout  time.Duration
 	IdleTimeout    time.Duration
+	// HedgeShare limits hedged requests to a share of the requests of each service; nil leaves it to the flags of the entries.
+	HedgeShare *float64
 }
 
 // Workspace is a group of callers with their own API keys.
--- a/core/kwdeclaration/declaration_test.go
+++ b/core/kwdeclaration/declaration_test.go
@@ -38,6 +38,8 @@
 		{"no kind", func(d *Declaration) { d.Routes[0].Kind = 0 }, kwcode.SettingsBadValue},
 		{"no host", func(d *Declaration) { d.Routes[0].Host = "" }, kwcode.SettingsMissing},
 		{"shared key", func(d *Declaration) { d.Workspaces[1].Keys = []string{"k1"} }, kwcode.SettingsDuplicate},
+		{"share of hedged requests above 1", func(d *Declaration) { share := 1.1; d.Limits.HedgeShare = &share }, kwcode.SettingsBadValue},
+		{"negative share of hedged requests", func(d *Declaration) { share := -0.1; d.Limits.HedgeShare = &share }, kwcode.SettingsBadValue},
 		{"service twice", func(d *Declaration) { d.Services[1].Name = "llm" }, kwcode.SettingsDuplicate},
 	}
 	for _, c := range cases {
--- a/io/kwdirectentry/config.go
+++ b/io/kwdirectentry/config.go
@@ -34,6 +34,8 @@
 	Queue kwqueue.Config
 	// Ejector configures the outlier ejection of endpoints.
 	Ejector kwretry.EjectorConfig
+	// HedgeShare limits hedged requests to a share of the requests of each service while the declaration names no limit; 0 hedges none.
+	HedgeShare float64
 }
 
 const (
@@ -102,6 +104,9 @@
 	minEventTimeout = 500 * time.Millisecond
 	// minHedgeDelay is the least time between two looks whether an attempt may be added beside a silent one.
 	minHedgeDelay = 50 * time.Millisecond
+	// hedgeRecheck is the time between two looks whether a request whose hedge was held back may be hedged now: a few looks within the
+	// second for which a hedge is saved.
+	hedgeRecheck = 50 * time.Millisecond
 	// stallQueryTimeout bounds a stall query.
 	stallQueryTimeout = 250 * time.Millisecond
 	// extraAttempts is how many attempts beyond a route's MaxAttempts may be refused without having run before the
