Hedge calls that take longer than most of their class

Cause: a call at a slow server waits until 0.45 of its remaining time before another attempt is added. Change: with a hedge share above 0, a call that may be repeated gets a second attempt after the 95th percentile of its class. The first answer counts; the other attempt is cancelled at once and no longer counted at its endpoint. Hedges are held back while requests wait, under limits and pauses, for suspects, at a stopping entry, without another endpoint that is faster, and beyond the share or the retry budget; each reason has a metric. The rescue after 0.45 of the remaining time stays.

--- a/core/kwhedge/budget.go
+++ b/core/kwhedge/budget.go
@@ -21,18 +21,14 @@
 	}
 }
 
-// trySpend takes the oldest hedge at hand, or returns false if there is none.
-func (b *budget) trySpend(now time.Time, maxSaved time.Duration) bool {
+// available reports whether a hedge is at hand.
+func (b *budget) available(now time.Time, maxSaved time.Duration) bool {
 	b.expire(now, maxSaved)
-	if len(b.earned) == 0 {
-		return false
-	}
-	b.earned = b.earned[1:]
-	return true
+	return len(b.earned) > 0
 }
 
-// putBack returns a hedge that was not sent.
-func (b *budget) putBack(now time.Time) { b.earned = append(b.earned, now) }
+// spend takes the oldest hedge at hand.
+func (b *budget) spend() { b.earned = b.earned[1:] }
 
 // expire drops what has been saved for too long.
 func (b *budget) expire(now time.Time, maxSaved time.Duration) {
--- a/core/kwhedge/hedger.go
+++ b/core/kwhedge/hedger.go
@@ -192,16 +192,18 @@
 	return h.slow.slow(now, id)
 }
 
-// TrySpend counts a hedge of a service against the limit, or returns false if it is reached.
-func (h *Hedger) TrySpend(now time.Time, service kwid.ServiceName) bool {
+// Spend counts a hedge of a service against the limit and against the retry budget, which spendRetry counts it against, or returns which
+// of them is reached.
+func (h *Hedger) Spend(now time.Time, service kwid.ServiceName, spendRetry func() bool) Reason {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.share > 0 && h.budgetOf(service).trySpend(now, h.cfg.MaxSaved)
-}
-
-// PutBack takes back a hedge that was counted but not sent.
-func (h *Hedger) PutBack(now time.Time, service kwid.ServiceName) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.budgetOf(service).putBack(now)
+	b := h.budgetOf(service)
+	if h.share <= 0 || !b.available(now, h.cfg.MaxSaved) {
+		return ShareSpent
+	}
+	if !spendRetry() {
+		return RetryBudgetSpent
+	}
+	b.spend()
+	return NotHeldBack
 }
--- a/core/kwhedge/hedger_test.go
+++ b/core/kwhedge/hedger_test.go
@@ -5,6 +5,8 @@
 	"time"
 )
 
+func allow() bool { return true }
+
 var testClass = Class{Service: "records", Route: "lookups"}
 
 // TestDelay guards against a delay from too few, too old or foreign latencies, and against one that hedges cut short.
@@ -49,7 +51,7 @@
 	h := New(DefaultConfig(), "e")
 	h.phase = 0.5
 	spend := func() (n int) {
-		for h.TrySpend(now, "records") {
+		for h.Spend(now, "records", allow) == NotHeldBack {
 			n++
 		}
 		return n
@@ -74,12 +76,14 @@
 		t.Errorf("a second later: got %d hedges, want 0", got)
 	}
 	request(4)
-	if !h.TrySpend(now, "records") || h.TrySpend(now, "llm") {
-		t.Errorf("got a budget common to all services, want one each")
+	if got := h.Spend(now, "llm", allow); got != ShareSpent {
+		t.Errorf("another service: got %q, want %q", got, ShareSpent)
+	}
+	if got := h.Spend(now, "records", func() bool { return false }); got != RetryBudgetSpent {
+		t.Errorf("no retry budget: got %q, want %q", got, RetryBudgetSpent)
 	}
-	h.PutBack(now, "records")
 	if got := spend(); got != 1 {
-		t.Errorf("one put back: got %d hedges, want 1", got)
+		t.Errorf("after it: got %d hedges, want 1", got)
 	}
 	request(4)
 	h.SetShare(0)
--- a/core/kwhedge/replay_test.go
+++ b/core/kwhedge/replay_test.go
@@ -174,7 +174,7 @@
 		held := Situation{Repeatable: true, Queued: r.waiting[entry] > 0}.HeldBack()
 		if held == NotHeldBack {
 			other, ok := r.pick(server, func(i int) bool { return !h.Slow(at, serverID[i]) })
-			if ok && h.TrySpend(at, "records") {
+			if ok && h.Spend(at, "records", allow) == NotHeldBack {
 				r.allHedges++
 				if r.measured(now) {
 					r.hedges++
--- a/io/kwdirectentry/gateway.go
+++ b/io/kwdirectentry/gateway.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"knapweedproxy/core/kwcode"
+	"knapweedproxy/core/kwhedge"
 	"knapweedproxy/core/kwquarantine"
 	"knapweedproxy/core/kwretry"
 	"knapweedproxy/io/kwdirectproto"
@@ -28,6 +29,7 @@
 	activeStreams activeStreams
 	retryBudgets  *kwretry.SharedBudgets
 	loanRefusals  loanRefusals
+	hedger        *kwhedge.Hedger
 	partGuard     *kwquarantine.Guard
 	crashLog      *crashLog
 	crashReports  crashReports
@@ -71,6 +73,7 @@
 	g.view.Store(emptyView())
 	g.scheduler = newScheduler(cfg)
 	g.retryBudgets = kwretry.NewSharedBudgets(cfg.RetryBudget)
+	g.hedger = kwhedge.New(kwhedge.DefaultConfig(), cfg.Node)
 	g.partGuard = kwquarantine.NewGuard(kwquarantine.DefaultGuardConfig())
 	g.crashLog = newCrashLog()
 	g.upstreamPool = kwupstream.NewPool()
--- a/io/kwdirectentry/metrics.go
+++ b/io/kwdirectentry/metrics.go
@@ -1,15 +1,23 @@
 package kwdirectentry
 
-import "github.com/rcrowley/go-metrics"
+import (
+	"github.com/rcrowley/go-metrics"
+
+	"knapweedproxy/core/kwhedge"
+)
 
 // gatewayMetrics holds the counters and timers of an entry.
 type gatewayMetrics struct {
-	served       metrics.Counter
-	rejected     metrics.Counter
-	failed       metrics.Counter
-	callerGone   metrics.Counter
-	retried      metrics.Counter
-	hedged       metrics.Counter
+	served     metrics.Counter
+	rejected   metrics.Counter
+	failed     metrics.Counter
+	callerGone metrics.Counter
+	retried    metrics.Counter
+	hedged     metrics.Counter
+	// hedgesSent, hedgesWon and hedgesCancelled count hedges, hedgesHeld the requests whose hedge was held back, by reason.
+	hedgesSent, hedgesWon, hedgesCancelled metrics.Counter
+
+	hedgesHeld   map[kwhedge.Reason]metrics.Counter
 	resumed      metrics.Counter
 	eventWrites  metrics.Counter
 	firstEvent   metrics.Timer
@@ -24,7 +32,16 @@
 }
 
 func newGatewayMetrics(r metrics.Registry) gatewayMetrics {
+	held := make(map[kwhedge.Reason]metrics.Counter)
+	for _, reason := range kwhedge.Reasons() {
+		held[reason] = metrics.GetOrRegisterCounter("hedges.held-back."+string(reason), r)
+	}
 	return gatewayMetrics{
+		hedgesSent:      metrics.GetOrRegisterCounter("hedges.sent", r),
+		hedgesWon:       metrics.GetOrRegisterCounter("hedges.won", r),
+		hedgesCancelled: metrics.GetOrRegisterCounter("hedges.cancelled", r),
+		hedgesHeld:      held,
+
 		served:       metrics.GetOrRegisterCounter("requests.served", r),
 		rejected:     metrics.GetOrRegisterCounter("requests.rejected", r),
 		failed:       metrics.GetOrRegisterCounter("requests.failed", r),
--- a/io/kwdirectentry/request.go
+++ b/io/kwdirectentry/request.go
@@ -57,6 +57,8 @@
 	longestPause time.Duration
 	// limited means that the request has waited while endpoints were at the limits that they have named.
 	limited bool
+	// hedged is how the hedge of the request went, empty if none was sent.
+	hedged hedgeOutcome
 	// endpoint and chain are those of the last attempt, for the log.
 	endpoint    kwid.EndpointID
 	chain       string
@@ -186,6 +188,9 @@
 	q.deadline = q.arrived.Add(timeout)
 	q.service = q.route.PickService(hashFraction(q.meta.ID))
 	g.retryBudgets.ForService(q.service).RecordFirstAttempt(q.arrived)
+	if g.hedger.On() {
+		g.hedger.RecordRequest(q.arrived, q.service)
+	}
 	return nil
 }
 
@@ -282,6 +287,9 @@
 		g.metrics.limitWaits.Inc(1)
 		fields = append(fields, kwevent.F("limited", true))
 	}
+	if q.hedged != hedgeNone {
+		fields = append(fields, kwevent.F("hedged", true), kwevent.F("won", string(q.hedged)))
+	}
 	if q.endpoint != "" {
 		fields = append(fields, kwevent.F("endpoint", q.endpoint))
 	}
--- a/io/kwdirectentry/unary.go
+++ b/io/kwdirectentry/unary.go
@@ -40,11 +40,16 @@
 		q: q, attempts: attemptState{exclude: make(endpointSet)},
 		results: make(chan unaryResult, q.route.MaxAttempts+extraAttempts+1), awaited: make(map[kwid.EndpointID]kwmembership.Announcement),
 	}
+	if g.hedger.On() && q.route.Retryable() {
+		u.hedge = &callHedge{}
+		defer g.endCallHedge(u)
+	}
 	attemptsCtx, endAttempts := context.WithCancel(ctx)
 	defer endAttempts()
 	for g.startUnary(attemptsCtx, u) && !g.awaitUnary(attemptsCtx, u) {
 	}
 	endAttempts()
+	g.endCallHedge(u)
 	g.finishUnary(ctx, q, &u.attempts)
 }
 
@@ -62,6 +67,10 @@
 	inProgress int
 	// awaited holds the endpoints of the attempts in progress that have not been found silent.
 	awaited map[kwid.EndpointID]kwmembership.Announcement
+	// hedge is the hedge of the request, nil if it may have none.
+	hedge *callHedge
+	// answeredBy is the endpoint of the attempt that has brought the final response.
+	answeredBy kwid.EndpointID
 }
 
 // unaryResult is the result of an attempt at an endpoint.
@@ -184,10 +193,14 @@
 	hedge := time.NewTimer(delay)
 	defer hedge.Stop()
 	drainBegan := g.drainBegan.Done()
+	slow := g.armCallHedge(u)
 	for {
 		var res unaryResult
 		select {
 		case res = <-u.results:
+		case <-slow:
+			g.hedgeCall(ctx, u)
+			continue
 		case <-drainBegan:
 			drainBegan = nil
 			hedge.Reset(min(g.hedgeDelay(q), time.Until(hedgeAt)))
@@ -206,6 +219,7 @@
 		}
 		u.inProgress--
 		delete(u.awaited, res.endpoint.ID)
+		u.hedge.recordResult(res.endpoint.ID)
 		if !res.Sent {
 			q.sends--
 		}
@@ -213,7 +227,7 @@
 			g.abortCallerGone(q)
 		}
 		if g.recordAttempt(q, &u.attempts, res.endpoint, res.Result) {
-			q.endpoint = res.endpoint.ID
+			q.endpoint, u.answeredBy = res.endpoint.ID, res.endpoint.ID
 			return true
 		}
 		if u.inProgress == 0 {
--- a/io/kwdirectentry/view.go
+++ b/io/kwdirectentry/view.go
@@ -125,6 +125,7 @@
 		return ok && row.Announcement.StartedMillis == process.StartedMillis
 	})
 	g.retryBudgets.SetEntryCount(next.entryCount)
+	g.hedger.SetShare(g.hedgeShare(next))
 	g.viewChanged.broadcast()
 	if next.declarationNumber != old.declarationNumber || next.version != old.version || next.epoch != old.epoch {
 		g.deps.Events.Emit(kwevent.ViewApplied, "", kwevent.F("number", next.declarationNumber), kwevent.F("epoch", next.epoch),
--- a/io/kwevent/explain.go
+++ b/io/kwevent/explain.go
@@ -68,7 +68,7 @@
 			continue
 		}
 		own = append(own, l)
-		for _, name := range []string{"endpoint", "blamed"} {
+		for _, name := range []string{"endpoint", "blamed", "beside"} {
 			if e, ok := l.Fields[name].(string); ok && e != "" {
 				endpoints[e] = true
 			}
