Hedge streams whose first event takes longer than most of their class

Cause: a stream at a slow chain waits for twice its objective before another chain is sought. Change: with a hedge share above 0, a resumable stream without an event gets a second attempt on a chain without any endpoint of the first, after the 95th percentile of its class. The two race for the first event; one lock decides, so the caller gets each event once. The loser's connection is closed and its chain released at once. A first attempt that fails leaves the stream to its hedge. Routes need three attempts, so that one is left to resume the stream. The hedge counts as the search for another chain, so no other one runs beside it. Requests that reach the limit are held back before an endpoint is sought.

--- a/core/kwdispatch/dispatcher.go
+++ b/core/kwdispatch/dispatcher.go
@@ -251,11 +251,16 @@
 // first-event timeout, or longer if the chain is slow for all requests. It answers servers that turn slow or an overload inside
 // the engines: a request that is cut there has used their time in vain, and finds other chains as slow.
 func (d *Dispatcher) FirstEventPatience(now time.Time, chain kwchainsearch.Chain, r Request) time.Duration {
-	expected := d.latencyOf(chain.First().Endpoint).Estimate(now, chain.PrefillTime+chain.TokenTime)
+	expected := d.ExpectedFirstEvent(now, chain)
 	longest := time.Duration(maxPatienceFactor * float64(r.FirstEventObjective))
 	return max(r.FirstEventTimeout, min(patienceFactor*expected, longest))
 }
 
+// ExpectedFirstEvent returns how long the first event of a request on a chain is expected to take.
+func (d *Dispatcher) ExpectedFirstEvent(now time.Time, chain kwchainsearch.Chain) time.Duration {
+	return d.latencyOf(chain.First().Endpoint).Estimate(now, chain.PrefillTime+chain.TokenTime)
+}
+
 func (d *Dispatcher) latencyOf(id kwid.EndpointID) *kwqueue.LatencyEstimator {
 	l, ok := d.latency[id]
 	if !ok {
--- a/core/kwhedge/hedger.go
+++ b/core/kwhedge/hedger.go
@@ -49,6 +49,8 @@
 // Situation is what decides whether a request may be hedged now.
 type Situation struct {
 	Stopping, Repeatable, Suspect, Queued, Limited bool
+	// ShareSpent means that no hedge is at hand, which spares the search for an endpoint.
+	ShareSpent bool
 }
 
 // HeldBack returns the first reason not to hedge.
@@ -64,6 +66,8 @@
 		return Queued
 	case s.Limited:
 		return Limited
+	case s.ShareSpent:
+		return ShareSpent
 	}
 	return NotHeldBack
 }
@@ -192,6 +196,13 @@
 	return h.slow.slow(now, id)
 }
 
+// Available reports whether a hedge of a service is at hand.
+func (h *Hedger) Available(now time.Time, service kwid.ServiceName) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.share > 0 && h.budgetOf(service).available(now, h.cfg.MaxSaved)
+}
+
 // Spend counts a hedge of a service against the limit and against the retry budget, which spendRetry counts it against, or returns which
 // of them is reached.
 func (h *Hedger) Spend(now time.Time, service kwid.ServiceName, spendRetry func() bool) Reason {
--- a/io/kwdirectentry/hedge.go
+++ b/io/kwdirectentry/hedge.go
@@ -44,6 +44,7 @@
 		Suspect:    suspect || g.kept(q) != nil || g.partGuard.Suspected(now, q.guardedParts()),
 		Queued:     g.scheduler.anyWaiting(q.service),
 		Limited:    g.scheduler.anyLimitOrPause(now, g.liveEndpoints(q)),
+		ShareSpent: !g.hedger.Available(now, q.service),
 	}
 }
 
--- a/io/kwdirectentry/hedge_share_test.go
+++ b/io/kwdirectentry/hedge_share_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -32,14 +33,17 @@
 
 // hedgeServer is a server of records that answers, or fails, once it is told to.
 type hedgeServer struct {
-	address             string
-	arrivals, cancelled atomic.Int32
-	answer, fail        chan struct{}
+	address              string
+	arrivals, cancelled  atomic.Int32
+	answer, fail, refuse chan struct{}
 }
 
+// hedgeEvents is the answer to a stream.
+const hedgeEvents = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+
 // newHedgeServer runs a server. One that is deaf does not notice that its request was cancelled.
 func newHedgeServer(t *testing.T, deaf bool) *hedgeServer {
-	s := &hedgeServer{answer: make(chan struct{}), fail: make(chan struct{})}
+	s := &hedgeServer{answer: make(chan struct{}), fail: make(chan struct{}), refuse: make(chan struct{})}
 	s.address = startModelServer(t, func(w http.ResponseWriter, r *http.Request) {
 		// The body must be read for the server to notice that its caller has left.
 		_, _ = io.Copy(io.Discard, r.Body)
@@ -53,9 +57,16 @@
 			s.cancelled.Add(1)
 		case <-s.fail:
 			panic(http.ErrAbortHandler)
+		case <-s.refuse:
+			w.Header().Set("Id", r.Header.Get("Id"))
+			w.WriteHeader(http.StatusInternalServerError)
 		case <-s.answer:
 			w.Header().Set("Id", r.Header.Get("Id"))
-			_, _ = io.WriteString(w, "ok")
+			answer := "ok"
+			if strings.HasPrefix(r.URL.Path, "/notes/") {
+				answer = hedgeEvents
+			}
+			_, _ = io.WriteString(w, answer)
 		case <-t.Context().Done():
 		}
 	})
@@ -83,6 +94,14 @@
 			close(first.fail)
 			time.AfterFunc(100*time.Millisecond, func() { close(hedge.answer) })
 		}, 200, hedgeWon, 0},
+		{"the first one has an error", false, func(first, hedge *hedgeServer) {
+			close(first.refuse)
+			time.AfterFunc(100*time.Millisecond, func() { close(hedge.answer) })
+		}, 200, hedgeWon, 0},
+		{"the hedge has an error", false, func(first, hedge *hedgeServer) {
+			close(hedge.refuse)
+			time.AfterFunc(100*time.Millisecond, func() { close(first.answer) })
+		}, 200, firstWon, 0},
 		{"the hedge fails", false, func(first, hedge *hedgeServer) {
 			close(hedge.fail)
 			time.AfterFunc(100*time.Millisecond, func() { close(first.answer) })
@@ -244,3 +263,114 @@
 	i := slices.Index([]string{"0", "1", "2"}, string(content))
 	return &kwdeclaration.Declaration{Number: kwdeclaration.Number(10 + i), Limits: kwdeclaration.Limits{HedgeShare: d[i]}}, nil
 }
+
+// TestHedgedStream checks how a stream with two attempts in progress ends, that the caller gets each event once, and that nothing stays
+// reserved for the attempt that lost.
+func TestHedgedStream(t *testing.T) {
+	cases := []struct {
+		name      string
+		deaf      bool
+		end       func(first, hedge *hedgeServer)
+		status    int
+		won       hedgeOutcome
+		cancelled int64
+	}{
+		{"hedge first", false, func(_, hedge *hedgeServer) { close(hedge.answer) }, 200, hedgeWon, 1},
+		{"first one first", false, func(first, _ *hedgeServer) { close(first.answer) }, 200, firstWon, 1},
+		{"both at once", true, func(first, hedge *hedgeServer) { close(first.answer); close(hedge.answer) }, 200, "", 1},
+		{"the cancel is lost, and the loser answers late", true, func(first, hedge *hedgeServer) {
+			close(hedge.answer)
+			time.AfterFunc(100*time.Millisecond, func() { close(first.answer) })
+		}, 200, hedgeWon, 1},
+		{"the first one fails", false, func(first, hedge *hedgeServer) {
+			close(first.fail)
+			time.AfterFunc(100*time.Millisecond, func() { close(hedge.answer) })
+		}, 200, hedgeWon, 0},
+		{"the first one has an error", false, func(first, hedge *hedgeServer) {
+			close(first.refuse)
+			time.AfterFunc(100*time.Millisecond, func() { close(hedge.answer) })
+		}, 200, hedgeWon, 0},
+		{"the hedge has an error", false, func(first, hedge *hedgeServer) {
+			close(hedge.refuse)
+			time.AfterFunc(100*time.Millisecond, func() { close(first.answer) })
+		}, 200, firstWon, 0},
+		{"the hedge fails", false, func(first, hedge *hedgeServer) {
+			close(hedge.fail)
+			time.AfterFunc(100*time.Millisecond, func() { close(first.answer) })
+		}, 200, firstWon, 0},
+		{"both fail", false, func(first, hedge *hedgeServer) { close(first.fail); close(hedge.fail) }, 502, neitherWon, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			servers := [2]*hedgeServer{newHedgeServer(t, c.deaf), newHedgeServer(t, c.deaf)}
+			g := newTestGateway(t, "127.0.0.1:1", "127.0.0.1:1")
+			setServers(g, []string{servers[0].address, servers[1].address}, nil)
+			setRoutes(g, func(r *kwdeclaration.Route) { r.MaxAttempts = 3 })
+			allowHedges(g, "llm", "/notes/", 100*time.Millisecond)
+			response := postInBackground(t, g, "/notes/x", "q")
+			arrived := func(s *hedgeServer) bool { return s.arrivals.Load() == 1 }
+			awaitTrue(t, "the request arrives", func() bool { return arrived(servers[0]) || arrived(servers[1]) })
+			first, hedge := servers[0], servers[1]
+			if arrived(hedge) {
+				first, hedge = hedge, first
+			}
+			awaitTrue(t, "the hedge arrives", func() bool { return arrived(hedge) })
+			c.end(first, hedge)
+			got := <-response
+			if got.status != c.status || c.status == 200 && got.body != hedgeEvents {
+				t.Errorf("got %d %q, want %d %q", got.status, got.body, c.status, hedgeEvents)
+			}
+			awaitTrue(t, "the end is logged", func() bool { return lastEnd(t, g, "q").Name != "" })
+			end := lastEnd(t, g, "q").Fields
+			if c.won != "" && !slices.Contains(end, kwevent.F("won", string(c.won))) || !slices.Contains(end, kwevent.F("sends", 2)) {
+				t.Errorf("got end %v, want won=%s and 2 sends", end, c.won)
+			}
+			awaitTrue(t, "the loser is cancelled", func() bool { return g.metrics.hedgesCancelled.Count() == c.cancelled })
+			if c.cancelled > 0 && !c.deaf {
+				awaitTrue(t, "the server of the loser notices", func() bool { return first.cancelled.Load()+hedge.cancelled.Load() == 1 })
+			}
+			if m := g.metrics; m.hedgesSent.Count() != 1 || (m.hedgesWon.Count() == 1) != (c.won == hedgeWon) && c.won != "" {
+				t.Errorf("got %d hedges sent and %d won", m.hedgesSent.Count(), m.hedgesWon.Count())
+			}
+			checkNothingReserved(t, g)
+		})
+	}
+}
+
+// TestStreamHedgeHeldBack guards against hedges of streams that use up the attempt to resume them, or that a stopping entry sends.
+func TestStreamHedgeHeldBack(t *testing.T) {
+	for _, want := range []kwhedge.Reason{kwhedge.NotRepeatable, kwhedge.Stopping, kwhedge.NoEndpoint, kwhedge.ShareSpent} {
+		t.Run(string(want), func(t *testing.T) {
+			t.Parallel()
+			servers := []*hedgeServer{newHedgeServer(t, false), newHedgeServer(t, false)}
+			addresses := []string{servers[0].address, servers[1].address}
+			if want == kwhedge.NoEndpoint {
+				addresses = addresses[:1]
+			}
+			g := newTestGateway(t, "127.0.0.1:1", "127.0.0.1:1")
+			setServers(g, addresses, nil)
+			if want != kwhedge.NotRepeatable {
+				setRoutes(g, func(r *kwdeclaration.Route) { r.MaxAttempts = 3 })
+			}
+			allowHedges(g, "llm", "/notes/", 200*time.Millisecond)
+			response := postInBackground(t, g, "/notes/x", "q")
+			arrivals := func() int32 { return servers[0].arrivals.Load() + servers[1].arrivals.Load() }
+			awaitTrue(t, "the request arrives", func() bool { return arrivals() == 1 })
+			switch want {
+			case kwhedge.Stopping:
+				now := time.Now()
+				go g.drain(now, now.Add(time.Minute), now.Add(time.Minute))
+			case kwhedge.ShareSpent:
+				g.hedger.SetShare(0)
+			}
+			awaitTrue(t, "the hedge is held back", func() bool { return g.metrics.hedgesHeld[want].Count() == 1 })
+			close(servers[0].answer)
+			close(servers[1].answer)
+			if got := <-response; got.status != http.StatusOK || got.body != hedgeEvents || arrivals() != 1 {
+				t.Errorf("got %d %q and %d arrivals, want 200 %q and 1", got.status, got.body, arrivals(), hedgeEvents)
+			}
+			checkNothingReserved(t, g)
+		})
+	}
+}
--- a/io/kwdirectentry/stream.go
+++ b/io/kwdirectentry/stream.go
@@ -42,6 +42,8 @@
 	attemptPause time.Duration
 	// reserved is the chain of the next attempt of a stream that is handed over.
 	reserved *reservedChain
+	// hedge is that of the current attempt, nil if it has none or it is over.
+	hedge *streamHedge
 	// nextHandOverCheck is when the stream is next checked for a hand-over.
 	nextHandOverCheck time.Time
 }
@@ -165,12 +167,17 @@
 
 // attemptStream sends the request to one chain and relays its events.
 func (g *Gateway) attemptStream(ctx context.Context, s *streamState, chain kwchainsearch.Chain) attemptResult {
+	return g.attemptOpened(ctx, s, chain, nil)
+}
+
+// attemptOpened is attemptStream for an attempt that has been sent before, as a hedge, if opened is not nil.
+func (g *Gateway) attemptOpened(ctx context.Context, s *streamState, chain kwchainsearch.Chain, opened *openedStream) attemptResult {
 	q := s.q
 	first := chain.First()
 	begin := time.Now()
 	s.processes = g.processesOf(q, chain)
 	process := s.process(first.Endpoint)
-	sent := false
+	sent := opened != nil
 	defer func() {
 		if sent {
 			g.scheduler.release(chain, s.size.TotalTokens)
@@ -179,9 +186,8 @@
 		g.scheduler.releaseUnsent(chain, s.size.TotalTokens)
 	}()
 	patience := g.scheduler.firstEventPatience(ctx, s.chainRequest(g), chain)
-	firstWait := g.startFirstEventWait(first.Endpoint, begin)
+	firstWait, c, err := g.openConnection(ctx, first, begin, opened)
 	defer firstWait.end(false)
-	c, err := g.upstreamPool.Get(ctx, first.Address, false)
 	if err != nil {
 		return g.firstEndpointFailed(s, chain, err, false)
 	}
@@ -193,14 +199,7 @@
 			c.Close()
 		}
 	}()
-	// The news may have come since the chain was chosen.
-	if id, closed := g.scheduler.closedStage(time.Now(), chain); closed {
-		s.attempts.exclude[id] = true
-		s.attempts.lastErr = kwcode.New(kwcode.NoChain, "endpoint %s leaves or wants no requests", id)
-		return resultNotRun
-	}
-	if err := g.kept(q); err != nil {
-		s.attempts.lastErr = err
+	if opened == nil && !g.mayStillSend(s, chain) {
 		return resultNotRun
 	}
 	sent = true
@@ -210,7 +209,10 @@
 	q.chain = formatChain(chain)
 	q.expected = chain.AnswerTime(q.answerTokens())
 	upstreamReq := q.upstreamRequest(g.deps.Dialect, kwupstream.ForwardMeta{Endpoint: first.Endpoint, Chain: &chain, LastEventID: s.lastEventID})
-	if err := c.Send(upstreamReq); err != nil {
+	if opened == nil {
+		err = c.Send(upstreamReq)
+	}
+	if err != nil {
 		return g.firstEndpointFailed(s, chain, err, true)
 	}
 	silent := s.silentAttempt(g)
@@ -219,6 +221,16 @@
 		firstEventLate: func() { firstWait.exceeded(patience) },
 	})
 	defer g.activeStreams.unwatch(q.meta.ID, s.watched)
+	if opened != nil {
+		result := g.relay(ctx, s, chain, opened.resp, opened, firstWait)
+		g.activeStreams.unwatch(q.meta.ID, s.watched)
+		if reusable = result == resultComplete && stopClose(); reusable {
+			g.upstreamPool.Put(c, opened.resp)
+		}
+		return result
+	}
+	s.hedge = g.armStreamHedge(ctx, s, chain, begin, silent)
+	defer g.endStreamHedge(s)
 	resp, meta, err := c.Receive(upstreamReq, g.deps.Dialect)
 	g.recordNotices(q.meta.ID, process, first.Address, meta)
 	if err != nil {
@@ -228,17 +240,45 @@
 	if resp.StatusCode != http.StatusOK {
 		result, reusable = g.handleErrorResponse(ctx, s, chain, resp, meta)
 	} else {
-		result = g.relay(ctx, s, chain, resp, firstWait)
+		result = g.relay(ctx, s, chain, resp, nil, firstWait)
 		reusable = result == resultComplete
 	}
-	// No search for another chain may close the connection once it is in the pool.
+	g.endStreamHedge(s)
+	// No search for another chain may close the connection once it is in the pool, and a hedge that has won has closed it.
 	g.activeStreams.unwatch(q.meta.ID, s.watched)
+	reusable = reusable && !g.activeStreams.hedgeHasWon(s.watched)
 	if reusable = reusable && stopClose(); reusable {
 		g.upstreamPool.Put(c, resp)
 	}
 	return result
 }
 
+// openConnection returns the connection of an attempt, and its wait for the first event, which is over for one that was opened before.
+func (g *Gateway) openConnection(
+	ctx context.Context, first kwchainsearch.Stage, begin time.Time, opened *openedStream,
+) (*firstEventWait, *kwupstream.Conn, error) {
+	if opened != nil {
+		return opened.wait, opened.conn, nil
+	}
+	wait := g.startFirstEventWait(first.Endpoint, begin)
+	c, err := g.upstreamPool.Get(ctx, first.Address, false)
+	return wait, c, err
+}
+
+// mayStillSend reports whether an attempt may be sent to its chain: the news against it may have come since the chain was chosen.
+func (g *Gateway) mayStillSend(s *streamState, chain kwchainsearch.Chain) bool {
+	if id, closed := g.scheduler.closedStage(time.Now(), chain); closed {
+		s.attempts.exclude[id] = true
+		s.attempts.lastErr = kwcode.New(kwcode.NoChain, "endpoint %s leaves or wants no requests", id)
+		return false
+	}
+	if err := g.kept(s.q); err != nil {
+		s.attempts.lastErr = err
+		return false
+	}
+	return true
+}
+
 // firstEventTimeout is how long the first event may take at least before another chain is sought.
 func firstEventTimeout(q *request) time.Duration {
 	return max(firstEventTimeoutFactor*q.route.LatencyObjective, minEventTimeout)
@@ -291,13 +331,15 @@
 }
 
 // relay passes events on to the caller as they arrive.
-func (g *Gateway) relay(ctx context.Context, s *streamState, chain kwchainsearch.Chain, resp *http.Response, firstWait *firstEventWait) attemptResult {
+func (g *Gateway) relay(
+	ctx context.Context, s *streamState, chain kwchainsearch.Chain, resp *http.Response, opened *openedStream, firstWait *firstEventWait,
+) attemptResult {
 	q := s.q
-	events := kwupstream.NewEventReader(resp.Body)
+	events := opened.reader(resp)
 	flusher := http.NewResponseController(q.w)
 	eventsBefore := q.events
 	for {
-		chunk, err := events.Next()
+		chunk, err := opened.next(events)
 		if errors.Is(err, io.EOF) && s.begun && (s.reads > 0 || framed(resp)) {
 			g.finishComplete(s, chain)
 			return resultComplete
@@ -306,6 +348,9 @@
 			return g.handleBrokenStream(ctx, s, chain, err)
 		}
 		firstWait.end(true)
+		if !s.begun && !g.activeStreams.claimFirstEvent(s.watched) {
+			return g.handleBrokenStream(ctx, s, chain, errHedgeWon)
+		}
 		if !s.begun {
 			s.begun = true
 			g.scheduler.ejector.RecordSuccess(chain.First().Endpoint)
@@ -320,6 +365,7 @@
 		if err := flusher.Flush(); err != nil {
 			g.abortUndelivered(q)
 		}
+		g.endStreamHedge(s)
 		now := time.Now()
 		s.recordRead(now)
 		q.recordEvent(now)
--- a/io/kwdirectentry/stream_failure.go
+++ b/io/kwdirectentry/stream_failure.go
@@ -77,6 +77,9 @@
 
 // handleBrokenStream ends an attempt that broke off or fell silent, and looks for the faulty endpoint.
 func (g *Gateway) handleBrokenStream(ctx context.Context, s *streamState, chain kwchainsearch.Chain, err error) attemptResult {
+	if g.activeStreams.hedgeHasWon(s.watched) {
+		return g.loseToHedge(s, chain)
+	}
 	s.attempts.mayHaveRun++
 	s.attempts.lastErr = kwcode.New(kwcode.StreamCut, "chain %s: %v", formatChain(chain), err)
 	blamed := g.activeStreams.blamed(s.watched)
--- a/io/kwdirectentry/stream_move.go
+++ b/io/kwdirectentry/stream_move.go
@@ -38,16 +38,23 @@
 // attemptChains makes an attempt on a chain, and further ones on the chains that are granted while an attempt is silent.
 func (g *Gateway) attemptChains(ctx context.Context, s *streamState, chain kwchainsearch.Chain) attemptResult {
 	var next *kwchainsearch.Chain
+	var opened *openedStream
 	defer func() {
-		if next != nil {
+		switch {
+		case next != nil && opened != nil:
+			opened.conn.Close()
+			g.scheduler.release(*next, s.size.TotalTokens)
+		case next != nil:
 			g.scheduler.releaseUnsent(*next, s.size.TotalTokens)
 		}
 	}()
 	for {
 		s.watched = nil
 		result := func() attemptResult {
-			defer func() { next = g.activeStreams.takeReplacement(s.watched) }()
-			return g.attemptStream(ctx, s, chain)
+			present := opened
+			opened = nil
+			defer func() { next, opened = g.activeStreams.takeReplacement(s.watched) }()
+			return g.attemptOpened(ctx, s, chain, present)
 		}()
 		if next == nil || result == resultComplete || result == resultHandedOver || ctx.Err() != nil || s.q.mayCrashAgain() {
 			return result
@@ -57,7 +64,9 @@
 			s.q.resumptions++
 			g.metrics.resumed.Inc(1)
 		}
-		g.metrics.retried.Inc(1)
+		if opened == nil {
+			g.metrics.retried.Inc(1)
+		}
 		chain, next = *next, nil
 	}
 }
--- a/io/kwdirectentry/stream_watch.go
+++ b/io/kwdirectentry/stream_watch.go
@@ -38,6 +38,13 @@
 	cancelSearch context.CancelFunc
 	// replacement is the chain that was granted for the next attempt before this one was given up.
 	replacement *kwchainsearch.Chain
+	// opened is the attempt on the replacement if it is a hedge, which has won the race for the first event. claimed means that this
+	// attempt has won it, and lost is what became of the hedge otherwise, nil if none was sent.
+	opened  *openedStream
+	claimed bool
+	lost    *lostHedge
+	// raced means that the attempt may have a hedge; only the goroutine of the request uses it.
+	raced bool
 }
 
 // silenceLimits are the times without an event after which a stream is checked.
@@ -205,15 +212,15 @@
 }
 
 // takeReplacement returns the chain that has been granted for the next attempt, nil if there is none.
-func (a *activeStreams) takeReplacement(w *watchedStream) *kwchainsearch.Chain {
+func (a *activeStreams) takeReplacement(w *watchedStream) (*kwchainsearch.Chain, *openedStream) {
 	if w == nil {
-		return nil
+		return nil, nil
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	chain := w.replacement
+	chain, opened := w.replacement, w.opened
 	w.replacement = nil
-	return chain
+	return chain, opened
 }
 
 // suspect seeks another chain for the request that an endpoint is said to stall. The endpoint may be silent and go on, so the attempt
--- a/io/kwevent/explain_test.go
+++ b/io/kwevent/explain_test.go
@@ -78,3 +78,18 @@
 		t.Errorf("got %v, want the limit of e1 in force and the rejection", got)
 	}
 }
+
+// TestExplainShowsBothAttempts guards against a hedged request of which only one endpoint is shown.
+func TestExplainShowsBothAttempts(t *testing.T) {
+	const log = `{"level":"info","ts":1000000,"msg":"request-hedged","event":230,"node":"edge-a","request":"q1","endpoint":"e2","beside":"e1"}
+{"level":"info","ts":1000100,"msg":"request-answered","event":205,"node":"edge-a","request":"q1","endpoint":"e2","hedged":true,"won":"hedge"}
+{"level":"info","ts":1000200,"msg":"endpoint-ejected","event":212,"node":"edge-a","endpoint":"e1"}
+`
+	lines, err := ReadLines(strings.NewReader(log))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := len(Explain(lines, "q1")); got != len(lines) {
+		t.Errorf("got %d lines, want all %d", got, len(lines))
+	}
+}
