--- a/io/kwdirectentry/request.go
+++ b/io/kwdirectentry/request.go
@@ -62,6 +62,8 @@
 	limited bool
 	// admission is the verdict of admission control, if it covers the request.
 	admission kwadmission.Verdict
+	// hedged is how the hedge of the request went, empty if none was sent.
+	hedged hedgeOutcome
 	// endpoint and chain are those of the last attempt, for the log.
 	endpoint    kwid.EndpointID
 	chain       string
@@ -193,6 +195,9 @@
 	q.deadline = q.arrived.Add(timeout)
 	q.service = q.route.PickService(hashFraction(q.meta.ID))
 	g.retryBudgets.ForService(q.service).RecordFirstAttempt(q.arrived)
+	if g.hedger.On() {
+		g.hedger.RecordRequest(q.arrived, q.service)
+	}
 	return nil
 }
 
@@ -294,6 +299,9 @@
 		fields = append(fields, kwevent.F("returning", true))
 	}
 	fields = append(fields, admissionFields(q)...)
+	if q.hedged != hedgeNone {
+		fields = append(fields, kwevent.F("hedged", true), kwevent.F("won", string(q.hedged)))
+	}
 	if q.endpoint != "" {
 		fields = append(fields, kwevent.F("endpoint", q.endpoint))
 	}
