Hold an answered request only if it outweighs the crashes without it

Nothing is answered soundly meanwhile, since the three servers are down most of the time, and a request that nearly always has a run under way is on most crashes by chance.

An answered request now needs one more crash for each crash since its first one that it was not on, two at most. A request that was answered until it began to crash servers is on all crashes as long as nothing else crashes them.

--- a/core/kwquarantine/decide_requests.go
+++ b/core/kwquarantine/decide_requests.go
@@ -150,6 +150,10 @@
 			}
 		}
 		c.count = len(c.crashes) + q.adopted
+		if c.answered && c.count < r.cfg.MinCrashes+r.crashesWithout(digest, q, answeredHandicap) {
+			// Crashes without the request show that servers crash for another reason too. A popular request is on some of these by chance.
+			continue
+		}
 		at, ok := r.decisiveRequestCrash(c, r.cfg.RequestSettle)
 		if !ok {
 			continue
@@ -171,6 +175,20 @@
 	return candidates
 }
 
+// crashesWithout returns how many crashes there were without a request since its first one, whatever explains them, up to a limit.
+func (r *Registry) crashesWithout(digest kwid.RequestDigest, q *requestState, limit int) int {
+	n, first := 0, q.crashes[0].crash.recordedAt
+	for _, crash := range slices.Backward(r.crashes) {
+		if n >= limit || crash.recordedAt.Before(first) {
+			break
+		}
+		if _, ok := crash.digests[digest]; !ok {
+			n++
+		}
+	}
+	return n
+}
+
 // countSince returns the number of crashes under a candidate after an answer.
 func (r *Registry) countSince(c requestCandidate, answeredAt time.Time) int {
 	n := c.state.adopted
--- a/core/kwquarantine/registry.go
+++ b/core/kwquarantine/registry.go
@@ -92,7 +92,9 @@
 	// shareTime is the time about a crash in which a request has to be on one in minShare crashes, for the crash to count against it.
 	shareTime = 300 * time.Millisecond
 	minShare  = 3
-	// answeredHandicap is how many more crashes an answered request needs to go before one that nobody has seen answered.
+	// answeredHandicap is how many more crashes an answered request needs to go before one that nobody has seen answered. It is also the
+	// most that crashes without an answered request add to those that it needs to be held: simulated popular requests were on three of
+	// four crashes of other causes.
 	answeredHandicap = 2
 	// confirmTime is the time after an answer in which it is confirmed, by the next answer of its server.
 	confirmTime = 1500 * time.Millisecond
--- a/core/kwquarantine/requests_test.go
+++ b/core/kwquarantine/requests_test.go
@@ -245,6 +245,25 @@
 	f.wantHeld("bad")
 }
 
+// TestAnsweredRequestBesideOtherCrashes guards against the hold of a popular request that is on three of four crashes of other causes.
+func TestAnsweredRequestBesideOtherCrashes(t *testing.T) {
+	f := newFixtureWith(t, DefaultConfig())
+	f.crashUnder(0, "popular")
+	f.advance(time.Second)
+	f.answered(100*time.Millisecond, "popular", false)
+	f.crashesUnder(1, 2, "popular")
+	f.crashesUnder(3, 1, "other")
+	f.crashesUnder(4, 1, "popular")
+	f.settleRequests()
+	f.advance(confirmTime)
+	f.settleRequests()
+	f.wantHeld()
+	// One more crash outweighs the one without it.
+	f.crashesUnder(5, 1, "popular")
+	f.settleRequests()
+	f.wantHeld("popular")
+}
+
 func TestTwoCrashingRequests(t *testing.T) {
 	f := newFixtureWith(t, DefaultConfig())
 	for i := range 3 {
