Count crashes of a contested hold again only after two crashes since

Two crashes since the hold are needed now. They still correct the choice of a wrong one of several requests.

--- a/core/kwquarantine/decide_requests.go
+++ b/core/kwquarantine/decide_requests.go
@@ -86,6 +86,19 @@
 	return explained
 }
 
+// lastHolds returns, for each crash under held requests, when the last of these was held.
+func (r *Registry) lastHolds() map[*crashState]time.Time {
+	holds := make(map[*crashState]time.Time)
+	for _, h := range r.heldRequests {
+		for _, c := range h.crashes {
+			if h.heldAt.After(holds[c.crash]) {
+				holds[c.crash] = h.heldAt
+			}
+		}
+	}
+	return holds
+}
+
 // correctRequests releases the requests that were held for the crashes of others, once those explain all of them and have crashed a
 // server since.
 func (r *Registry) correctRequests(now time.Time) {
@@ -129,10 +142,10 @@
 }
 
 // requestCandidates returns the requests under which enough servers crashed, not all at one moment, in the order of the decision. What
-// a held request explains does not count, unless that was contested and a server has crashed without it since.
+// a held request explains does not count, unless that was contested and minCrashesSinceHold servers have crashed without it since.
 func (r *Registry) requestCandidates(o *overlaps) []requestCandidate {
 	var candidates []requestCandidate
-	firm := r.firmlyExplained()
+	firm, holds := r.firmlyExplained(), r.lastHolds()
 	r.countAbout()
 	for digest, q := range r.requests {
 		if len(q.crashes)+q.adopted < r.cfg.MinCrashes {
@@ -144,8 +157,9 @@
 		}
 		c := requestCandidate{digest: digest, state: q, answered: !q.answeredAt.IsZero()}
 		apart := r.crashesApart(q)
+		contest := !c.answered && q.crashesSinceHold(holds) >= minCrashesSinceHold
 		for _, crash := range q.crashes {
-			if (crash.crash.heldBy == 0 || !c.answered && !firm[crash.crash]) && (apart || r.share(q, crash.crash)) {
+			if (crash.crash.heldBy == 0 || contest && !firm[crash.crash]) && (apart || r.share(q, crash.crash)) {
 				c.crashes = append(c.crashes, crash)
 			}
 		}
@@ -175,6 +189,23 @@
 	return candidates
 }
 
+// crashesSinceHold returns the number of unexplained crashes under a request since the last hold of one that was on some of its crashes.
+func (q *requestState) crashesSinceHold(holds map[*crashState]time.Time) int {
+	var heldAt time.Time
+	for _, c := range q.crashes {
+		if at := holds[c.crash]; at.After(heldAt) {
+			heldAt = at
+		}
+	}
+	n := 0
+	for _, c := range q.crashes {
+		if c.crash.heldBy == 0 && c.crash.recordedAt.After(heldAt) {
+			n++
+		}
+	}
+	return n
+}
+
 // crashesWithout returns how many crashes there were without a request since its first one, whatever explains them, up to a limit.
 func (r *Registry) crashesWithout(digest kwid.RequestDigest, q *requestState, limit int) int {
 	n, first := 0, q.crashes[0].crash.recordedAt
--- a/core/kwquarantine/registry.go
+++ b/core/kwquarantine/registry.go
@@ -96,6 +96,9 @@
 	// most that crashes without an answered request add to those that it needs to be held: simulated popular requests were on three of
 	// four crashes of other causes.
 	answeredHandicap = 2
+	// minCrashesSinceHold is how many servers have to crash under a request, after one that was on the same crashes is held, for these to
+	// count against it again. One crash of another cause happens to be under many of the requests that ran next to the held one.
+	minCrashesSinceHold = 2
 	// confirmTime is the time after an answer in which it is confirmed, by the next answer of its server.
 	confirmTime = 1500 * time.Millisecond
 	// maxHeldRequests is the number of held requests; beyond it the one whose term ends first is released.
--- a/core/kwquarantine/requests_test.go
+++ b/core/kwquarantine/requests_test.go
@@ -245,6 +245,21 @@
 	f.wantHeld("bad")
 }
 
+// TestCrashAfterContestedHold guards against the hold of a request that ran next to the held one, for one crash of another cause.
+func TestCrashAfterContestedHold(t *testing.T) {
+	f := newFixtureWith(t, DefaultConfig())
+	f.crashesUnder(0, 1, "bad")
+	f.crashesUnder(1, 3, "bad", "rider")
+	f.settleRequests()
+	f.wantHeld("bad")
+	f.crashesUnder(4, 1, "rider")
+	f.settleRequests()
+	f.wantHeld("bad")
+	f.crashesUnder(5, 1, "rider")
+	f.settleRequests()
+	f.wantHeld("bad", "rider")
+}
+
 // TestAnsweredRequestBesideOtherCrashes guards against the hold of a popular request that is on three of four crashes of other causes.
 func TestAnsweredRequestBesideOtherCrashes(t *testing.T) {
 	f := newFixtureWith(t, DefaultConfig())
