--- a/core/kwquarantine/decide_requests.go
+++ b/core/kwquarantine/decide_requests.go
@@ -16,6 +16,8 @@
 	// crashes are those that count, and count their number with those of an earlier leader.
 	crashes []requestCrash
 	count   int
+	// unexplained is the part of count that no held request explains.
+	unexplained int
 	// answered is set if the request was answered within Memory.
 	answered bool
 	// settledAt is when entries have had the time to report the decisive crash and the answers after it.
@@ -58,7 +60,7 @@
 		return false
 	}
 	order := compareRequestCandidates(other, c)
-	return order < 0 || order == 0 && (c.count == r.cfg.MinCrashes || compareDigests(other.digest, c.digest) < 0)
+	return order < 0 || order == 0 && (c.unexplained == r.cfg.MinCrashes || compareDigests(other.digest, c.digest) < 0)
 }
 
 // count returns the number of crashes under a candidate that another one does not explain.
@@ -161,9 +163,12 @@
 		for _, crash := range q.crashes {
 			if (crash.crash.heldBy == 0 || contest && !firm[crash.crash]) && (apart || r.share(q, crash.crash)) {
 				c.crashes = append(c.crashes, crash)
+				if crash.crash.heldBy == 0 {
+					c.unexplained++
+				}
 			}
 		}
-		c.count = len(c.crashes) + q.adopted
+		c.count, c.unexplained = len(c.crashes)+q.adopted, c.unexplained+q.adopted
 		if c.answered && c.count < r.cfg.MinCrashes+r.crashesWithout(digest, q, answeredHandicap) {
 			// Crashes without the request show that servers crash for another reason too. A popular request is on some of these by chance.
 			continue
@@ -231,14 +236,14 @@
 	return n
 }
 
-// compareRequestCandidates orders candidates: what the first explains counts against no other. The one with the most crashes goes first;
-// an answered one has to have more than another one. Of several with as many, the one with the oldest sound run goes first.
+// compareRequestCandidates orders candidates: what the first explains counts against no other. The one with the most unexplained crashes goes
+// first; an answered one has to have more than another one. Of several with as many, the one with the oldest sound run goes first.
 func compareRequestCandidates(a, b requestCandidate) int {
 	score := func(c requestCandidate) int {
 		if c.answered {
-			return c.count - answeredHandicap
+			return c.unexplained - answeredHandicap
 		}
-		return c.count
+		return c.unexplained
 	}
 	return cmp.Or(cmp.Compare(score(b), score(a)), a.state.soundAt.Compare(b.state.soundAt))
 }
--- a/core/kwquarantine/requests_test.go
+++ b/core/kwquarantine/requests_test.go
@@ -260,6 +260,20 @@
 	f.wantHeld("bad", "rider")
 }
 
+// TestRiderOfHeldRequestYields guards against the hold of a request that has more crashes than the crashing one only with those that a
+// held request explains.
+func TestRiderOfHeldRequestYields(t *testing.T) {
+	f := newFixtureWith(t, DefaultConfig())
+	f.crashesUnder(0, 1, "bad")
+	f.crashesUnder(1, 3, "bad", "rider")
+	f.settleRequests()
+	f.wantHeld("bad")
+	f.crashesUnder(4, 1, "second")
+	f.crashesUnder(5, 2, "second", "rider")
+	f.settleRequests()
+	f.wantHeld("bad", "second")
+}
+
 // TestAnsweredRequestBesideOtherCrashes guards against the hold of a popular request that is on three of four crashes of other causes.
 func TestAnsweredRequestBesideOtherCrashes(t *testing.T) {
 	f := newFixtureWith(t, DefaultConfig())
