--- a/core/kwquarantine/decide_requests.go
+++ b/core/kwquarantine/decide_requests.go
@@ -16,6 +16,8 @@
 	// crashes are those that count, and count their number with those of an earlier leader.
 	crashes []requestCrash
 	count   int
+	// unexplained is the part of count that no held request explains.
+	unexplained int
 	// answered is set if the request was answered within Memory.
 	answered bool
 	// settledAt is when entries have had the time to report the decisive crash and the answers after it.
@@ -58,7 +60,7 @@
 		return false
 	}
 	order := compareRequestCandidates(other, c)
-	return order < 0 || order == 0 && (c.count == r.cfg.MinCrashes || compareDigests(other.digest, c.digest) < 0)
+	return order < 0 || order == 0 && (c.unexplained == r.cfg.MinCrashes || compareDigests(other.digest, c.digest) < 0)
 }
 
 // count returns the number of crashes under a candidate that another one does not explain.
@@ -86,6 +88,19 @@
 	return explained
 }
 
+// lastHolds returns, for each crash under held requests, when the last of these was held.
+func (r *Registry) lastHolds() map[*crashState]time.Time {
+	holds := make(map[*crashState]time.Time)
+	for _, h := range r.heldRequests {
+		for _, c := range h.crashes {
+			if h.heldAt.After(holds[c.crash]) {
+				holds[c.crash] = h.heldAt
+			}
+		}
+	}
+	return holds
+}
+
 // correctRequests releases the requests that were held for the crashes of others, once those explain all of them and have crashed a
 // server since.
 func (r *Registry) correctRequests(now time.Time) {
@@ -129,10 +144,10 @@
 }
 
 // requestCandidates returns the requests under which enough servers crashed, not all at one moment, in the order of the decision. What
-// a held request explains does not count, unless that was contested and a server has crashed without it since.
+// a held request explains does not count, unless that was contested and minCrashesSinceHold servers have crashed without it since.
 func (r *Registry) requestCandidates(o *overlaps) []requestCandidate {
 	var candidates []requestCandidate
-	firm := r.firmlyExplained()
+	firm, holds := r.firmlyExplained(), r.lastHolds()
 	r.countAbout()
 	for digest, q := range r.requests {
 		if len(q.crashes)+q.adopted < r.cfg.MinCrashes {
@@ -144,12 +159,20 @@
 		}
 		c := requestCandidate{digest: digest, state: q, answered: !q.answeredAt.IsZero()}
 		apart := r.crashesApart(q)
+		contest := !c.answered && q.crashesSinceHold(holds) >= minCrashesSinceHold
 		for _, crash := range q.crashes {
-			if (crash.crash.heldBy == 0 || !c.answered && !firm[crash.crash]) && (apart || r.share(q, crash.crash)) {
+			if (crash.crash.heldBy == 0 || contest && !firm[crash.crash]) && (apart || r.share(q, crash.crash)) {
 				c.crashes = append(c.crashes, crash)
+				if crash.crash.heldBy == 0 {
+					c.unexplained++
+				}
 			}
 		}
-		c.count = len(c.crashes) + q.adopted
+		c.count, c.unexplained = len(c.crashes)+q.adopted, c.unexplained+q.adopted
+		if c.answered && c.count < r.cfg.MinCrashes+r.crashesWithout(digest, q, answeredHandicap) {
+			// Crashes without the request show that servers crash for another reason too. A popular request is on some of these by chance.
+			continue
+		}
 		at, ok := r.decisiveRequestCrash(c, r.cfg.RequestSettle)
 		if !ok {
 			continue
@@ -171,6 +194,37 @@
 	return candidates
 }
 
+// crashesSinceHold returns the number of unexplained crashes under a request since the last hold of one that was on some of its crashes.
+func (q *requestState) crashesSinceHold(holds map[*crashState]time.Time) int {
+	var heldAt time.Time
+	for _, c := range q.crashes {
+		if at := holds[c.crash]; at.After(heldAt) {
+			heldAt = at
+		}
+	}
+	n := 0
+	for _, c := range q.crashes {
+		if c.crash.heldBy == 0 && c.crash.recordedAt.After(heldAt) {
+			n++
+		}
+	}
+	return n
+}
+
+// crashesWithout returns how many crashes there were without a request since its first one, whatever explains them, up to a limit.
+func (r *Registry) crashesWithout(digest kwid.RequestDigest, q *requestState, limit int) int {
+	n, first := 0, q.crashes[0].crash.recordedAt
+	for _, crash := range slices.Backward(r.crashes) {
+		if n >= limit || crash.recordedAt.Before(first) {
+			break
+		}
+		if _, ok := crash.digests[digest]; !ok {
+			n++
+		}
+	}
+	return n
+}
+
 // countSince returns the number of crashes under a candidate after an answer.
 func (r *Registry) countSince(c requestCandidate, answeredAt time.Time) int {
 	n := c.state.adopted
@@ -182,14 +236,14 @@
 	return n
 }
 
-// compareRequestCandidates orders candidates: what the first explains counts against no other. The one with the most crashes goes first;
-// an answered one has to have more than another one. Of several with as many, the one with the oldest sound run goes first.
+// compareRequestCandidates orders candidates: what the first explains counts against no other. The one with the most unexplained crashes goes
+// first; an answered one has to have more than another one. Of several with as many, the one with the oldest sound run goes first.
 func compareRequestCandidates(a, b requestCandidate) int {
 	score := func(c requestCandidate) int {
 		if c.answered {
-			return c.count - answeredHandicap
+			return c.unexplained - answeredHandicap
 		}
-		return c.count
+		return c.unexplained
 	}
 	return cmp.Or(cmp.Compare(score(b), score(a)), a.state.soundAt.Compare(b.state.soundAt))
 }
--- a/core/kwquarantine/requests_test.go
+++ b/core/kwquarantine/requests_test.go
@@ -245,6 +245,54 @@
 	f.wantHeld("bad")
 }
 
+// TestCrashAfterContestedHold guards against the hold of a request that ran next to the held one, for one crash of another cause.
+func TestCrashAfterContestedHold(t *testing.T) {
+	f := newFixtureWith(t, DefaultConfig())
+	f.crashesUnder(0, 1, "bad")
+	f.crashesUnder(1, 3, "bad", "rider")
+	f.settleRequests()
+	f.wantHeld("bad")
+	f.crashesUnder(4, 1, "rider")
+	f.settleRequests()
+	f.wantHeld("bad")
+	f.crashesUnder(5, 1, "rider")
+	f.settleRequests()
+	f.wantHeld("bad", "rider")
+}
+
+// TestRiderOfHeldRequestYields guards against the hold of a request that has more crashes than the crashing one only with those that a
+// held request explains.
+func TestRiderOfHeldRequestYields(t *testing.T) {
+	f := newFixtureWith(t, DefaultConfig())
+	f.crashesUnder(0, 1, "bad")
+	f.crashesUnder(1, 3, "bad", "rider")
+	f.settleRequests()
+	f.wantHeld("bad")
+	f.crashesUnder(4, 1, "second")
+	f.crashesUnder(5, 2, "second", "rider")
+	f.settleRequests()
+	f.wantHeld("bad", "second")
+}
+
+// TestAnsweredRequestBesideOtherCrashes guards against the hold of a popular request that is on three of four crashes of other causes.
+func TestAnsweredRequestBesideOtherCrashes(t *testing.T) {
+	f := newFixtureWith(t, DefaultConfig())
+	f.crashUnder(0, "popular")
+	f.advance(time.Second)
+	f.answered(100*time.Millisecond, "popular", false)
+	f.crashesUnder(1, 2, "popular")
+	f.crashesUnder(3, 1, "other")
+	f.crashesUnder(4, 1, "popular")
+	f.settleRequests()
+	f.advance(confirmTime)
+	f.settleRequests()
+	f.wantHeld()
+	// One more crash outweighs the one without it.
+	f.crashesUnder(5, 1, "popular")
+	f.settleRequests()
+	f.wantHeld("popular")
+}
+
 func TestTwoCrashingRequests(t *testing.T) {
 	f := newFixtureWith(t, DefaultConfig())
 	for i := range 3 {
