--- a/core/kwdispatch/admission_simulation_test.go
+++ b/core/kwdispatch/admission_simulation_test.go
@@ -139,7 +139,10 @@
 
 func replayAdmission(entries int, load admissionLoad, way admissionWay, seed uint64) admissionResult {
 	start := time.Unix(1000, 0)
-	s := &simulation{now: start, fleet: replayFleet(), servers: make(map[kwid.EndpointID]*simServer)}
+	s := &simulation{
+		now: start, fleet: replayFleet(), servers: make(map[kwid.EndpointID]*simServer),
+		outcome: outcome{bySize: make(map[float64]int), servedBySize: make(map[float64]int)},
+	}
 	s.entriesPerZone = (entries + replayZones - 1) / replayZones
 	p := &admissionReplay{
 		simulation: s, load: load, way: way, rng: rand.New(rand.NewPCG(seed, uint64(entries))), start: start, epoch: 1,
--- a/io/kwdirectentry/hedge_share_test.go
+++ b/io/kwdirectentry/hedge_share_test.go
@@ -16,6 +16,7 @@
 	"knapweedproxy/core/kwhedge"
 	"knapweedproxy/core/kwid"
 	"knapweedproxy/core/kwmembership"
+	"knapweedproxy/core/kwqueue"
 	"knapweedproxy/io/kwdirectproto"
 	"knapweedproxy/io/kwevent"
 	"knapweedproxy/io/kwtcprpc"
@@ -166,7 +167,7 @@
 		{"a call waits", kwhedge.Queued, func(g *Gateway) {
 			g.scheduler.mu.Lock()
 			defer g.scheduler.mu.Unlock()
-			g.scheduler.callQueue("records").Join(time.Now(), 0, "", time.Minute, kwdispatch.Turns{Wait: time.Second, Rate: 1})
+			g.scheduler.callQueue("records").Join(time.Now(), kwqueue.Place{}, time.Minute, kwdispatch.Turns{Wait: time.Second, Rate: 1})
 		}},
 		{"an endpoint has a limit", kwhedge.Limited, func(g *Gateway) {
 			g.scheduler.limits.Observe(time.Now(), kwmembership.Process{Endpoint: "r1"}, kwendpointlimit.Notice{Kind: kwendpointlimit.Limited, Rate: 1000})
