--- a/core/kwdispatch/returns.go
+++ b/core/kwdispatch/returns.go
@@ -180,7 +180,9 @@
 // room with fewer entries. It answers overloads in which capacity that is freed goes to whoever asks first, at any entry, before those who
 // were told to come back for it. Small requests also leave room for one of the large ones that are rejected, and large ones that come back
 // share room with the fewer: otherwise small ones always take the room before there is enough for a large one.
-func (d *Dispatcher) withholding(now time.Time, r Request) func(server *kwchainsearch.Server, size kwchainsearch.LayerTokens) kwchainsearch.LayerTokens {
+func (d *Dispatcher) withholding(
+	now time.Time, r Request,
+) func(server *kwchainsearch.Server, size kwchainsearch.LayerTokens) kwchainsearch.LayerTokens {
 	sharers, reserved := d.loads.entriesPerZone, 0.0
 	if s := d.returns[r.Service]; s != nil && !r.Broken && r.Size.TotalTokens > 0 {
 		callers, tokens := s.rate(now, r.DeclaredPriority)
--- a/core/kwdispatch/returns_test.go
+++ b/core/kwdispatch/returns_test.go
@@ -32,7 +32,8 @@
 			return got.promised[int(q*float64(len(got.promised)-1))].Round(time.Millisecond)
 		}
 		again := got.returned - got.returnedServed
-		t.Logf("%d entries: %d requests, served %.3f, on time %.3f, late %.3f, rejected %.3f, refused by engines %.3f, rejected again %d (%d by engines) of %d (%.3f), promised %v, %v, %v",
+		t.Logf("%d entries: %d requests, served %.3f, on time %.3f, late %.3f, rejected %.3f, refused by engines %.3f, "+
+			"rejected again %d (%d by engines) of %d (%.3f), promised %v, %v, %v",
 			entries, got.requests, got.share(got.onTime+got.late+got.returnedServed), got.share(got.onTime), got.share(got.late),
 			got.share(got.rejected), got.share(got.refusals),
 			again, got.refusedAgain, got.returned, float64(again)/float64(max(1, got.returned)), quantile(0.1), quantile(0.5), quantile(0.9))
--- a/core/kwdispatch/simulation_test.go
+++ b/core/kwdispatch/simulation_test.go
@@ -296,6 +296,9 @@
 	case d.Granted:
 		s.send(r, d.Chain)
 	case d.Waiter != nil:
+		for _, w := range d.Shed {
+			s.retry(r.entry, w)
+		}
 		if r.entry.waiting[d.Waiter] == nil {
 			r.entry.waiting[d.Waiter] = r
 			s.at(d.Waiter.Deadline(), func() {
--- a/core/kwqueue/queue.go
+++ b/core/kwqueue/queue.go
@@ -62,8 +62,8 @@
 // rank orders requests by priority and lateness.
 func (w *Waiter) rank() int { return w.Urgency.Priority(w.Declared) }
 
-// Queue holds requests that wait for a free slot, by priority, lateness, turns of workspaces and then in arrival order. It is not safe for concurrent use;
-// the caller's lock protects it.
+// Queue holds requests that wait for a free slot, by priority, lateness, turns of workspaces and then in arrival order. It is not safe
+// for concurrent use; the caller's lock protects it.
 type Queue struct {
 	cfg           Config
 	waiters       []*Waiter
--- a/core/kwqueue/urgency_test.go
+++ b/core/kwqueue/urgency_test.go
@@ -73,7 +73,13 @@
 	now := time.Unix(100, 0)
 	q := NewQueue(DefaultConfig())
 	var want []*Waiter
-	places := []Place{{Declared: 0, Urgency: OnTime}, {Declared: 0, Urgency: Late}, {Declared: 1, Urgency: OnTime}, {Declared: 1, Urgency: Late}, {Declared: 2, Urgency: OnTime}}
+	places := []Place{
+		{Declared: 0, Urgency: OnTime},
+		{Declared: 0, Urgency: Late},
+		{Declared: 1, Urgency: OnTime},
+		{Declared: 1, Urgency: Late},
+		{Declared: 2, Urgency: OnTime},
+	}
 	for i := range places {
 		w, _ := q.Push(now, places[len(places)-1-i], objective, time.Minute)
 		want = append([]*Waiter{w}, want...)
