--- a/io/kwdirectentry/scheduler_test.go
+++ b/io/kwdirectentry/scheduler_test.go
@@ -349,3 +349,31 @@
 		t.Errorf("got the rejection after %v, want it at once", got)
 	}
 }
+
+// TestDispatchRequestHasWaitOfService checks that a request carries the longest objective of the less urgent classes of its service, at its
+// workspace's priority, and that its caller comes back: without them, the dispatcher goes by the request's own objective alone.
+func TestDispatchRequestHasWaitOfService(t *testing.T) {
+	f := newSchedulerFixture(1)
+	target := []kwdeclaration.Target{{Service: testService, Weight: 1}}
+	urgent, background := *f.route, *f.route
+	urgent.Targets, background.Targets = target, target
+	urgent.Priority, background.Priority, background.LatencyObjective = 1, 2, 1200*time.Millisecond
+	f.view.index = kwdeclaration.NewIndex(&kwdeclaration.Declaration{Number: 1, Routes: []kwdeclaration.Route{urgent, background}})
+	last := 3
+	for _, c := range []struct {
+		workspace *kwdeclaration.Workspace
+		want      time.Duration
+	}{{nil, 1200 * time.Millisecond}, {&kwdeclaration.Workspace{Priority: &last}, 0}} {
+		r := &request{route: &urgent, service: testService, workspace: c.workspace, arrived: time.Now(), returning: true}
+		got := f.chainRequest(r).dispatchRequest(t.Context())
+		if got.WaitObjective != c.want || !got.Returning {
+			t.Errorf("workspace %+v: got a wait objective of %v, returning %t, want %v, true", c.workspace, got.WaitObjective, got.Returning, c.want)
+		}
+	}
+	now := time.Now()
+	for i, want := range []bool{false, true} {
+		if got := f.scheduler.observeCaller(now, "r", time.Duration(2-i)*time.Second); got != want {
+			t.Errorf("caller with %d s left: got %t, want %t", 2-i, got, want)
+		}
+	}
+}
