Await the count of crashes in TestCutOffEntryHoldsWhatItSaw

Cause: a request is held if its three crashes span 400 ms, and the test waited exactly that long between two requests. An entry counts a crash in another goroutine, after its report is collected. Beside other work the first two crashes were counted late and the third was not: in a traced failure at 423, 423 and 822 ms, a span of 399 ms, so that a fourth crash was needed (got [502 502 502 503 503] with 4 requests).

The test now waits until the crashes of a request are counted, and then for RequestSpread. The statuses and the number of requests that it wants are as before.

--- a/io/kwdirectentry/held_requests_test.go
+++ b/io/kwdirectentry/held_requests_test.go
@@ -425,10 +425,22 @@
 	}
 	setRecordsServers(g, servers...)
 	var statuses []int
-	for range 5 {
+	counted := func() int {
+		for _, s := range g.partGuard.SuspectRequests(time.Now()) {
+			if s.Digest == digestOf("/lookups/x") {
+				return s.Crashes
+			}
+		}
+		return 0
+	}
+	for i := range 5 {
 		status, _ := post(t, http.DefaultClient, g, "/lookups/x", "r")
 		statuses = append(statuses, status)
-		time.Sleep(400 * time.Millisecond)
+		// The first request crashes two servers and the second one. They are counted after their report, in another goroutine.
+		if crashes := i + 2; crashes <= 3 {
+			awaitTrue(t, "the count of crashes", func() bool { return counted() == crashes })
+		}
+		time.Sleep(kwquarantine.DefaultConfig().RequestSpread)
 	}
 	want := []int{502, 502, 503, 503, 503}
 	if !slices.Equal(statuses, want) || arrived.Load() != 3 {
