--- a/core/kwdispatch/returns_test.go
+++ b/core/kwdispatch/returns_test.go
@@ -11,6 +11,11 @@
 	testPromises(t, loadPattern{utilization: 1.3, duration: 4 * time.Second})
 }
 
+// TestPromisesAreKeptInLongRush plays the same overload for longer than the longest promise.
+func TestPromisesAreKeptInLongRush(t *testing.T) {
+	testPromises(t, loadPattern{utilization: 1.3, duration: 6 * time.Second})
+}
+
 // TestPromisesAreKeptInSurge plays a short overload of twice what the fleet serves.
 func TestPromisesAreKeptInSurge(t *testing.T) {
 	testPromises(t, loadPattern{utilization: 2, duration: 2 * time.Second})
