Keep room for returning callers only where operators ask for it

Cause: while requests are rejected, entries left up to a quarter of each model server to callers that come back and to large prompts.

The replays of promises and of large prompts play 0.25 as before. The spread of Retry-After and the order of returning callers stay on.

--- a/core/kwdispatch/dispatcher.go
+++ b/core/kwdispatch/dispatcher.go
@@ -28,6 +28,9 @@
 	PauseOf func(now time.Time, id kwid.EndpointID) time.Duration
 	// Limits are the limits on the requests that first endpoints take; nil stands for none.
 	Limits RequestLimits
+	// ReturnReserve is the share of a server's KV cache that is kept at most for callers that were told to come back, and for large prompts,
+	// while requests are rejected; 0 keeps none. Fewer callers are rejected twice with it, and more at once.
+	ReturnReserve float64
 	// Admission keeps back requests while more urgent ones are short of capacity; nil stands for none.
 	Admission Admission
 }
--- a/core/kwdispatch/returns.go
+++ b/core/kwdispatch/returns.go
@@ -33,9 +33,6 @@
 	// little as 0.46 and 0.48 as often as all in the replay, with 0.95 at least 0.56.
 	maxRejectedSizes = 32
 	largeQuantile    = 0.95
-	// maxReservedShare bounds the share of a server's KV cache that is kept for callers that come back. In the replays, 0.25 and 0.35 were
-	// equally good.
-	maxReservedShare = 0.25
 )
 
 // ReturnDetector recognises callers that were rejected before and come back, possibly to another entry, by a remaining time shorter than
@@ -184,7 +181,7 @@
 	now time.Time, r Request,
 ) func(server *kwchainsearch.Server, size kwchainsearch.LayerTokens) kwchainsearch.LayerTokens {
 	sharers, reserved := d.loads.entriesPerZone, 0.0
-	if s := d.returns[r.Service]; s != nil && !r.Broken && r.Size.TotalTokens > 0 {
+	if s := d.returns[r.Service]; s != nil && d.cfg.ReturnReserve > 0 && !r.Broken && r.Size.TotalTokens > 0 {
 		callers, tokens := s.rate(now, r.DeclaredPriority)
 		rejecting := now.Sub(s.lastRejection) < returnMemory
 		if r.Returning {
@@ -202,7 +199,7 @@
 		reserved /= r.Size.TotalTokens
 	}
 	return func(server *kwchainsearch.Server, size kwchainsearch.LayerTokens) kwchainsearch.LayerTokens {
-		reserve := min(size*kwchainsearch.LayerTokens(reserved), maxReservedShare*server.Capacity)
+		reserve := min(size*kwchainsearch.LayerTokens(reserved), kwchainsearch.LayerTokens(d.cfg.ReturnReserve)*server.Capacity)
 		return d.loads.withheld(now, server, size, reserve, sharers)
 	}
 }
--- a/core/kwdispatch/returns_test.go
+++ b/core/kwdispatch/returns_test.go
@@ -25,6 +25,7 @@
 // time they were told may be rejected again.
 func testPromises(t *testing.T, p loadPattern) {
 	// The longest promise is 4 s.
+	p.returnReserve = 0.25
 	p.elsewhere, p.before, p.after = true, 2*time.Second, 4500*time.Millisecond
 	const minReturned = 100
 	for _, entries := range []int{8, 22, 70, 370} {
--- a/core/kwdispatch/sizes_test.go
+++ b/core/kwdispatch/sizes_test.go
@@ -22,7 +22,8 @@
 	}
 	for _, entries := range []int{8, 22, 70, 370} {
 		got := simulate(entries, loadPattern{
-			utilization: 0.95, elsewhere: true, before: 2 * time.Second, duration: 4 * time.Second, after: 4500 * time.Millisecond, sizes: sizes,
+			returnReserve: 0.25,
+			utilization:   0.95, elsewhere: true, before: 2 * time.Second, duration: 4 * time.Second, after: 4500 * time.Millisecond, sizes: sizes,
 		}, 1, true)
 		share := func(size float64) float64 { return float64(got.servedBySize[size]) / float64(max(1, got.bySize[size])) }
 		all := got.share(got.onTime + got.late + got.returnedServed)
--- a/io/kwdirectentry/config.go
+++ b/io/kwdirectentry/config.go
@@ -34,6 +34,8 @@
 	Queue kwqueue.Config
 	// Ejector configures the outlier ejection of endpoints.
 	Ejector kwretry.EjectorConfig
+	// ReturnReserve is the share of each model server that is kept at most for callers that come back after a rejection.
+	ReturnReserve float64
 	// HedgeShare limits hedged requests to a share of the requests of each service while the declaration names no limit; 0 hedges none.
 	HedgeShare float64
 }
--- a/io/kwdirectentry/scheduler.go
+++ b/io/kwdirectentry/scheduler.go
@@ -70,7 +70,7 @@
 		cfg: cfg,
 		dispatcher: kwdispatch.New(kwdispatch.Config{
 			Entry: cfg.Node, Zone: cfg.Zone, Queue: cfg.Queue, Unavailable: unavailable, Silent: silent, PauseOf: pauseOf,
-			Limits: endpointLimits{limits, leavers}, Admission: admission,
+			Limits: endpointLimits{limits, leavers}, Admission: admission, ReturnReserve: cfg.ReturnReserve,
 		}),
 		inFlight:         make(map[kwid.EndpointID]int),
 		reportedInFlight: make(map[kwid.EndpointID]int),
