Count an abandoned wait without emptying the counts of admission control

Cause: by reading. A caller that leaves while it waits is recorded at the deadline of its wait, up to a second ahead, and the sliding window of its class moves there: counts of as long a time are emptied, and the following ones fall into buckets ahead of the present.

Change: an abandoned wait only ends the wait; it counts as neither granted nor rejected.

--- a/core/kwadmission/gate.go
+++ b/core/kwadmission/gate.go
@@ -267,7 +267,10 @@
 	case Queued:
 		c.counts.waiting++
 		return
-	case GrantedAfterWait, RejectedAfterWait, Abandoned:
+	case Abandoned:
+		c.counts.waiting = max(0, c.counts.waiting-1)
+		return
+	case GrantedAfterWait, RejectedAfterWait:
 		c.counts.waiting = max(0, c.counts.waiting-1)
 	}
 	b := &c.counts.buckets[c.counts.advance(now, g.cfg.Control.Window)]
--- a/core/kwadmission/kwadmission_test.go
+++ b/core/kwadmission/kwadmission_test.go
@@ -143,3 +143,21 @@
 		t.Errorf("got share %v after urgent requests were granted for 15 s, want 1", v.Share)
 	}
 }
+
+// TestAbandonedWaitKeepsCounts guards against a wait that is recorded as abandoned at its deadline, ahead of the present, and so empties
+// counts of the last two seconds.
+func TestAbandonedWaitKeepsCounts(t *testing.T) {
+	g := newTestGate("e")
+	for i := range 10 {
+		now := start.Add(time.Duration(i) * 100 * time.Millisecond)
+		g.Admit(now, service, 2, false)
+		g.Record(now, service, 2, Queued)
+	}
+	now := start.Add(time.Second)
+	g.Record(now.Add(1500*time.Millisecond), service, 2, Abandoned)
+	for _, r := range g.Rows(now) {
+		if r.Priority == 2 && (r.Arrivals != 10 || r.Waiting != 9) {
+			t.Errorf("got %d arrivals and %d waiting, want 10 and 9", r.Arrivals, r.Waiting)
+		}
+	}
+}
--- a/core/kwdispatch/dispatcher.go
+++ b/core/kwdispatch/dispatcher.go
@@ -161,9 +161,8 @@
 }
 
 // dispatch is Dispatch without admission control. A request is granted the best chain that has room and can be expected to send its first
-// event in time,
-// so that requests wait here, where the most urgent goes first, and not inside the engines. Under a load that all chains together
-// cannot serve, a request waits only if it can expect its turn before its wait limit; any other is rejected at once, unless some
+// event in time, so that requests wait here, where the most urgent goes first, and not inside the engines. Under a load that all chains
+// together cannot serve, a request waits only if it can expect its turn before its wait limit; any other is rejected at once, unless some
 // chain has room although its answer will be late. A broken stream passes the queue, since its caller's pause has begun.
 func (d *Dispatcher) dispatch(now time.Time, fleet Fleet, r Request) Decision {
 	if d.queue.Len() == 0 || r.Broken {
