--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -19,7 +19,7 @@
 var scenarios = map[string]scenario{
 	"backlog": backlog,
 	"extra":   extraAnswers,
-	"bodies":  largeBodies,
+	"layers":  fewerLayers,
 	"ping":    incompletePing,
 }
 
--- a/review/standin/operator.go
+++ b/review/standin/operator.go
@@ -28,6 +28,8 @@
 	tenants  []tenant
 	version  int
 	next     int
+	// layers is the number of layers of the model, 0 if there are no model servers.
+	layers int
 }
 
 type tenant struct {
@@ -47,6 +49,9 @@
 	Service    string `json:"service"`
 	Attempts   int    `json:"attempts"`
 	Public     bool   `json:"public"`
+	Sticky     bool   `json:"sticky"`
+	Resumable  bool   `json:"resumable"`
+	GapSLOMS   int    `json:"gap_slo_ms"`
 }
 
 func newOperator(p *platform, tenants int) *operator {
@@ -79,19 +84,30 @@
 	o.version++
 	t := &o.tenants[o.rng.IntN(len(o.tenants))]
 	t.APIKeys[1] = o.word("", keyBytes)
-	body, err := json.Marshal(map[string]any{
-		"version": o.version,
-		"routes": []route{
-			{
-				Name: "alerts", Host: host, PathPrefix: "/alerts/", RouteType: "non_idempotent", TimeoutMS: 1000, SLOMS: 100, Priority: 2,
-				Service: "records", Attempts: 1,
-			},
-			{
-				Name: "lookups", Host: host, PathPrefix: "/lookups/", RouteType: "idempotent", TimeoutMS: 1000, SLOMS: 100, Priority: 2,
-				Service: "records", Attempts: 2,
-			},
+	routes := []route{
+		{
+			Name: "alerts", Host: host, PathPrefix: "/alerts/", RouteType: "non_idempotent", TimeoutMS: 1000, SLOMS: 100, Priority: 2,
+			Service: "records", Attempts: 1,
+		},
+		{
+			Name: "lookups", Host: host, PathPrefix: "/lookups/", RouteType: "idempotent", TimeoutMS: 1000, SLOMS: 100, Priority: 2,
+			Service: "records", Attempts: 2,
 		},
-		"services": []any{map[string]any{"name": "records", "health_path": "/healthz", "max_conns": 120, "protocol": "h1", "tls": false}},
+	}
+	services := []any{map[string]any{"name": "records", "health_path": "/healthz", "max_conns": 120, "protocol": "h1", "tls": false}}
+	if o.layers > 0 {
+		routes = append(routes, route{
+			Name: "notes", Host: host, PathPrefix: "/notes/", RouteType: "streaming", TimeoutMS: 20000, SLOMS: 500, Priority: 1, Service: "drafter",
+			Attempts: 2, Sticky: true, Resumable: true, GapSLOMS: 250,
+		})
+		services = append(services, map[string]any{
+			"name": "drafter", "health_path": "/healthz", "max_conns": 1148, "protocol": "h1", "tls": false, "engine": engine(o.layers),
+		})
+	}
+	body, err := json.Marshal(map[string]any{
+		"version":  o.version,
+		"routes":   routes,
+		"services": services,
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		"tenants":  o.tenants,
 	})
@@ -121,6 +137,24 @@
 	return err
 }
 
+// firstConfirmation bounds the wait for the first confirmation.
+const firstConfirmation = 15 * time.Second
+
+// sendFirst sends the first manifest until it is confirmed.
+func (o *operator) sendFirst() error {
+	_, body := o.manifest()
+	for began := time.Now(); ; {
+		err := o.send(body)
+		if err == nil {
+			o.platform.record.logf("the first manifest, of %d bytes, is confirmed", len(body))
+			return nil
+		}
+		if time.Since(began) > firstConfirmation {
+			return fmt.Errorf("the first manifest: %w", err)
+		}
+	}
+}
+
 var errNoManifest = errors.New("no control process has returned the manifest")
 
 // read reads the manifest from one control process after the other, and returns its version.
