--- a/review/standin/platform.go
+++ b/review/standin/platform.go
@@ -128,14 +128,6 @@
 
 func (m *machine) address(port int) string { return net.JoinHostPort(m.ip, strconv.Itoa(port)) }
 
-// processes returns the processes of a machine.
-func (m *machine) processes() []*process {
-	if m.control == nil {
-		return []*process{m.entry}
-	}
-	return []*process{m.control, m.entry}
-}
-
 // settings returns the settings file of a process, as the users' pages describe it.
 func (p *process) settings() string {
 	m := p.machine
@@ -281,38 +273,6 @@
 	return p.ownEnds
 }
 
-// limitMemory kills processes that use more than memory_mb, as the platform does, until the returned function is called.
-func (p *platform) limitMemory(interval time.Duration) (stop func()) {
-	done := make(chan struct{})
-	go func() {
-		for {
-			select {
-			case <-done:
-				return
-			case <-time.After(interval):
-			}
-			for _, m := range p.machines {
-				for _, proc := range m.processes() {
-					if used := proc.residentMB(); used > memoryMB {
-						p.record.logf("the %s process of %s uses %d MB, more than memory_mb: it is killed", proc.role, m.name, used)
-						proc.killForMemory()
-					}
-				}
-			}
-		}
-	}()
-	return func() { close(done) }
-}
-
-// killForMemory kills the process for its use of memory, which counts as an end by itself.
-func (p *process) killForMemory() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.cmd != nil {
-		_ = p.cmd.Process.Kill()
-	}
-}
-
 // residentMB returns the resident memory of the process in binary megabytes, 0 if it does not run.
 func (p *process) residentMB() int {
 	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.pid()))
