--- a/review/standin/callers.go
+++ b/review/standin/callers.go
@@ -37,6 +37,8 @@
 	req.Header.Set("X-Knapweedproxy-Request-Id", out.id)
 	req.Header.Set("X-Knapweedproxy-Deadline-Ms", strconv.FormatInt(wait.Milliseconds(), 10))
 	req.Header.Set("Authorization", "Bearer "+callerKey)
+	req.Header.Set("X-Knapweedproxy-Token-Count", "40,12")
+	req.Header.Set("X-Knapweedproxy-Length-Hint", "12")
 	client := http.Client{Timeout: wait, Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := client.Do(req)
 	if err != nil {
@@ -51,6 +53,12 @@
 	return out, nil
 }
 
+// streamFrom asks the entry of a machine for a stream and records what came.
+func streamFrom(r *record, m *machine) {
+	a, err := call(m, http.MethodPost, "/notes/2f", []byte("prompt"), 2*time.Second)
+	r.logf("a stream from %s: status %d, %d bytes, error %v, %.160q", m.name, a.status, len(a.body), err, a.body)
+}
+
 // tally counts what lookups have come to.
 type tally struct {
 	sent, served int
--- a/review/standin/extra.go
+++ b/review/standin/extra.go
@@ -43,7 +43,7 @@
 			return
 		}
 		id := req.Header.Get("X-Knapweedproxy-Request-Id")
-		s.recordRun(id)
+		s.recordRun()
 		if faulty && served > 0 && s.runCount()%spoiledEvery == 0 {
 			if _, err := io.WriteString(c, extraBytes); err != nil {
 				return
--- a/review/standin/models.go
+++ b/review/standin/models.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -16,6 +18,8 @@
 	// orderTime is how long a model server takes to load the layers of an order.
 	orderTime = 300 * time.Millisecond
 	modelPort = 18120
+	// streamEvents is the number of events of a stream.
+	streamEvents = 3
 )
 
 // modelServer is a sound model server as far as orders, reports and heartbeats go.
@@ -40,6 +44,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /order", s.order)
 	mux.HandleFunc("GET /report", s.report)
+	mux.HandleFunc("POST /notes/", s.stream)
 	go func() { _ = http.Serve(s.listener, mux) }()
 	go s.sendHeartbeats()
 	return s, nil
@@ -94,6 +99,24 @@
 	})
 }
 
+// stream answers a stream as the first server of its chain.
+func (s *modelServer) stream(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("X-Knapweedproxy-Request-Id")
+	w.Header().Set("X-Knapweedproxy-Request-Id", id)
+	if want := r.Header.Get("X-Knapweedproxy-Expect-Instance"); want != "" && want != s.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("X-Knapweedproxy-Response-Stamp", "stamp-"+id)
+	for event := 1; event <= streamEvents; event++ {
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", event, id)
+	}
+}
+
 func (s *modelServer) close() {
 	s.stopHeartbeats()
 	_ = s.listener.Close()
