--- a/review/standin/operator.go
+++ b/review/standin/operator.go
@@ -155,6 +155,20 @@
 	}
 }
 
+// sendTo sends a manifest to the control process of one machine.
+func (o *operator) sendTo(m *machine, body []byte) error {
+	resp, err := o.client.Post("http://"+m.address(controlPort)+"/config/replace", "application/json", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, _ := io.ReadAll(resp.Body)
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s: status %d %.120s", m.name, resp.StatusCode, text)
+	}
+	return nil
+}
+
 var errNoManifest = errors.New("no control process has returned the manifest")
 
 // read reads the manifest from one control process after the other, and returns its version.
