--- a/core/kwquarantine/simulation_test.go
+++ b/core/kwquarantine/simulation_test.go
@@ -49,9 +49,29 @@
 	heedSuspects bool
 	// interleave mixes the requests of several sessions.
 	interleave bool
+	// callerRetries is how often a caller sends a request again that failed, each time at another entry.
+	callerRetries int
+	// crashingRates are those of further crashing parts.
+	crashingRates []float64
+	// otherCrashes is the number of servers a second that crash for another reason from crashesFrom on.
+	otherCrashes float64
+	// newLeaderEvery is the time between two changes of leader from crashesFrom on, 0 for none.
+	newLeaderEvery time.Duration
+	// cutOff is the number of entries that have no contact with control from crashesFrom on, for half of the time.
+	cutOff int
+	// crashesFor is how long the simulation goes on after crashesFrom, 0 for simulatedDuration in all.
+	crashesFor time.Duration
 	seed       uint64
 }
 
+// duration returns how long the simulation goes on.
+func (c simulationConfig) duration() time.Duration {
+	if c.crashesFor > 0 {
+		return crashesFrom + c.crashesFor
+	}
+	return simulatedDuration + c.outage
+}
+
 const (
 	// The ID of the crashing part is the largest, so that no choice by ID favors it.
 	crashingPart = kwid.PromptPartID("the-crashing-part")
@@ -85,10 +105,12 @@
 // simulatedRequest is one request and its present stream.
 type simulatedRequest struct {
 	id       kwid.RequestID
+	digest   kwid.RequestDigest
 	entry    *simulatedEntry
 	parts    []kwid.PromptPartID
 	crashing bool
 	attempts int
+	retries  int
 	waits    int
 	// events is the number of events that the present stream has received, up to 2.
 	events int
@@ -104,7 +126,12 @@
 }
 
 type simulatedEntry struct {
-	guard *Guard
+	guard  *Guard
+	cutOff bool
+	// inTouchSince is when it last was cut off.
+	inTouchSince time.Time
+	// leader is the number of the leader whose view it has.
+	leader int
 }
 
 type simulatedEvent struct {
@@ -141,14 +168,17 @@
 	events   eventHeap
 	pushed   int
 	registry *Registry
+	leader   int
 	entries  []*simulatedEntry
 	servers  []*simulatedServer
 	requests int
+	// refused counts the requests without a crashing part that were kept from servers.
+	refused int
 	// requestsOf counts the requests with and without the crashing part.
 	requestsOf map[bool]int
 
 	crashes []time.Time
-	// crashingSent is when requests with the crashing part were sent to a server after crashesFrom.
+	// crashingSent is when entries in touch sent requests with the crashing part to a server after crashesFrom.
 	crashingSent []time.Time
 	served       []time.Time
 	heldSince    map[kwid.PromptPartID]time.Time
@@ -169,10 +199,20 @@
 		requestsOf: make(map[bool]int),
 	}
 	s.now = s.start
-	for range cfg.entries {
+	for i := range cfg.entries {
 		e := &simulatedEntry{guard: NewGuard(DefaultGuardConfig())}
 		s.entries = append(s.entries, e)
 		s.after(s.between(0, simulatedWatch), func() { s.watch(e) })
+		if i < cfg.cutOff {
+			s.after(crashesFrom, func() { e.cutOff = true })
+			s.after(crashesFrom+(cfg.duration()-crashesFrom)/2, func() { e.cutOff, e.inTouchSince = false, s.now })
+		}
+	}
+	if cfg.newLeaderEvery > 0 {
+		s.after(crashesFrom+s.between(0, cfg.newLeaderEvery), s.changeLeader)
+	}
+	if cfg.otherCrashes > 0 {
+		s.after(crashesFrom, s.crashOther)
 	}
 	for i := range cfg.servers {
 		s.servers = append(s.servers, &simulatedServer{
@@ -199,6 +239,21 @@
 	return s
 }
 
+// changeLeader makes another process lead, which knows nothing, and the next one later.
+func (s *simulation) changeLeader() {
+	s.leader++
+	s.registry = NewRegistry(DefaultConfig())
+	s.after(s.cfg.newLeaderEvery, s.changeLeader)
+}
+
+// crashOther crashes a server for another reason, and the next one after a random time.
+func (s *simulation) crashOther() {
+	if server := s.servers[s.rng.IntN(len(s.servers))]; server.up {
+		s.crash(server)
+	}
+	s.after(time.Duration(s.rng.ExpFloat64()/s.cfg.otherCrashes*float64(time.Second)), s.crashOther)
+}
+
 func (s *simulation) after(d time.Duration, run func()) {
 	s.pushed++
 	heap.Push(&s.events, &simulatedEvent{at: s.now.Sub(s.start) + d, number: s.pushed, run: run})
@@ -216,7 +271,7 @@
 func (s *simulation) run() {
 	for len(s.events) > 0 {
 		event := heap.Pop(&s.events).(*simulatedEvent)
-		if event.at > simulatedDuration+s.cfg.outage {
+		if event.at > s.cfg.duration() {
 			break
 		}
 		s.now = s.start.Add(event.at)
@@ -229,18 +284,33 @@
 
 // watch reports the sound requests of an entry to the leader and applies its view.
 func (s *simulation) watch(e *simulatedEntry) {
-	sounds := e.guard.Sounds(s.now)
+	s.after(simulatedWatch, func() { s.watch(e) })
+	if e.cutOff {
+		return
+	}
+	sounds, soundRequests := e.guard.Sounds(s.now), e.guard.SoundRequests(s.now)
 	age, served := e.guard.LastSound(s.now)
+	held, heldRequests, suspectRequests, leader := e.guard.Held(s.now), e.guard.HeldRequests(s.now), e.guard.SuspectRequests(s.now), e.leader
 	s.after(s.callDelay(), func() {
+		if leader != s.leader {
+			s.registry.Adopt(s.now, held)
+			s.registry.AdoptRequests(s.now, heldRequests, suspectRequests)
+		}
 		s.registry.RecordSound(s.now, sounds)
+		s.registry.RecordSoundRequests(s.now, soundRequests)
 		if served {
 			s.registry.RecordServed(s.now, age)
 		}
 		s.decide()
+		by := s.leader
 		suspects, quarantined := s.registry.Suspects(s.now), s.registry.Quarantined(s.now)
-		s.after(s.callDelay(), func() { e.guard.Apply(s.now, suspects, quarantined, false) })
+		suspectRequests, heldRequests := s.registry.SuspectRequests(s.now), s.registry.HeldRequests(s.now)
+		s.after(s.callDelay(), func() {
+			e.leader = by
+			e.guard.Apply(s.now, suspects, quarantined, false)
+			e.guard.ApplyRequests(s.now, suspectRequests, heldRequests, false)
+		})
 	})
-	s.after(simulatedWatch, func() { s.watch(e) })
 }
 
 func (s *simulation) decide() {
@@ -281,6 +351,7 @@
 	} else {
 		req.parts = append(req.parts, s.middlePart())
 	}
+	req.digest = DigestRequest("host", "/", "caller", []byte(req.id))
 	s.attempt(req)
 	s.after(time.Duration(s.rng.ExpFloat64()/rate*float64(time.Second)), func() { s.arrive(rate, crashing) })
 }
@@ -291,7 +362,12 @@
 
 // attempt sends a request to a server, unless one of its parts is quarantined; without a server it waits.
 func (s *simulation) attempt(req *simulatedRequest) {
-	if _, ok := req.entry.guard.Check(s.now, req.parts); ok {
+	_, quarantined := req.entry.guard.Check(s.now, req.parts)
+	_, held := req.entry.guard.CheckRequest(s.now, req.digest)
+	if quarantined || held {
+		if !req.crashing {
+			s.refused++
+		}
 		return
 	}
 	server := s.upServer()
@@ -306,7 +382,7 @@
 	server.streams[req] = struct{}{}
 	server.order = append(server.order, req)
 	crashes := func() bool { return req.crashing && s.now.Sub(s.start) >= crashesFrom }
-	if crashes() {
+	if crashes() && !req.entry.cutOff && s.now.Sub(req.entry.inTouchSince) >= stopWithin {
 		s.crashingSent = append(s.crashingSent, s.now)
 	}
 	process := server.started
@@ -329,6 +405,7 @@
 			req.entry.guard.RecordSound(s.now, req.parts)
 			step(s.between(500*time.Millisecond, 5*time.Second), func() {
 				delete(server.streams, req)
+				req.entry.guard.RecordAnswered(s.now, kwmembership.Process{Endpoint: server.id, StartedMillis: process}, req.digest)
 				s.served = append(s.served, s.now)
 			})
 		})
@@ -346,22 +423,33 @@
 	return nil
 }
 
-// crash ends a server and its streams; those without a second event look like the culprit and are repeated.
+// crash ends a server and its streams; those without a second event look like the culprit. All are repeated that have attempts left,
+// by their entries and then by their callers.
 func (s *simulation) crash(server *simulatedServer) {
 	s.crashes = append(s.crashes, s.now)
 	id := kwmembership.Process{Endpoint: server.id, StartedMillis: server.started}
 	for _, req := range server.order {
-		if _, ok := server.streams[req]; !ok || req.events > 1 {
+		if _, ok := server.streams[req]; !ok {
+			continue
+		}
+		evidence := Evidence{Crash: id, Request: req.id, Digest: req.digest}
+		if req.events <= 1 {
+			evidence.Parts = req.parts
+		} else if s.cfg.callerRetries == 0 {
 			continue
 		}
 		delete(server.streams, req)
-		evidence := Evidence{Crash: id, Request: req.id, Parts: req.parts}
-		s.after(s.callDelay(), func() {
-			s.registry.RecordCrash(s.now, evidence)
-			s.decide()
-		})
-		if req.attempts < simulatedAttempts && !(s.cfg.heedSuspects && req.entry.guard.Suspected(s.now, req.parts)) {
+		e := req.entry
+		s.report(e, evidence)
+		switch {
+		case req.attempts < simulatedAttempts && !(s.cfg.heedSuspects && e.guard.Suspected(s.now, req.parts)):
 			s.after(s.between(10*time.Millisecond, 100*time.Millisecond), func() { s.attempt(req) })
+		case req.retries < s.cfg.callerRetries:
+			retry := &simulatedRequest{
+				id: req.id, digest: req.digest, entry: s.entries[s.rng.IntN(len(s.entries))], parts: req.parts, crashing: req.crashing,
+				retries: req.retries + 1,
+			}
+			s.after(s.between(100*time.Millisecond, time.Second), func() { s.attempt(retry) })
 		}
 	}
 	clear(server.streams)
@@ -373,6 +461,18 @@
 	})
 }
 
+// report reports a request of a crash to the leader, as soon as the entry is in touch with it.
+func (s *simulation) report(e *simulatedEntry, evidence Evidence) {
+	if e.cutOff {
+		s.after(simulatedWatch, func() { s.report(e, evidence) })
+		return
+	}
+	s.after(s.callDelay(), func() {
+		s.registry.RecordCrash(s.now, evidence)
+		s.decide()
+	})
+}
+
 // TestCrashingPartStopsAfterFewServers simulates fleets whose servers crash under one part, from its first request on or after it
 // was served soundly. At most three of its requests may be sent later than 3 s after the fifth crash, and no other part may be
 // quarantined for longer than 1 s.
