Keep parts that came together from servers together, until they are told apart

What callers saw: servers crash one after the other under a rare part of prompts. Cause: the part of a session is on the same crashes as the crashing part that its prompts have. One of the two was chosen by its ID, and took the crashes away from the other for good; the next session began anew. The class of fault is a guess between causes that fit the evidence alike, which no later evidence corrects.

Parts that were in the same requests of all crashes are now quarantined together: only prompts with all of them are kept from servers. The first crash without one of them, or a sound request with one, leaves the others. The crashes under a quarantine go on counting for its own parts.

--- a/core/kwquarantine/adopt.go
+++ b/core/kwquarantine/adopt.go
@@ -21,7 +21,10 @@
 		until := now.Add(remaining)
 		q, ok := r.quarantined[adopted.Part]
 		if !ok {
-			r.hold(adopted.Part, &quarantineState{term: max(remaining, r.cfg.FirstTerm), until: until})
+			r.hold(&quarantineState{
+				part: adopted.Part, with: slices.Clone(adopted.With[:min(len(adopted.With), maxPartsPerEvidence)]), heldAt: now,
+				term: max(remaining, r.cfg.FirstTerm), until: until,
+			})
 			continue
 		}
 		if q.trialAt.IsZero() && until.After(q.until) {
--- a/core/kwquarantine/crashes.go
+++ b/core/kwquarantine/crashes.go
@@ -29,8 +29,12 @@
 type crashState struct {
 	id         kwmembership.Process
 	recordedAt time.Time
-	// explained is set when a request with a quarantined part was among those that the crash ended.
-	explained bool
+	// explained is set when a request with a quarantined part was among those that the crash ended; explainedBy is the quarantine, nil
+	// if the crash counts for nothing.
+	explained   bool
+	explainedBy *quarantineState
+	// prompts holds the parts of the requests that the crash ended, at most maxPromptsPerCrash.
+	prompts [][]kwid.PromptPartID
 	// parts holds the parts of the requests that the crash ended.
 	parts map[kwid.PromptPartID]struct{}
 	// digests holds the remembered requests that the crash ended, and heldBy how many of them are held.
@@ -40,7 +44,12 @@
 	about int
 }
 
-// partCrash is an unexplained crash under a part.
+// explainedWith reports whether the crash is explained by a quarantine of this part, alone or with others.
+func (c *crashState) explainedWith(part kwid.PromptPartID) bool {
+	return c.explainedBy != nil && c.explainedBy.has(part)
+}
+
+// partCrash is a crash under a part that no quarantine without the part explains.
 type partCrash struct {
 	crash *crashState
 	// recordedAt is when the first evidence with the part was recorded.
@@ -66,6 +75,17 @@
 	return n
 }
 
+// unexplained returns the number of crashes that no quarantine explains.
+func (p *partState) unexplained() int {
+	n := 0
+	for _, c := range p.crashes {
+		if !c.crash.explained {
+			n++
+		}
+	}
+	return n
+}
+
 // RecordCrash records a request that a crash has ended. A request with a quarantined part explains the crash, as one that is held
 // does for all but its own parts; either fails its trial if that started before the crash.
 func (r *Registry) RecordCrash(now time.Time, ev Evidence) {
@@ -76,10 +96,10 @@
 	parts := ev.Parts[:min(len(ev.Parts), maxPartsPerEvidence)]
 	for _, part := range parts {
 		q, ok := r.quarantined[part]
-		if !ok {
+		if !ok || !q.keeps(parts) {
 			continue
 		}
-		r.explain(crash)
+		r.explain(crash, q)
 		if !q.trialAt.IsZero() && !crash.recordedAt.Before(q.trialAt) {
 			q.term = min(2*q.term, r.cfg.MaxTerm)
 			q.until, q.trialAt = now.Add(q.term), time.Time{}
@@ -100,6 +120,9 @@
 	if crash.heldBy > 0 && r.heldRequests[digest] == nil {
 		return
 	}
+	if len(parts) > 0 && len(crash.prompts) < maxPromptsPerCrash {
+		crash.prompts = append(crash.prompts, parts)
+	}
 	for _, part := range parts {
 		r.suspect(now, part, crash, digest)
 	}
@@ -110,7 +133,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.forget(now)
-	r.explain(r.recordCrash(now, id))
+	r.explain(r.recordCrash(now, id), nil)
 }
 
 // recordCrash returns the state of a crash, which is new if this is the first evidence of it.
@@ -203,13 +226,13 @@
 	r.suspectsValid = false
 }
 
-// explain stops a crash from counting against any part.
-func (r *Registry) explain(crash *crashState) {
+// explain stops a crash from counting against any part but those of the quarantine that explains it, if any.
+func (r *Registry) explain(crash *crashState, by *quarantineState) {
 	if crash.explained {
 		return
 	}
-	crash.explained = true
-	r.removeFromParts(func(c partCrash) bool { return c.crash == crash })
+	crash.explained, crash.explainedBy = true, by
+	r.removeExplained()
 	r.removeFromRequests(crash)
 }
 
@@ -221,19 +244,23 @@
 	r.suspectsValid = false
 }
 
-// Suspects returns, sorted, the quarantined parts and those with unexplained crashes since their last sound request.
+// Suspects returns, sorted, the parts of quarantines and those with unexplained crashes since their last sound request.
 func (r *Registry) Suspects(now time.Time) []kwid.PromptPartID {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.forget(now)
 	if !r.suspectsValid {
 		r.suspects = slices.Collect(maps.Keys(r.quarantined))
+		for _, q := range r.quarantined {
+			r.suspects = append(r.suspects, q.with...)
+		}
 		for part, p := range r.parts {
 			if len(p.crashes) > 0 {
 				r.suspects = append(r.suspects, part)
 			}
 		}
 		slices.Sort(r.suspects)
+		r.suspects = slices.Compact(r.suspects)
 		r.suspectsValid = true
 	}
 	return slices.Clone(r.suspects)
@@ -244,8 +271,8 @@
 	r.crashes[0] = nil
 	r.crashes = r.crashes[1:]
 	delete(r.crashOf, oldest.id)
+	r.removeFromParts(func(c partCrash) bool { return c.crash == oldest })
 	if !oldest.explained {
-		r.removeFromParts(func(c partCrash) bool { return c.crash == oldest })
 		r.removeFromRequests(oldest)
 	}
 }
--- a/core/kwquarantine/decide.go
+++ b/core/kwquarantine/decide.go
@@ -15,11 +15,11 @@
 	if r.newEvidence || r.evaluateLater && !now.Before(r.evaluateAt) {
 		candidates := r.decideRequests(now)
 		for {
-			part, ok := r.firstQualifying(now)
+			c, ok := r.firstQualifying(now)
 			if !ok {
 				break
 			}
-			r.quarantine(now, part)
+			r.quarantine(now, c)
 		}
 		r.newEvidence, r.evaluateLater = false, false
 		r.scheduleParts(now)
--- a/core/kwquarantine/decide_parts.go
+++ b/core/kwquarantine/decide_parts.go
@@ -12,18 +12,24 @@
 type candidate struct {
 	part  kwid.PromptPartID
 	state *partState
+	// with are the parts that were with it in all its requests on these crashes, and have not been sound since.
+	with []kwid.PromptPartID
 	// complete is the number of its crashes of which all entries have reported their requests.
 	complete int
 }
 
 // firstQualifying returns, of the parts that qualify, the one with the oldest last sound request: a part that is in all requests
-// that crash, and in others, has a later one. It passes over parts that yield to another one.
-func (r *Registry) firstQualifying(now time.Time) (kwid.PromptPartID, bool) {
+// that crash, and in others, has a later one. It passes over parts that yield to another one. Of parts that came together each time none
+// is chosen: they are kept from servers together, until a crash or a sound request tells them apart. It answers rare parts, of which a
+// few requests of one session crash servers and the next session comes seconds later.
+func (r *Registry) firstQualifying(now time.Time) (candidate, bool) {
 	repeating := r.repeatingRequests()
 	var candidates []candidate
 	for part, p := range r.parts {
 		if r.implicated(p, repeating) {
-			candidates = append(candidates, candidate{part: part, state: p, complete: p.crashesBefore(now.Add(-evidenceDelay))})
+			candidates = append(candidates, candidate{
+				part: part, state: p, complete: p.crashesBefore(now.Add(-evidenceDelay)), with: r.companions(part, p),
+			})
 		}
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int {
@@ -38,10 +44,44 @@
 			continue
 		}
 		if !slices.ContainsFunc(candidates, func(other candidate) bool { return r.yields(now, c, other) }) {
-			return c.part, true
+			return c, true
 		}
 	}
-	return "", false
+	return candidate{}, false
+}
+
+// companions returns, sorted, the other parts that were in each request with a part on its crashes, and have not been sound since the
+// first of these.
+func (r *Registry) companions(part kwid.PromptPartID, p *partState) []kwid.PromptPartID {
+	var with []kwid.PromptPartID
+	first := true
+	for _, c := range p.crashes {
+		for _, prompt := range c.crash.prompts {
+			switch {
+			case !slices.Contains(prompt, part):
+			case first:
+				first = false
+				with = slices.DeleteFunc(slices.Clone(prompt), func(other kwid.PromptPartID) bool {
+					return other == part || !r.onSameCrashes(other, p)
+				})
+			default:
+				with = slices.DeleteFunc(with, func(other kwid.PromptPartID) bool { return !slices.Contains(prompt, other) })
+			}
+		}
+	}
+	if len(with) == 0 {
+		return nil
+	}
+	slices.Sort(with)
+	return slices.Compact(with)
+}
+
+// onSameCrashes reports whether all crashes under a part count against another one too.
+func (r *Registry) onSameCrashes(other kwid.PromptPartID, p *partState) bool {
+	o := r.parts[other]
+	return o != nil && !slices.ContainsFunc(p.crashes, func(c partCrash) bool {
+		return !slices.ContainsFunc(o.crashes, func(oc partCrash) bool { return oc.crash == c.crash })
+	})
 }
 
 // yields reports whether a candidate leaves the decision to another one, which has more crashes and was in a request of each
@@ -65,7 +105,7 @@
 // implicated reports whether enough servers crashed under a part, not all at one moment, and not under one of the requests that crash
 // servers by themselves: such a request comes again with all its parts. The crashes of several of them implicate a part.
 func (r *Registry) implicated(p *partState, repeating []kwid.RequestDigest) bool {
-	if _, ok := r.decisiveCrash(p); !ok {
+	if _, ok := r.decisiveCrash(p); !ok || p.unexplained() == 0 {
 		return false
 	}
 	return !slices.ContainsFunc(repeating, func(digest kwid.RequestDigest) bool {
--- a/core/kwquarantine/doc.go
+++ b/core/kwquarantine/doc.go
@@ -4,7 +4,7 @@
 // prompt, and makes them suspects. A sound request, one whose server has gone on after the beginning of its answer, clears its parts.
 // A part is implicated once enough processes have crashed under it since its last sound request, not all of them under one request, and
 // settled once all entries have had the time to report sound requests. The leader's Registry then quarantines the settled part with the
-// oldest sound request; the crashes under it are explained, and no longer count against other parts or requests.
+// oldest sound request, together with the parts that came with it each time, until a crash or a sound request tells them apart; the crashes under it are explained, and no longer count against other parts or requests.
 //
 // A request itself is known again by its digest. It is held once enough processes have crashed under it since its last sound run, an
 // answer that its server has outlived. The crashes under it are explained for other requests, and for all parts but its own.
--- a/core/kwquarantine/guard.go
+++ b/core/kwquarantine/guard.go
@@ -37,6 +37,12 @@
 	at   time.Time
 }
 
+// quarantinedUntil is a quarantine of the leader's view.
+type quarantinedUntil struct {
+	until time.Time
+	with  []kwid.PromptPartID
+}
+
 // Guard is an entry's view of the quarantines and its memory of sound requests. It is safe for concurrent use.
 type Guard struct {
 	mu  sync.Mutex
@@ -47,7 +53,7 @@
 	// soundAt is the last sound request of any kind.
 	soundAt     time.Time
 	suspects    map[kwid.PromptPartID]struct{}
-	quarantined map[kwid.PromptPartID]time.Time
+	quarantined map[kwid.PromptPartID]quarantinedUntil
 	requests    requestGuard
 }
 
@@ -58,7 +64,7 @@
 		recency:     list.New(),
 		soundOf:     make(map[kwid.PromptPartID]*list.Element),
 		suspects:    make(map[kwid.PromptPartID]struct{}),
-		quarantined: make(map[kwid.PromptPartID]time.Time),
+		quarantined: make(map[kwid.PromptPartID]quarantinedUntil),
 		requests:    newRequestGuard(),
 	}
 }
@@ -103,12 +109,12 @@
 		}
 	}
 	for _, q := range quarantined {
-		until, ok := g.quarantined[q.Part]
+		old, ok := g.quarantined[q.Part]
 		if !ok && len(g.quarantined) >= maxViewParts {
 			continue
 		}
-		if at := now.Add(max(q.Remaining, 0)); !ok || at.After(until) {
-			g.quarantined[q.Part] = at
+		if at := now.Add(max(q.Remaining, 0)); !ok || at.After(old.until) {
+			g.quarantined[q.Part] = quarantinedUntil{until: at, with: q.With}
 		}
 	}
 }
@@ -149,8 +155,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	held := make([]Quarantine, 0, len(g.quarantined))
-	for part, until := range g.quarantined {
-		held = append(held, Quarantine{Part: part, Remaining: max(until.Sub(now), 0)})
+	for part, q := range g.quarantined {
+		held = append(held, Quarantine{Part: part, Remaining: max(q.until.Sub(now), 0), With: slices.Clone(q.with)})
 	}
 	slices.SortFunc(held, compareQuarantines)
 	return held
@@ -164,12 +170,12 @@
 	var longest Quarantine
 	found := false
 	for _, part := range parts {
-		until, ok := g.quarantined[part]
-		if !ok {
+		q, ok := g.quarantined[part]
+		if !ok || !containsAll(parts, q.with) {
 			continue
 		}
-		if remaining := max(until.Sub(now), 0); !found || remaining > longest.Remaining {
-			longest, found = Quarantine{Part: part, Remaining: remaining}, true
+		if remaining := max(q.until.Sub(now), 0); !found || remaining > longest.Remaining {
+			longest, found = Quarantine{Part: part, Remaining: remaining, With: slices.Clone(q.with)}, true
 		}
 	}
 	return longest, found
--- a/core/kwquarantine/registry.go
+++ b/core/kwquarantine/registry.go
@@ -76,6 +76,8 @@
 	maxPartsPerEvidence = 64
 	// maxPartsPerCrash is the number of parts of all requests that a crash ended; those recorded later are ignored.
 	maxPartsPerCrash = 512
+	// maxPromptsPerCrash is the number of requests with parts that a Registry keeps of each crash.
+	maxPromptsPerCrash = 64
 	// maxDigestsPerPartCrash is the number of requests that a Registry keeps for each crash under a part.
 	maxDigestsPerPartCrash = 8
 	// maxDigestsPerCrash is the number of requests of a crash that count; those recorded later are ignored, except that twice as many
--- a/core/kwquarantine/sounds.go
+++ b/core/kwquarantine/sounds.go
@@ -19,7 +19,7 @@
 }
 
 // RecordSound records requests that were served soundly: crashes before them no longer count against their parts, and one that is
-// dated after the start of a trial lifts the quarantine. Sound requests of parts without recorded crashes are ignored.
+// dated after the start of a trial lifts the quarantine. A part of several in quarantine is cleared by one after its begin. Sound requests of parts without recorded crashes are ignored.
 func (r *Registry) RecordSound(now time.Time, sounds []Sound) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -33,8 +33,11 @@
 		if at.After(latest) {
 			latest = at
 		}
-		if q, ok := r.quarantined[s.Part]; ok {
-			if !q.trialAt.IsZero() && at.After(q.trialAt) {
+		if q := r.quarantineWith(s.Part); q != nil {
+			switch {
+			case len(q.with) > 0 && at.After(q.heldAt):
+				r.clearFrom(q, s.Part, at)
+			case len(q.with) == 0 && !q.trialAt.IsZero() && at.After(q.trialAt):
 				r.lift(now, s.Part, at)
 			}
 			continue
--- a/io/kwdirectcontrol/prompt_parts.go
+++ b/io/kwdirectcontrol/prompt_parts.go
@@ -82,7 +82,8 @@
 		quarantined[q.Part] = true
 	}
 	for _, q := range added {
-		p.events.Emit(kwevent.PartsQuarantined, "", kwevent.F("part", q.Part), kwevent.F("term-ms", q.Remaining.Milliseconds()))
+		p.events.Emit(kwevent.PartsQuarantined, "", kwevent.F("part", q.Part), kwevent.F("with", q.With),
+			kwevent.F("term-ms", q.Remaining.Milliseconds()))
 	}
 	for part := range p.quarantined {
 		p.events.Emit(kwevent.PartsReleased, "", kwevent.F("part", part))
