Hand over crashes to a new leader

What callers saw: servers crash under a part or a request although others crashed under it before, since each change of leader begins the count anew. Cause: a new leader took over quarantines, holds and counts of suspect requests, but no crashes, and nothing at all of suspect parts. The class of fault is state of a leader that nobody else can give back.

Entries keep what they reported of crashes for a minute, and report it with its age to a new leader, or to the present one after a report that failed. A crash is known by its process, so one that several report counts once. A new leader decides a second after the first of these, when all entries have reported and sent what they served since.

Red still: loads in which most servers are down.

--- a/core/kwquarantine/crashes.go
+++ b/core/kwquarantine/crashes.go
@@ -20,6 +20,8 @@
 	Answered bool
 	// SoundAge is how long ago the reporting entry last saw a sound run of the request (Guard.SoundAge), 0 if it has not.
 	SoundAge time.Duration
+	// Age is how long ago the crash was first reported, to this leader or an earlier one.
+	Age time.Duration
 	// Parts are the shared parts of the prompt; empty if the request had received more than one event, or has no prompt. Then it
 	// counts for its digest alone.
 	Parts []kwid.PromptPartID
@@ -92,7 +94,13 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.forget(now)
-	crash := r.recordCrash(now, ev.Crash)
+	age := max(ev.Age, 0)
+	if age > r.cfg.Memory {
+		return
+	}
+	r.noteHandover(now, age)
+	at := now.Add(-age)
+	crash := r.recordCrash(at, ev.Crash)
 	parts := ev.Parts[:min(len(ev.Parts), maxPartsPerEvidence)]
 	for _, part := range parts {
 		q, ok := r.quarantined[part]
@@ -100,6 +108,12 @@
 			continue
 		}
 		r.explain(crash, q)
+		if crash.explainedBy == q {
+			// The crash goes on counting for the parts of the quarantine, which a later crash may tell apart.
+			for _, own := range append([]kwid.PromptPartID{q.part}, q.with...) {
+				r.suspect(at, own, crash, ev.Digest)
+			}
+		}
 		if !q.trialAt.IsZero() && !crash.recordedAt.Before(q.trialAt) {
 			q.term = min(2*q.term, r.cfg.MaxTerm)
 			q.until, q.trialAt = now.Add(q.term), time.Time{}
@@ -113,7 +127,7 @@
 	if digest.IsZero() {
 		digest = DigestRequest("", "", "", []byte(ev.Request))
 	}
-	r.suspectRequest(now, digest, crash, ev.Answered)
+	r.suspectRequest(at, digest, crash, ev.Answered)
 	if ev.SoundAge > 0 {
 		r.recordSoundRequest(now, SoundRequest{Digest: digest, Age: ev.SoundAge})
 	}
@@ -124,7 +138,7 @@
 		crash.prompts = append(crash.prompts, parts)
 	}
 	for _, part := range parts {
-		r.suspect(now, part, crash, digest)
+		r.suspect(at, part, crash, digest)
 	}
 }
 
@@ -137,7 +151,7 @@
 }
 
 // recordCrash returns the state of a crash, which is new if this is the first evidence of it.
-func (r *Registry) recordCrash(now time.Time, id kwmembership.Process) *crashState {
+func (r *Registry) recordCrash(at time.Time, id kwmembership.Process) *crashState {
 	if crash, ok := r.crashOf[id]; ok {
 		return crash
 	}
@@ -145,15 +159,19 @@
 		r.forgetOldestCrash()
 	}
 	crash := &crashState{
-		id: id, recordedAt: now, parts: make(map[kwid.PromptPartID]struct{}), digests: make(map[kwid.RequestDigest]struct{}),
+		id: id, recordedAt: at, parts: make(map[kwid.PromptPartID]struct{}), digests: make(map[kwid.RequestDigest]struct{}),
+	}
+	later := len(r.crashes)
+	for later > 0 && r.crashes[later-1].recordedAt.After(at) {
+		later--
 	}
-	r.crashes = append(r.crashes, crash)
+	r.crashes = slices.Insert(r.crashes, later, crash)
 	r.crashOf[id] = crash
 	return crash
 }
 
-// suspect counts a crash against a part, unless the part was served soundly after it.
-func (r *Registry) suspect(now time.Time, part kwid.PromptPartID, crash *crashState, digest kwid.RequestDigest) {
+// suspect counts a crash that was first reported at a time against a part, unless the part was served soundly after it.
+func (r *Registry) suspect(at time.Time, part kwid.PromptPartID, crash *crashState, digest kwid.RequestDigest) {
 	if _, ok := crash.parts[part]; !ok && len(crash.parts) >= maxPartsPerCrash {
 		return
 	}
@@ -182,7 +200,11 @@
 		i := r.unneededCrash(p)
 		p.crashes = slices.Delete(p.crashes, i, i+1)
 	}
-	p.crashes = append(p.crashes, partCrash{crash: crash, recordedAt: now, digests: []kwid.RequestDigest{digest}})
+	later := len(p.crashes)
+	for later > 0 && p.crashes[later-1].recordedAt.After(at) {
+		later--
+	}
+	p.crashes = slices.Insert(p.crashes, later, partCrash{crash: crash, recordedAt: at, digests: []kwid.RequestDigest{digest}})
 	r.suspectsValid = false
 }
 
--- a/core/kwquarantine/decide.go
+++ b/core/kwquarantine/decide.go
@@ -12,7 +12,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.forget(now)
-	if r.newEvidence || r.evaluateLater && !now.Before(r.evaluateAt) {
+	if now.Before(r.handoverUntil) {
+		r.evaluateBy(r.handoverUntil)
+	} else if r.newEvidence || r.evaluateLater && !now.Before(r.evaluateAt) {
 		candidates := r.decideRequests(now)
 		for {
 			c, ok := r.firstQualifying(now)
--- a/core/kwquarantine/guard.go
+++ b/core/kwquarantine/guard.go
@@ -55,6 +55,8 @@
 	suspects    map[kwid.PromptPartID]struct{}
 	quarantined map[kwid.PromptPartID]quarantinedUntil
 	requests    requestGuard
+	// reported holds what the entry has reported of crashes, the oldest first.
+	reported []reported
 }
 
 // NewGuard returns a Guard that holds nothing.
--- a/core/kwquarantine/registry.go
+++ b/core/kwquarantine/registry.go
@@ -143,6 +143,8 @@
 	// evaluateAt is when a part may next qualify without further evidence, if evaluateLater is set.
 	evaluateAt    time.Time
 	evaluateLater bool
+	// handoverUntil is when a new leader begins to decide, zero if nothing was reported to an earlier one.
+	handoverUntil time.Time
 	// newEvidence and changed say what has happened since the last Decide.
 	newEvidence bool
 	changed     bool
@@ -174,7 +176,7 @@
 	r.requests, r.requestCrashes = make(map[kwid.RequestDigest]*requestState), 0
 	r.heldRequests = make(map[kwid.RequestDigest]*requestState)
 	r.releasedRequests = make(map[kwid.RequestDigest]liftedState)
-	r.servedAt = time.Time{}
+	r.servedAt, r.handoverUntil = time.Time{}, time.Time{}
 	r.suspectsValid, r.requestsValid, r.evaluateLater, r.newEvidence = false, false, false, false
 }
 
--- a/core/kwquarantine/registry_test.go
+++ b/core/kwquarantine/registry_test.go
@@ -38,8 +38,11 @@
 
 // crash records one crash of a process, given by a number, under one request.
 func (f *fixture) crash(process int, request kwid.RequestID, parts ...kwid.PromptPartID) {
-	id := kwmembership.Process{Endpoint: kwid.EndpointID(fmt.Sprint("server-", process)), StartedMillis: kwmembership.StartMillis(process)}
-	f.r.RecordCrash(f.now, Evidence{Crash: id, Request: request, Parts: parts})
+	f.r.RecordCrash(f.now, Evidence{Crash: processOf(process), Request: request, Parts: parts})
+}
+
+func processOf(n int) kwmembership.Process {
+	return kwmembership.Process{Endpoint: kwid.EndpointID(fmt.Sprint("server-", n)), StartedMillis: kwmembership.StartMillis(n)}
 }
 
 // crashes records crashes of several processes, each under a request of its own.
--- a/core/kwquarantine/request_crashes.go
+++ b/core/kwquarantine/request_crashes.go
@@ -116,8 +116,8 @@
 	return digests
 }
 
-// suspectRequest counts a crash against a request, unless that had a sound run after it.
-func (r *Registry) suspectRequest(now time.Time, digest kwid.RequestDigest, crash *crashState, answered bool) {
+// suspectRequest counts a crash that was first reported at a time against a request, unless that had a sound run after it.
+func (r *Registry) suspectRequest(at time.Time, digest kwid.RequestDigest, crash *crashState, answered bool) {
 	q := r.request(digest)
 	if len(crash.digests) >= maxDigests(q, answered) {
 		return
@@ -131,7 +131,11 @@
 		return
 	}
 	q.replaceAdopted(crash.id)
-	q.crashes = append(q.crashes, requestCrash{crash: crash, recordedAt: now})
+	later := len(q.crashes)
+	for later > 0 && q.crashes[later-1].recordedAt.After(at) {
+		later--
+	}
+	q.crashes = slices.Insert(q.crashes, later, requestCrash{crash: crash, recordedAt: at})
 	crash.digests[digest] = struct{}{}
 	// The answer may be the one that the server did not outlive.
 	q.answeredAt = q.soundAt
@@ -143,7 +147,7 @@
 	r.explainByRequest(crash)
 	if h := q.held; !h.trialAt.IsZero() && !crash.recordedAt.Before(h.trialAt) {
 		h.term = min(2*h.term, r.cfg.MaxTerm)
-		h.until, h.trialAt = now.Add(h.term), time.Time{}
+		h.until, h.trialAt = at.Add(h.term), time.Time{}
 		r.changed = true
 	}
 }
--- a/core/kwquarantine/simulation_test.go
+++ b/core/kwquarantine/simulation_test.go
@@ -306,6 +306,11 @@
 		suspects, quarantined := s.registry.Suspects(s.now), s.registry.Quarantined(s.now)
 		suspectRequests, heldRequests := s.registry.SuspectRequests(s.now), s.registry.HeldRequests(s.now)
 		s.after(s.callDelay(), func() {
+			if e.leader != by {
+				for _, ev := range e.guard.Reported(s.now) {
+					s.report(e, ev)
+				}
+			}
 			e.leader = by
 			e.guard.Apply(s.now, suspects, quarantined, false)
 			e.guard.ApplyRequests(s.now, suspectRequests, heldRequests, false)
@@ -449,6 +454,7 @@
 		}
 		delete(server.streams, req)
 		e := req.entry
+		e.guard.RecordReported(s.now, evidence)
 		s.report(e, evidence)
 		switch {
 		case req.attempts < simulatedAttempts && !(s.cfg.heedSuspects && e.guard.Suspected(s.now, req.parts)):
--- a/io/kwdirectcontrol/crashing_requests.go
+++ b/io/kwdirectcontrol/crashing_requests.go
@@ -25,7 +25,7 @@
 	var evidence []kwquarantine.Evidence
 	for _, r := range req.Requests[:min(len(req.Requests), maxEvidencePerReport)] {
 		evidence = append(evidence, kwquarantine.Evidence{
-			Crash: process, Request: r.Request, Digest: r.Digest, Parts: r.Parts, SoundAge: r.SoundAge,
+			Crash: process, Request: r.Request, Digest: r.Digest, Parts: r.Parts, SoundAge: r.SoundAge, Age: req.Age,
 			// Those that were under way come with an ID.
 			Answered: r.Request == "",
 		})
--- a/io/kwdirectentry/crash_reports.go
+++ b/io/kwdirectentry/crash_reports.go
@@ -10,6 +10,7 @@
 	"knapweedproxy/core/kwchainsearch"
 	"knapweedproxy/core/kwid"
 	"knapweedproxy/core/kwmembership"
+	"knapweedproxy/core/kwquarantine"
 	"knapweedproxy/io/kwdirectproto"
 	"knapweedproxy/io/kwevent"
 	"knapweedproxy/io/kwtime"
@@ -33,6 +34,23 @@
 type crashReports struct {
 	mu      sync.Mutex
 	pending map[kwmembership.Process][]kwdirectproto.CrashedRequest
+	// failed is set after a report that no leader took.
+	failed bool
+}
+
+// takeFailed reports whether a report has failed since the last call.
+func (c *crashReports) takeFailed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	failed := c.failed
+	c.failed = false
+	return failed
+}
+
+func (c *crashReports) setFailed() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.failed = true
 }
 
 // add adds requests to the report of a crash, and reports whether that is a new one.
@@ -82,9 +100,44 @@
 	if len(requests) == 0 {
 		return
 	}
-	req := kwdirectproto.EndpointCrashed{
+	for _, r := range requests {
+		g.partGuard.RecordReported(time.Now(), kwquarantine.Evidence{
+			Crash: process, Request: r.Request, Digest: r.Digest, Parts: r.Parts, Answered: r.Request == "",
+		})
+	}
+	g.callCrashed(kwdirectproto.EndpointCrashed{
 		Entry: g.cfg.Node, Endpoint: process.Endpoint, StartedMillis: process.StartedMillis, Requests: requests,
+	})
+}
+
+// reportCrashesAgain reports the crashes of the last minute to a leader that does not know them: a new one, or the one that an entry was
+// cut off from.
+func (g *Gateway) reportCrashesAgain() {
+	now := time.Now()
+	var reports []kwdirectproto.EndpointCrashed
+	for _, ev := range g.partGuard.Reported(now) {
+		request := kwdirectproto.CrashedRequest{
+			Request: ev.Request, Digest: ev.Digest, Parts: ev.Parts, SoundAge: g.partGuard.SoundAge(now, ev.Digest),
+		}
+		if n := len(reports) - 1; n >= 0 && reports[n].Endpoint == ev.Crash.Endpoint && reports[n].StartedMillis == ev.Crash.StartedMillis {
+			reports[n].Requests = append(reports[n].Requests, request)
+			continue
+		}
+		reports = append(reports, kwdirectproto.EndpointCrashed{
+			Entry: g.cfg.Node, Endpoint: ev.Crash.Endpoint, StartedMillis: ev.Crash.StartedMillis, Age: ev.Age,
+			Requests: []kwdirectproto.CrashedRequest{request},
+		})
+	}
+	for _, req := range reports {
+		if g.ctx.Err() != nil {
+			return
+		}
+		g.callCrashed(req)
 	}
+}
+
+// callCrashed sends a report of a crash to the leader.
+func (g *Gateway) callCrashed(req kwdirectproto.EndpointCrashed) {
 	// A leader of an older version reads one request only.
 	req.Request, req.Parts = req.Requests[0].Request, req.Requests[0].Parts
 	for _, r := range req.Requests {
@@ -106,7 +159,8 @@
 		}
 	}
 	if err != nil {
-		g.deps.Events.Emit(kwevent.CrashUnreported, req.Request, kwevent.F("endpoint", process.Endpoint),
+		g.crashReports.setFailed()
+		g.deps.Events.Emit(kwevent.CrashUnreported, req.Request, kwevent.F("endpoint", req.Endpoint),
 			kwevent.F("requests", len(req.Requests)), kwevent.F("error", err.Error()))
 	}
 }
--- a/io/kwdirectentry/held_requests_test.go
+++ b/io/kwdirectentry/held_requests_test.go
@@ -731,3 +731,27 @@
 		})
 	}
 }
+
+// TestCrashesAreReportedToANewLeader guards against a count of crashes that begins anew with each leader.
+func TestCrashesAreReportedToANewLeader(t *testing.T) {
+	g := newTestGateway(t, "127.0.0.1:1", "127.0.0.1:1")
+	control := startControlStub(t, g, 0)
+	process := kwmembership.Process{Endpoint: "a", StartedMillis: 7}
+	sent := kwdirectproto.CrashedRequest{Request: "r", Digest: digestOf("/notes/x"), Parts: []kwid.PromptPartID{"bad"}}
+	g.reportCrash(process, sent)
+	awaitTrue(t, "the report", func() bool { n, _ := control.reported("a"); return n == 1 })
+	control.mu.Lock()
+	control.view = kwdirectproto.View{Epoch: g.view.Load().epoch + 1, Full: true}
+	control.mu.Unlock()
+	if err := g.fetchView(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	awaitTrue(t, "the report to the new leader", func() bool { n, _ := control.reported("a"); return n == 2 })
+	control.mu.Lock()
+	defer control.mu.Unlock()
+	got := control.reports[1]
+	if len(got.Requests) != 1 || got.Requests[0].Digest != sent.Digest || !slices.Equal(got.Requests[0].Parts, sent.Parts) ||
+		got.Requests[0].Request != sent.Request || got.StartedMillis != process.StartedMillis || got.Age <= 0 {
+		t.Errorf("got %+v, want the crash of %v under %+v with its age", got, process, sent)
+	}
+}
--- a/io/kwdirectentry/view.go
+++ b/io/kwdirectentry/view.go
@@ -126,6 +126,9 @@
 		row, ok := next.endpoints[process.Endpoint]
 		return ok && row.Announcement.StartedMillis == process.StartedMillis
 	})
+	if failed := g.crashReports.takeFailed(); failed || next.epoch != old.epoch {
+		g.goBackground(g.reportCrashesAgain)
+	}
 	g.retryBudgets.SetEntryCount(next.entryCount)
 	g.hedger.SetShare(g.hedgeShare(next))
 	g.viewChanged.broadcast()
--- a/io/kwdirectproto/messages.go
+++ b/io/kwdirectproto/messages.go
@@ -98,6 +98,8 @@
 	Request       kwid.RequestID           `cbor:"4,keyasint"`
 	Parts         []kwid.PromptPartID      `cbor:"5,keyasint"`
 	Requests      []CrashedRequest         `cbor:"6,keyasint,omitempty"`
+	// Age is how long ago the entry first reported the crash, to an earlier leader. Leaders of older versions ignore it.
+	Age time.Duration `cbor:"7,keyasint,omitempty"`
 }
 
 // QuarantineTrial asks for the permission to send one request with a quarantined part, or one that is held if Digest is set.
