Plan every fleet; a plan or a call that panics ends no process

Cause: keptLayers indexed by the announced layers, and nothing recovers in the goroutine of a plan. The class: values of others that are checked against nothing where they are used.

Servers with layers that the model does not have count as empty. A plan that panics is logged (plan-failed) and gives no orders, and a call between processes that panics fails with operation-failed. A function on the control goroutine that panics still ends the process.

--- a/core/kwplacement/plan.go
+++ b/core/kwplacement/plan.go
@@ -39,9 +39,13 @@
 
 // Plan returns the orders that bring the servers of one engine to a sound placement, in which every layer is held; there are
 // none if nothing has to change. Servers of a sound placement are moved for a gain only as far as no more than ConcurrentLoads
-// servers load layers then.
+// servers load layers then. There is a plan for every engine and fleet, also for servers with layers that the model does not have.
 func Plan(e *kwdeclaration.Engine, servers []Server) []Order {
 	m := newModel(e)
+	if m.layers <= 0 {
+		return nil
+	}
+	servers = m.withoutOtherLayers(servers)
 	var out []Order
 	var sound [][]Server
 	for _, pool := range pools(m, servers) {
@@ -76,6 +80,18 @@
 	return out
 }
 
+// withoutOtherLayers returns servers of which those with layers of another model hold nothing. It answers endpoints that announce layers
+// beyond those of the model, and declarations whose model has fewer layers than before.
+func (m model) withoutOtherLayers(servers []Server) []Server {
+	out := slices.Clone(servers)
+	for i, s := range out {
+		if !s.Layers.Valid() || int(s.Layers.To) > m.layers {
+			out[i].Layers = kwid.LayerRange{}
+		}
+	}
+	return out
+}
+
 // model holds the properties of an engine that placement needs.
 type model struct {
 	engine            *kwdeclaration.Engine
--- a/core/kwplacement/repair.go
+++ b/core/kwplacement/repair.go
@@ -143,6 +143,9 @@
 			continue
 		}
 		layers := m.leastCovered(coverage, m.layersFor(s, m.minKVTokens()))
+		if layers.Len() == 0 {
+			continue
+		}
 		addCoverage(coverage, s.Layers, -1)
 		addCoverage(coverage, layers, 1)
 		out = append(out, Order{Endpoint: s.ID, Layers: layers})
--- a/io/kwdirectcontrol/placer.go
+++ b/io/kwdirectcontrol/placer.go
@@ -1,7 +1,9 @@
 package kwdirectcontrol
 
 import (
+	"fmt"
 	"reflect"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"time"
@@ -42,6 +44,8 @@
 	Decoder Decoder
 	Engines EngineClient
 	Events  *kwevent.Emitter
+	// Plan computes the orders for a fleet; kwplacement.Plan if nil.
+	Plan func(*kwdeclaration.Engine, []kwplacement.Server) []kwplacement.Order
 	// Run runs a function in a goroutine, which the Server waits for when it stops.
 	Run func(func())
 	// ReportLeaving records that an endpoint process has said in a response that it leaves. It is called by functions of Run.
@@ -85,6 +89,9 @@
 }
 
 func newPlacer(cfg placerConfig) *placer {
+	if cfg.Plan == nil {
+		cfg.Plan = kwplacement.Plan
+	}
 	return &placer{
 		cfg:         cfg,
 		orderStates: make(map[kwid.EndpointID]*orderState),
@@ -199,13 +206,25 @@
 	p.planning[service.Name] = true
 	next := plan{epoch: p.epoch, service: service.Name, servers: f.servers}
 	p.cfg.Run(func() {
-		next.orders = kwplacement.Plan(service.Engine, next.servers)
+		next.orders = p.safePlan(service, next.servers)
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		p.finishedPlans = append(p.finishedPlans, next)
 	})
 }
 
+// safePlan returns no orders if the plan panics: a fleet that cannot be planned must not end the leader.
+func (p *placer) safePlan(service *kwdeclaration.Service, servers []kwplacement.Server) (orders []kwplacement.Order) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			orders = nil
+			p.cfg.Events.Emit(kwevent.PlanFailed, "", kwevent.F("service", service.Name), kwevent.F("servers", len(servers)),
+				kwevent.F("error", fmt.Sprint(cause)), kwevent.F("stack", string(debug.Stack())))
+		}
+	}()
+	return p.cfg.Plan(service.Engine, servers)
+}
+
 func (p *placer) hasFinishedPlans() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/io/kwdirectcontrol/placer_test.go
+++ b/io/kwdirectcontrol/placer_test.go
@@ -326,3 +326,27 @@
 		t.Errorf("got %d orders in the end, want %d", got, servers)
 	}
 }
+
+// TestPlanThatPanicsEndsNoLeader guards against a fleet that cannot be planned: the next one is.
+func TestPlanThatPanicsEndsNoLeader(t *testing.T) {
+	p := newPlacerHarness(t)
+	plans := 0
+	p.placer.cfg.Plan = func(e *kwdeclaration.Engine, servers []kwplacement.Server) []kwplacement.Order {
+		if plans++; plans == 1 {
+			panic("odd fleet")
+		}
+		return kwplacement.Plan(e, servers)
+	}
+	p.heartbeat("a", "10.0.0.1:80", 1, kwid.LayerRange{})
+	p.settle()
+	p.runAfter(settleTime)
+	if got := p.settle(); len(got) != 0 || plans != 1 {
+		t.Fatalf("got orders %v after %d plans, want none after one that panics", got, plans)
+	}
+	p.heartbeat("b", "10.0.0.2:80", 1, kwid.LayerRange{})
+	p.settle()
+	p.runAfter(settleTime)
+	if p.settle(); plans < 2 || len(p.placer.planning) != 0 {
+		t.Errorf("got %d plans, %d under way, want another one that is done", plans, len(p.placer.planning))
+	}
+}
--- a/io/kwevent/catalogue.go
+++ b/io/kwevent/catalogue.go
@@ -84,6 +84,7 @@
 	LeavingReported     ID = 429
 	RequestsHeld        ID = 430
 	RequestsReleased    ID = 431
+	PlanFailed          ID = 432
 	PeerRefused         ID = 501
 	KeyExpires          ID = 502
 )
@@ -182,6 +183,7 @@
 	{LeavingReported, "leaving-reported", levelInfo, "An endpoint is draining, since it says so in its answers to an entry."},
 	{RequestsHeld, "requests-held", levelInfo, "The leader keeps a request and its repeats from servers, since servers crash under it."},
 	{RequestsReleased, "requests-released", levelInfo, "The leader lets a request and its repeats reach servers again."},
+	{PlanFailed, "plan-failed", levelInfo, "The plan of a placement panicked; the fleet is planned again once it changes."},
 	{PeerRefused, "peer-refused", levelInfo, "A connection or frame from a peer was refused."},
 	{KeyExpires, "key-expires", levelInfo, "The process's certificate expires soon."},
 }
--- a/io/kwtcprpc/rpc_test.go
+++ b/io/kwtcprpc/rpc_test.go
@@ -251,3 +251,20 @@
 		}
 	}
 }
+
+// TestHandlerThatPanicsFailsItsCall guards against one odd message that ends the process.
+func TestHandlerThatPanicsFailsItsCall(t *testing.T) {
+	s := startServer(t, map[Kind]Handler{
+		kindEcho: echo,
+		kindLead: func(context.Context, Body) (any, error) { panic("odd message") },
+	})
+	p := NewPool(nil)
+	defer p.Close()
+	if err := p.Call(t.Context(), s.Address(), kindLead, "", nil); !kwcode.Is(err, kwcode.OperationFailed) {
+		t.Errorf("call that panics: got %v, want %v", err, kwcode.OperationFailed)
+	}
+	var got string
+	if err := p.Call(t.Context(), s.Address(), kindEcho, "x", &got); err != nil || got != "x" {
+		t.Errorf("next call: got %q, %v, want x", got, err)
+	}
+}
--- a/io/kwtcprpc/server.go
+++ b/io/kwtcprpc/server.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net"
+	"runtime/debug"
 	"sync"
 	"syscall"
 	"time"
@@ -129,6 +130,16 @@
 	}
 }
 
+// safely calls a handler; one that panics fails its call and not the process.
+func safely(ctx context.Context, h Handler, f frame) (result any, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			result, err = nil, kwcode.New(kwcode.OperationFailed, "call of kind %d panicked: %v\n%s", f.Kind, cause, debug.Stack())
+		}
+	}()
+	return h(ctx, Body{raw: f.Body})
+}
+
 func (s *Server) dispatch(ctx context.Context, f frame) frame {
 	reply := frame{CallID: f.CallID, Kind: f.Kind}
 	h, ok := s.handlers[f.Kind]
@@ -136,7 +147,7 @@
 		reply.Err = kwcode.New(kwcode.UnknownMessage, "no handler for calls of kind %d", f.Kind)
 		return reply
 	}
-	result, err := h(ctx, Body{raw: f.Body})
+	result, err := safely(ctx, h, f)
 	if err != nil {
 		reply.Err = kwcode.FromError(err)
 		return reply
