Take no foreign answer on a kept connection for the answer to a request

Cause: a response without a request ID was taken for the answer to whatever request was under way, on a used connection too; and a copy of the refusal of a first attempt bears the ID of the second, which may go to the same server on the same connection. The class: an answer is matched by what it says of itself, and not by what can have caused it.

Endpoints echo the ID, so on a used connection an answer without one is discarded, and the connection is not used again. A request that was refused on a connection is not sent on it again. Streams and hedges read their heads in the same way.

--- a/io/kwdirectentry/fault_detection_test.go
+++ b/io/kwdirectentry/fault_detection_test.go
@@ -187,7 +187,7 @@
 // chain, must go on.
 func TestStaleStallReportKeepsNextAttempt(t *testing.T) {
 	address := serveRaw(t, func(io.Writer, string) bool { return true })
-	conn, err := kwupstream.NewPool().Get(t.Context(), address, true)
+	conn, err := kwupstream.NewPool().Get(t.Context(), address, "r", true)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/io/kwdirectentry/stream.go
+++ b/io/kwdirectentry/stream.go
@@ -187,7 +187,7 @@
 		g.scheduler.releaseUnsent(chain, s.size.TotalTokens)
 	}()
 	patience := g.scheduler.firstEventPatience(ctx, s.chainRequest(g), chain)
-	firstWait, c, err := g.openConnection(ctx, first, begin, opened)
+	firstWait, c, err := g.openConnection(ctx, q.meta.ID, first, begin, opened)
 	defer firstWait.end(false)
 	if err != nil {
 		return g.firstEndpointFailed(s, chain, err, false)
@@ -256,13 +256,13 @@
 
 // openConnection returns the connection of an attempt, and its wait for the first event, which is over for one that was opened before.
 func (g *Gateway) openConnection(
-	ctx context.Context, first kwchainsearch.Stage, begin time.Time, opened *openedStream,
+	ctx context.Context, id kwid.RequestID, first kwchainsearch.Stage, begin time.Time, opened *openedStream,
 ) (*firstEventWait, *kwupstream.Conn, error) {
 	if opened != nil {
 		return opened.wait, opened.conn, nil
 	}
 	wait := g.startFirstEventWait(first.Endpoint, begin)
-	c, err := g.upstreamPool.Get(ctx, first.Address, false)
+	c, err := g.upstreamPool.Get(ctx, first.Address, id, false)
 	return wait, c, err
 }
 
--- a/io/kwdirectentry/stream_hedge.go
+++ b/io/kwdirectentry/stream_hedge.go
@@ -160,7 +160,7 @@
 	defer cancel()
 	wait := g.startFirstEventWait(first.Endpoint, time.Now())
 	defer wait.end(false)
-	c, err := g.upstreamPool.Get(search, first.Address, false)
+	c, err := g.upstreamPool.Get(search, first.Address, q.meta.ID, false)
 	if err != nil || !g.activeStreams.recordHedged(search, w, chain) {
 		if c != nil {
 			c.Close()
--- a/io/kwupstream/conn.go
+++ b/io/kwupstream/conn.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -15,6 +16,7 @@
 	"golang.org/x/sys/unix"
 
 	"knapweedproxy/core/kwcode"
+	"knapweedproxy/core/kwid"
 	"knapweedproxy/io/kwkeepalive"
 )
 
@@ -36,6 +38,8 @@
 	maxMismatchedBodyBytes = 1 << 20
 	// maxHeadBytes bounds the status line and the headers of a response; a server in trouble may send them without end.
 	maxHeadBytes = 64 << 10
+	// maxRefusedPerConn is the number of requests answered with a failure after which a connection is closed.
+	maxRefusedPerConn = 64
 )
 
 // ErrNoConnection marks the error of an endpoint that has neither accepted nor refused a connection in time.
@@ -50,7 +54,9 @@
 	// Reused reports whether the connection has carried a request before.
 	Reused bool
 	// singleUse means that the connection must not carry another request.
-	singleUse   bool
+	singleUse bool
+	// refused holds the requests that were answered with a failure. A copy of that would answer a second attempt with the same ID.
+	refused     []kwid.RequestID
 	idleTimeout time.Duration
 	idleSince   time.Time
 }
@@ -72,15 +78,15 @@
 	return &Pool{idle: make(map[string][]*Conn)}
 }
 
-// Get returns an idle connection to an address or dials one; fresh forces a new one. After an error nothing has been
-// sent.
-func (p *Pool) Get(ctx context.Context, address string, fresh bool) (*Conn, error) {
+// Get returns an idle connection to an address for a request, or dials one; fresh forces a new one. One on which the request was refused
+// before is closed. After an error nothing has been sent.
+func (p *Pool) Get(ctx context.Context, address string, id kwid.RequestID, fresh bool) (*Conn, error) {
 	for !fresh {
 		c := p.popIdle(address)
 		if c == nil {
 			break
 		}
-		if time.Since(c.idleSince) < c.idleTimeout && c.reusable() {
+		if time.Since(c.idleSince) < c.idleTimeout && c.reusable() && !slices.Contains(c.refused, id) {
 			c.Reused = true
 			return c, nil
 		}
@@ -115,7 +121,7 @@
 // Put returns a connection to the pool after its response has been read to the end. It closes the connection if it
 // cannot be reused, such as when the endpoint asked to close it or sent more bytes than the response.
 func (p *Pool) Put(c *Conn, resp *http.Response) {
-	if resp.Close || c.singleUse || c.reader.Buffered() > 0 {
+	if resp.Close || c.singleUse || c.reader.Buffered() > 0 || len(c.refused) >= maxRefusedPerConn {
 		c.Close()
 		return
 	}
--- a/io/kwupstream/endless_test.go
+++ b/io/kwupstream/endless_test.go
@@ -80,7 +80,7 @@
 func TestEndlessEventIsBounded(t *testing.T) {
 	t.Parallel()
 	e, written := endlessAnswer(t, "HTTP/1.1 200 OK\r\nId: r\r\n\r\ndata: ", "x")
-	c, err := NewPool().Get(context.Background(), e.address(), true)
+	c, err := NewPool().Get(context.Background(), e.address(), "r", true)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/io/kwupstream/exchange.go
+++ b/io/kwupstream/exchange.go
@@ -90,7 +90,8 @@
 	return err
 }
 
-// Receive reads the header of the response to a request, and discards responses to other requests. The caller must read
+// Receive reads the header of the response to a request, and discards responses to other requests. Endpoints echo the ID of a request;
+// a response without one belongs to it only on a connection that has carried no other. The caller must read
 // the response body before the connection carries another request. Leaving is set if any of the responses says so, also
 // beside an error.
 func (c *Conn) Receive(r *Request, d Dialect) (*http.Response, ResponseMeta, error) {
@@ -108,11 +109,17 @@
 		meta := d.ReadResponse(resp.StatusCode, resp.Header)
 		leaving = leaving || meta.Leaving
 		meta.Leaving = leaving
-		if meta.ID == "" || meta.ID == r.ID {
+		if meta.ID == r.ID || meta.ID == "" && !c.Reused {
+			if resp.StatusCode >= http.StatusBadRequest {
+				c.refused = append(c.refused, r.ID)
+			}
 			return resp, meta, nil
 		}
+		if meta.ID == "" {
+			c.singleUse = true
+		}
 		if _, err := io.CopyN(io.Discard, resp.Body, maxMismatchedBodyBytes); err != io.EOF {
-			err := kwcode.New(kwcode.EngineFailed, "response to another request, %s, is too large to discard", meta.ID)
+			err := kwcode.New(kwcode.EngineFailed, "response to another request, %q, is too large to discard", meta.ID)
 			return nil, ResponseMeta{Leaving: leaving}, err
 		}
 		if resp.Close {
@@ -136,7 +143,7 @@
 // Exchange sends a request and reads the whole response, of at most limit body bytes. The connection is closed when the
 // context ends.
 func (p *Pool) Exchange(ctx context.Context, address string, fresh bool, r *Request, d Dialect, limit int64) Result {
-	c, err := p.Get(ctx, address, fresh)
+	c, err := p.Get(ctx, address, r.ID, fresh)
 	if err != nil {
 		return Result{Err: err}
 	}
