Pass on only events that go on after the last one

What callers of other operators found: the error of a second server, at times its whole head, in the middle of a stream that had begun and broken off. Answers with an error status never reached a stream here; an error that the second server writes as the body of a 200 did: a page, an object, the head of another answer, events from the start again, or events without an ID. The class: the bytes of a server are passed on by the form of the answer around them, and not checked to be what the caller is due.

The reader of events knows the last event that the caller has.

TestOneEventAnAttemptIsNotSound and BenchmarkStream had servers whose events did not go on after Last-Event-Id; they do now, and the checks are the same.

--- a/io/kwdirectentry/quarantine_test.go
+++ b/io/kwdirectentry/quarantine_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -193,7 +194,7 @@
 // TestOneEventAnAttemptIsNotSound guards against a crashing part that is cleared by its own requests: each server sends one event and
 // crashes, and the caller has two events in the end.
 func TestOneEventAnAttemptIsNotSound(t *testing.T) {
-	server := func(event int) string {
+	server := func() string {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			t.Fatal(err)
@@ -205,19 +206,22 @@
 				return
 			}
 			defer func() { _ = c.Close() }()
-			if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			req, err := http.ReadRequest(bufio.NewReader(c))
+			if err != nil {
 				return
 			}
+			// The first attempt has no last event.
+			last, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
 			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: r\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
-			writeEvent(c, event)
+			writeEvent(c, last+1)
 			_ = l.Close()
 		}()
 		return l.Addr().String()
 	}
 	g := newTestGateway(t, "127.0.0.1:1", "127.0.0.1:1")
 	g.deps.Dialect = partsDialect{}
-	setModelServers(g, kwmembership.Announcement{ID: "a", Address: server(1), Layers: kwid.LayerRange{To: 8}},
-		kwmembership.Announcement{ID: "b", Address: server(2), Layers: kwid.LayerRange{To: 8}})
+	setModelServers(g, kwmembership.Announcement{ID: "a", Address: server(), Layers: kwid.LayerRange{To: 8}},
+		kwmembership.Announcement{ID: "b", Address: server(), Layers: kwid.LayerRange{To: 8}})
 	if status, body := postParts(t, g, "r", "first bad"); status == http.StatusOK {
 		t.Fatalf("got status 200, %s, want a broken stream", body)
 	}
--- a/io/kwdirectentry/relay_test.go
+++ b/io/kwdirectentry/relay_test.go
@@ -246,11 +246,14 @@
 // BenchmarkStream measures a stream of 100 events, sent one at a time, through the gateway, with the caller and the
 // endpoint in the same process.
 func BenchmarkStream(b *testing.B) {
-	event := "id: 12\ndata: " + strings.Repeat("x", 100) + "\n\n"
-	chunk := fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
+	event := func(n int) string { return fmt.Sprintf("id: %2d\ndata: ", n) + strings.Repeat("x", 100) + "\n\n" }
+	var chunks [eventsPerStream]string
+	for i := range chunks {
+		chunks[i] = fmt.Sprintf("%x\r\n%s\r\n", len(event(i)), event(i))
+	}
 	address := serveRaw(b, func(w io.Writer, id string) bool {
 		_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n", id)
-		for range eventsPerStream {
+		for _, chunk := range chunks {
 			_, _ = io.WriteString(w, chunk)
 		}
 		_, err := io.WriteString(w, "0\r\n\r\n")
@@ -259,7 +262,7 @@
 	g := newTestGateway(b, address, "127.0.0.1:1")
 	b.ReportAllocs()
 	for b.Loop() {
-		if status, body := post(b, http.DefaultClient, g, "/notes/x", "q1"); status != http.StatusOK || len(body) != eventsPerStream*len(event) {
+		if status, body := post(b, http.DefaultClient, g, "/notes/x", "q1"); status != http.StatusOK || len(body) != eventsPerStream*len(event(0)) {
 			b.Fatalf("got %d with %d bytes", status, len(body))
 		}
 	}
--- a/io/kwupstream/endless_test.go
+++ b/io/kwupstream/endless_test.go
@@ -94,7 +94,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := NewEventReader(resp.Body).Next(); !errors.Is(err, io.ErrUnexpectedEOF) {
+	if _, err := NewEventReader(resp.Body, "").Next(); !errors.Is(err, io.ErrUnexpectedEOF) {
 		t.Errorf("got error %v, want %v", err, io.ErrUnexpectedEOF)
 	}
 	c.Close()
--- a/io/kwupstream/events.go
+++ b/io/kwupstream/events.go
@@ -2,9 +2,14 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
+	"strconv"
 )
 
+// ErrNotEvents is the error of a stream whose bytes are no events, or none that go on after the last one.
+var ErrNotEvents = errors.New("bytes that are no further events")
+
 // initialBufferBytes is the initial size of the read buffer; events are a few hundred bytes long.
 const initialBufferBytes = 2 << 10
 
@@ -21,15 +26,23 @@
 	LastID string
 	// Count is the number of events that Next has returned.
 	Count int
+	// last is the number of the event with LastID, if numbered is set. resumed means that all events need a number.
+	last              uint64
+	numbered, resumed bool
 }
 
-// NewEventReader returns a reader of the events in body.
-func NewEventReader(body io.Reader) *EventReader {
-	return &EventReader{body: body, buf: make([]byte, 0, initialBufferBytes)}
+// NewEventReader returns a reader of the events in body, which go on after the one with lastID, "" for the first.
+func NewEventReader(body io.Reader, lastID string) *EventReader {
+	e := &EventReader{body: body, buf: make([]byte, 0, initialBufferBytes), LastID: lastID}
+	if n, err := strconv.ParseUint(lastID, 10, 64); err == nil {
+		e.last, e.numbered, e.resumed = n, true, true
+	}
+	return e
 }
 
 // Next returns the bytes of one or more complete events, valid until the next call. It returns io.EOF if the stream
-// ended after a complete event, and io.ErrUnexpectedEOF if it ended within an event or the event is too large.
+// ended after a complete event, io.ErrUnexpectedEOF if it ended within an event or the event is too large, and ErrNotEvents for an error
+// page, the head of another answer, or events that come again.
 func (e *EventReader) Next() ([]byte, error) {
 	remaining := copy(e.buf[:cap(e.buf)], e.buf[e.returned:])
 	e.buf, e.returned = e.buf[:remaining], 0
@@ -44,7 +57,9 @@
 		e.buf = e.buf[:len(e.buf)+n]
 		if end := endOfEvents(e.buf); end > 0 {
 			e.returned = end
-			e.recordEvents(e.buf[:end])
+			if err := e.recordEvents(e.buf[:end]); err != nil {
+				return nil, err
+			}
 			return e.buf[:end], nil
 		}
 		if err == io.EOF && len(e.buf) > 0 {
@@ -74,19 +89,66 @@
 	return end
 }
 
-// recordEvents counts the complete events in b and sets LastID to the ID of the last one.
-func (e *EventReader) recordEvents(b []byte) {
-	inEvent := false
+// recordEvents checks and counts the complete events in b, and sets LastID to the ID of the last one.
+func (e *EventReader) recordEvents(b []byte) error {
+	inEvent, hasID := false, false
 	for len(b) > 0 {
 		line, rest, _ := bytes.Cut(b, []byte("\n"))
 		b = rest
-		if id, ok := bytes.CutPrefix(line, idField); ok {
-			e.LastID = string(bytes.TrimSpace(id))
+		if len(bytes.TrimSpace(line)) == 0 {
+			if inEvent {
+				e.Count++
+				if e.resumed && !hasID {
+					return ErrNotEvents
+				}
+			}
+			inEvent, hasID = false, false
+			continue
 		}
-		blank := len(bytes.TrimSpace(line)) == 0
-		if blank && inEvent {
-			e.Count++
+		inEvent = true
+		if !isEventLine(line) {
+			return ErrNotEvents
+		}
+		id, ok := bytes.CutPrefix(line, idField)
+		if !ok {
+			continue
+		}
+		hasID = true
+		if err := e.recordID(string(bytes.TrimSpace(id))); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// recordID sets LastID; numbers have to increase.
+func (e *EventReader) recordID(id string) error {
+	e.LastID = id
+	n, err := strconv.ParseUint(id, 10, 64)
+	if err != nil {
+		if e.resumed {
+			return ErrNotEvents
+		}
+		return nil
+	}
+	if e.numbered && n <= e.last {
+		return ErrNotEvents
+	}
+	e.last, e.numbered = n, true
+	return nil
+}
+
+// isEventLine reports whether a line of an event is a comment, or begins with the name of a field: letters, digits and hyphens. The first
+// line of a response or of a page is neither.
+func isEventLine(line []byte) bool {
+	for _, c := range line {
+		switch {
+		case c == ':' || c == '\r':
+			return true
+		case c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || c == '-' || c == '_':
+		default:
+			return false
 		}
-		inEvent = !blank
 	}
+	return true
 }
--- a/io/kwupstream/fuzz_test.go
+++ b/io/kwupstream/fuzz_test.go
@@ -70,7 +70,7 @@
 			}
 			return
 		}
-		events, passed := NewEventReader(resp.Body), 0
+		events, passed := NewEventReader(resp.Body, ""), 0
 		for {
 			chunk, err := events.Next()
 			if err != nil {
