--- a/core/kwquarantine/bench_test.go
+++ b/core/kwquarantine/bench_test.go
@@ -139,3 +139,25 @@
 		})
 	}
 }
+
+// BenchmarkDecideManyParts measures a decision while an attacker's prompts put as many parts as are kept on many crashes.
+func BenchmarkDecideManyParts(b *testing.B) {
+	const crashes, promptsPerCrash, partsPerPrompt = 32, 64, 16
+	r, now := NewRegistry(DefaultConfig()), testStart
+	for c := range crashes {
+		for p := range promptsPerCrash {
+			var parts []kwid.PromptPartID
+			for i := range partsPerPrompt {
+				parts = append(parts, kwid.PromptPartID(fmt.Sprint("part-", (p*partsPerPrompt+i)%maxSuspects)))
+			}
+			r.RecordCrash(now, Evidence{Crash: processOf(c), Request: kwid.RequestID(fmt.Sprint(c, "-", p)), Parts: parts})
+		}
+		now = now.Add(50 * time.Millisecond)
+	}
+	b.ResetTimer()
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		r.newEvidence = true
+		r.Decide(now)
+	}
+}
--- a/core/kwquarantine/decide_parts.go
+++ b/core/kwquarantine/decide_parts.go
@@ -12,7 +12,7 @@
 type candidate struct {
 	part  kwid.PromptPartID
 	state *partState
-	// with are the parts that were with it in all its requests on these crashes, and have not been sound since.
+	// with are, for a part that qualifies, those that were with it in all its requests on these crashes, and have not been sound since.
 	with []kwid.PromptPartID
 	// complete is the number of its crashes of which all entries have reported their requests.
 	complete int
@@ -27,9 +27,7 @@
 	var candidates []candidate
 	for part, p := range r.parts {
 		if r.implicated(p, repeating) {
-			candidates = append(candidates, candidate{
-				part: part, state: p, complete: p.crashesBefore(now.Add(-evidenceDelay)), with: r.companions(part, p),
-			})
+			candidates = append(candidates, candidate{part: part, state: p, complete: p.crashesBefore(now.Add(-evidenceDelay))})
 		}
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int {
@@ -44,6 +42,7 @@
 			continue
 		}
 		if !slices.ContainsFunc(candidates, func(other candidate) bool { return r.yields(now, c, other) }) {
+			c.with = r.companions(c.part, c.state)
 			return c, true
 		}
 	}
