--- a/core/kwquarantine/crashes.go
+++ b/core/kwquarantine/crashes.go
@@ -161,11 +161,7 @@
 	crash := &crashState{
 		id: id, recordedAt: at, parts: make(map[kwid.PromptPartID]struct{}), digests: make(map[kwid.RequestDigest]struct{}),
 	}
-	later := len(r.crashes)
-	for later > 0 && r.crashes[later-1].recordedAt.After(at) {
-		later--
-	}
-	r.crashes = slices.Insert(r.crashes, later, crash)
+	r.crashes = insertByTime(r.crashes, crash, func(c *crashState) time.Time { return c.recordedAt })
 	r.crashOf[id] = crash
 	return crash
 }
@@ -200,11 +196,8 @@
 		i := r.unneededCrash(p)
 		p.crashes = slices.Delete(p.crashes, i, i+1)
 	}
-	later := len(p.crashes)
-	for later > 0 && p.crashes[later-1].recordedAt.After(at) {
-		later--
-	}
-	p.crashes = slices.Insert(p.crashes, later, partCrash{crash: crash, recordedAt: at, digests: []kwid.RequestDigest{digest}})
+	c := partCrash{crash: crash, recordedAt: at, digests: []kwid.RequestDigest{digest}}
+	p.crashes = insertByTime(p.crashes, c, func(c partCrash) time.Time { return c.recordedAt })
 	r.suspectsValid = false
 }
 
--- a/core/kwquarantine/handover.go
+++ b/core/kwquarantine/handover.go
@@ -52,6 +52,15 @@
 	g.reported = slices.Delete(g.reported, 0, expired)
 }
 
+// insertByTime inserts an item in the order of time: crashes that are handed over come later than those since.
+func insertByTime[T any](items []T, item T, timeOf func(T) time.Time) []T {
+	i := len(items)
+	for i > 0 && timeOf(items[i-1]).After(timeOf(item)) {
+		i--
+	}
+	return slices.Insert(items, i, item)
+}
+
 // noteHandover delays decisions if a crash was reported to an earlier leader.
 func (r *Registry) noteHandover(now time.Time, age time.Duration) {
 	if age > 0 && r.handoverUntil.IsZero() {
--- a/core/kwquarantine/request_crashes.go
+++ b/core/kwquarantine/request_crashes.go
@@ -131,11 +131,8 @@
 		return
 	}
 	q.replaceAdopted(crash.id)
-	later := len(q.crashes)
-	for later > 0 && q.crashes[later-1].recordedAt.After(at) {
-		later--
-	}
-	q.crashes = slices.Insert(q.crashes, later, requestCrash{crash: crash, recordedAt: at})
+	c := requestCrash{crash: crash, recordedAt: at}
+	q.crashes = insertByTime(q.crashes, c, func(c requestCrash) time.Time { return c.recordedAt })
 	crash.digests[digest] = struct{}{}
 	// The answer may be the one that the server did not outlive.
 	q.answeredAt = q.soundAt
--- a/core/kwquarantine/sounds.go
+++ b/core/kwquarantine/sounds.go
@@ -19,7 +19,8 @@
 }
 
 // RecordSound records requests that were served soundly: crashes before them no longer count against their parts, and one that is
-// dated after the start of a trial lifts the quarantine. A part of several in quarantine is cleared by one after its begin. Sound requests of parts without recorded crashes are ignored.
+// dated after the start of a trial lifts the quarantine. Of several parts in quarantine together, one that is served after its
+// begin is cleared. Sound requests of parts without recorded crashes are ignored.
 func (r *Registry) RecordSound(now time.Time, sounds []Sound) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/core/kwquarantine/terms.go
+++ b/core/kwquarantine/terms.go
@@ -167,6 +167,7 @@
 		q.with = slices.DeleteFunc(slices.Clone(q.with), func(other kwid.PromptPartID) bool { return other == part })
 	}
 	r.quarantined[q.part] = q
+	delete(r.parts, part)
 	r.makeRoom()
 	r.parts[part] = &partState{soundAt: soundAt}
 	r.suspectsValid, r.changed = false, true
