--- a/core/kwquarantine/simulation_rare_test.go
+++ b/core/kwquarantine/simulation_rare_test.go
@@ -17,7 +17,10 @@
 	seeds int
 }
 
-// rareLoads returns the loads of TestRareCrashingPartIsKeptFromServers.
+// smallFleet is the number of servers up to which a fleet is small: most of it is down under these loads.
+const smallFleet = 8
+
+// rareLoads returns the loads of TestRareCrashingPartIsKeptFromServers and TestRareCrashingPartOnSmallFleets.
 func rareLoads() []rareLoad {
 	var loads []rareLoad
 	add := func(seeds int, name string, cfg simulationConfig) {
@@ -59,8 +62,17 @@
 // TestRareCrashingPartIsKeptFromServers simulates a part that crashes servers seconds apart, or most servers of a small site, beside
 // callers that retry and changes of leader. At most three of its requests may be sent later than 3 s after the fifth crash, and no other part
 // may be quarantined for longer than 1 s.
-func TestRareCrashingPartIsKeptFromServers(t *testing.T) {
+func TestRareCrashingPartIsKeptFromServers(t *testing.T) { runRareLoads(t, false) }
+
+// TestRareCrashingPartOnSmallFleets simulates the same on fleets of three to eight servers.
+func TestRareCrashingPartOnSmallFleets(t *testing.T) { runRareLoads(t, true) }
+
+func runRareLoads(t *testing.T, small bool) {
+	t.Helper()
 	for _, load := range rareLoads() {
+		if (load.cfg.servers <= smallFleet) != small {
+			continue
+		}
 		t.Run(load.name, func(t *testing.T) {
 			t.Parallel()
 			runs, late, wrong := 0, 0, 0
