--- a/core/kwquarantine/simulation_test.go
+++ b/core/kwquarantine/simulation_test.go
@@ -51,8 +51,6 @@
 	interleave bool
 	// callerRetries is how often a caller sends a request again that failed, each time at another entry.
 	callerRetries int
-	// crashingRates are those of further crashing parts.
-	crashingRates []float64
 	// otherCrashes is the number of servers a second that crash for another reason from crashesFrom on.
 	otherCrashes float64
 	// newLeaderEvery is the time between two changes of leader from crashesFrom on, 0 for none.
