Report crashes again once at a time

While a leader answers watches but takes no reports, each view began another repeat of all reports beside those that were still failing: found on reading the diff, not seen. One repeat runs at a time now; one that is asked for meanwhile comes with the next view.

--- a/io/kwdirectentry/crash_reports.go
+++ b/io/kwdirectentry/crash_reports.go
@@ -36,6 +36,27 @@
 	pending map[kwmembership.Process][]kwdirectproto.CrashedRequest
 	// failed is set after a report that no leader took.
 	failed bool
+	// repeating is set while the crashes of the last minute are reported again.
+	repeating bool
+}
+
+// beginRepeat reports whether the crashes may be reported again now. If that is under way, it counts as failed, so that a later view
+// begins it anew.
+func (c *crashReports) beginRepeat() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.repeating {
+		c.failed = true
+		return false
+	}
+	c.repeating = true
+	return true
+}
+
+func (c *crashReports) endRepeat() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.repeating = false
 }
 
 // takeFailed reports whether a report has failed since the last call.
@@ -113,6 +134,10 @@
 // reportCrashesAgain reports the crashes of the last minute to a leader that does not know them: a new one, or the one that an entry was
 // cut off from.
 func (g *Gateway) reportCrashesAgain() {
+	if !g.crashReports.beginRepeat() {
+		return
+	}
+	defer g.crashReports.endRepeat()
 	now := time.Now()
 	var reports []kwdirectproto.EndpointCrashed
 	for _, ev := range g.partGuard.Reported(now) {
--- a/io/kwdirectentry/held_requests_test.go
+++ b/io/kwdirectentry/held_requests_test.go
@@ -755,3 +755,18 @@
 		t.Errorf("got %+v, want the crash of %v under %+v with its age", got, process, sent)
 	}
 }
+
+// TestCrashesAreReportedAgainOnceAtATime guards against reports that pile up while a leader takes none of them.
+func TestCrashesAreReportedAgainOnceAtATime(t *testing.T) {
+	var c crashReports
+	if !c.beginRepeat() || c.beginRepeat() {
+		t.Fatal("got a second repeat beside the first, want one")
+	}
+	c.endRepeat()
+	if !c.takeFailed() {
+		t.Error("got the second repeat forgotten, want it due with the next view")
+	}
+	if !c.beginRepeat() {
+		t.Error("got no repeat after the first has ended, want one")
+	}
+}
