Log calls of the replicated log that fail

A failed call between members of the replicated log left no trace, so that a member that never catches up looked like one that is down.

No change of behaviour.

--- a/core/kwraft/types.go
+++ b/core/kwraft/types.go
@@ -112,6 +112,18 @@
 	LedTerm Term `cbor:"14,keyasint,omitempty"`
 }
 
+// DataBytes returns the size in bytes of the commands and the state that a message carries.
+func (m Message) DataBytes() int {
+	n := 0
+	for _, e := range m.Entries {
+		n += len(e.Data)
+	}
+	if m.Snapshot != nil {
+		n += len(m.Snapshot.State)
+	}
+	return n
+}
+
 // Role is the role of a member in the current term.
 type Role string
 
--- a/io/kwdirectcontrol/server.go
+++ b/io/kwdirectcontrol/server.go
@@ -172,7 +172,7 @@
 	}
 	logCfg := kwraft.DefaultConfig(id, uint64(time.Now().UnixNano()))
 	logCfg.MinElectionTimeout, logCfg.HeartbeatInterval = minElectionTimeout, raftHeartbeat
-	sender := newPeerSender(s.ctx, s.pool)
+	sender := newPeerSender(s.ctx, s.pool, s.deps.Events)
 	loop, err := kwcontrol.NewLoop(kwcontrol.LoopConfig{
 		Member:         id,
 		Files:          folder,
--- a/io/kwevent/catalogue.go
+++ b/io/kwevent/catalogue.go
@@ -85,6 +85,7 @@
 	RequestsHeld        ID = 430
 	RequestsReleased    ID = 431
 	PlanFailed          ID = 432
+	ReplicationFailed   ID = 433
 	PeerRefused         ID = 501
 	KeyExpires          ID = 502
 )
@@ -184,6 +185,7 @@
 	{RequestsHeld, "requests-held", levelInfo, "The leader keeps a request and its repeats from servers, since servers crash under it."},
 	{RequestsReleased, "requests-released", levelInfo, "The leader lets a request and its repeats reach servers again."},
 	{PlanFailed, "plan-failed", levelInfo, "The plan of a placement panicked; the fleet is planned again once it changes."},
+	{ReplicationFailed, "replication-failed", levelInfo, "A member of the replicated log could not be sent messages; those with entries are sent again."},
 	{PeerRefused, "peer-refused", levelInfo, "A connection or frame from a peer was refused."},
 	{KeyExpires, "key-expires", levelInfo, "The process's certificate expires soon."},
 }
