Bound appends by bytes and send large ones beside heartbeats

Callers saw: after a member of the core had missed some 130 changes of 0.4 MB, the loss of the leader's disk ended all service for good (503 to every request, no declaration read back).

The frames of 41,572,429 and 41,968,531 bytes exceed the 32 MB of the transport, the call fails, the next heartbeat is rejected and the same append is made again, 8 to 9 times a second for good. The next leader does the same, gets no quorum for the first entry of its term and so no lease.

Change: an append holds at most 1 MB of commands, or one larger command. A message above 16 KB is a transfer: one at a time to a member, over a connection of its own, so that heartbeats pass it; with a timeout by its size and the slowest link (1 Mbit/s); only to a member that has replied lately. The transport reports what it could and could not deliver. Small appends are pipelined as before, up to 1 MB. Frames are written with a deadline for each 64 KB.

--- a/core/kwraft/node.go
+++ b/core/kwraft/node.go
@@ -16,9 +16,10 @@
 	// ackedNanos is the latest SentNanos that the member has echoed.
 	ackedNanos int64
 	lastReply  time.Time
-	// snapshotIndex is the index of the snapshot that was sent and is not acknowledged yet.
-	snapshotIndex  Index
-	snapshotSentAt time.Time
+	// pipelined is the size of the commands in the appends that were sent since the member last held all that was sent.
+	pipelined int
+	// transfer is the bulk message that the member is receiving, nil if there is none.
+	transfer *transfer
 }
 
 // Node is one Raft member. It does no I/O and is not safe for concurrent use: one goroutine owns it.
@@ -56,6 +57,7 @@
 
 // New returns a member that continues from its persistent state.
 func New(cfg Config, now time.Time, from PersistentState) *Node {
+	cfg = cfg.withDefaults()
 	n := &Node{
 		cfg:            cfg,
 		rng:            rand.New(rand.NewPCG(cfg.Seed, cfg.Seed^0x9e3779b97f4a7c15)),
--- a/core/kwraft/replicate.go
+++ b/core/kwraft/replicate.go
@@ -14,64 +14,79 @@
 	}
 }
 
-// snapshotRetryHeartbeats is the number of heartbeat intervals after which an unacknowledged snapshot is sent again.
-const snapshotRetryHeartbeats = 25
-
 // sendAppend sends the entries that a member lacks, or a snapshot if they are already compacted. If there is nothing
 // to send, it sends an empty append as a heartbeat when heartbeat is set.
+//
+// Small appends are pipelined: the next index moves on before the reply. A bulk message is sent alone, to a member that has replied
+// lately and has confirmed the small ones before it; heartbeats go on beside it.
 func (n *Node) sendAppend(now time.Time, id kwid.NodeID, heartbeat bool) {
 	p := n.progressOf(id)
-	if p.next <= n.snapshot.Index {
-		n.sendSnapshot(now, id, p, heartbeat)
-		return
+	if p.transfer != nil && now.After(p.transfer.deadline) {
+		p.abandonTransfer()
 	}
-	prevTerm, _ := n.termAt(p.next - 1)
-	last := min(n.lastIndex(), p.next+Index(n.cfg.MaxBatchEntries)-1)
-	if last < p.next && !heartbeat {
+	m := Message{Kind: MsgAppend, To: id, Index: p.next - 1, Commit: n.commit, SentNanos: now.UnixNano()}
+	switch {
+	case p.transfer != nil:
+		m.Index = p.transfer.after
+	case p.next <= n.snapshot.Index:
+		if n.mayTransfer(now, id, p) {
+			n.sendSnapshot(now, id, p)
+			return
+		}
+	default:
+		m.Entries = n.nextBatch(p)
+		if m.Bulk() && !n.mayTransfer(now, id, p) || p.pipelined > 0 && p.pipelined+m.DataBytes() > n.cfg.MaxBatchBytes {
+			m.Entries = nil
+		}
+	}
+	if len(m.Entries) == 0 && !heartbeat {
 		return
 	}
-	m := Message{
-		Kind:      MsgAppend,
-		To:        id,
-		Index:     p.next - 1,
-		LogTerm:   prevTerm,
-		Commit:    n.commit,
-		SentNanos: now.UnixNano(),
+	// A member that lacks compacted entries rejects the heartbeat, and hears from its leader by it.
+	m.Index = max(m.Index, n.snapshot.Index)
+	m.LogTerm, _ = n.termAt(m.Index)
+	n.recordSent(now, p, m)
+	n.send(m)
+}
+
+// nextBatch returns the entries that are to be sent next to a member, within the bounds of a message.
+func (n *Node) nextBatch(p *progress) []Entry {
+	last := min(n.lastIndex(), p.next+Index(n.cfg.MaxBatchEntries)-1)
+	if last < p.next {
+		return nil
 	}
-	if last >= p.next {
-		m.Entries = slices.Clone(n.entriesBetween(p.next, last))
-		p.next = last + 1
+	entries := n.entriesBetween(p.next, last)
+	size := 0
+	for i, e := range entries {
+		size += len(e.Data)
+		if i > 0 && size > n.cfg.MaxBatchBytes {
+			entries = entries[:i]
+			break
+		}
 	}
-	n.send(m)
+	return slices.Clone(entries)
 }
 
-func (n *Node) sendSnapshot(now time.Time, id kwid.NodeID, p *progress, heartbeat bool) {
-	waiting := p.snapshotIndex == n.snapshot.Index && now.Sub(p.snapshotSentAt) < snapshotRetryHeartbeats*n.cfg.HeartbeatInterval
-	if waiting && heartbeat {
-		n.sendHeartbeat(now, id)
+// recordSent notes the entries of an append that is about to be sent.
+func (n *Node) recordSent(now time.Time, p *progress, m Message) {
+	if len(m.Entries) == 0 {
+		return
 	}
-	if waiting {
+	p.next = m.Entries[len(m.Entries)-1].Index + 1
+	if m.Bulk() {
+		p.transfer = &transfer{after: m.Index, last: p.next - 1, deadline: n.transferDeadlineAfter(now, m)}
 		return
 	}
+	p.pipelined += m.DataBytes()
+}
+
+func (n *Node) sendSnapshot(now time.Time, id kwid.NodeID, p *progress) {
 	snap := n.snapshot
 	m := Message{Kind: MsgSnapshot, To: id, SentNanos: now.UnixNano(), Commit: n.commit, Snapshot: &snap}
-	p.snapshotIndex = snap.Index
-	p.snapshotSentAt = now
+	p.transfer = &transfer{after: p.next - 1, last: snap.Index, deadline: n.transferDeadlineAfter(now, m)}
 	n.send(m)
 }
 
-// sendHeartbeat keeps a member that is installing a snapshot from starting an election.
-func (n *Node) sendHeartbeat(now time.Time, id kwid.NodeID) {
-	n.send(Message{
-		Kind:      MsgAppend,
-		To:        id,
-		Index:     n.snapshot.Index,
-		LogTerm:   n.snapshot.Term,
-		Commit:    n.snapshot.Index,
-		SentNanos: now.UnixNano(),
-	})
-}
-
 func (n *Node) followLeader(now time.Time, leader kwid.NodeID) {
 	if n.role != Follower || n.leader != leader {
 		n.become(Follower, n.hardState.Term, leader)
@@ -156,22 +171,37 @@
 	p.lastReply = now
 	p.ackedNanos = max(p.ackedNanos, m.SentNanos)
 	if m.Reject {
-		p.next = max(p.match+1, min(p.next-1, m.RejectHint+1))
-		n.sendAppend(now, m.From, false)
+		n.onRejectedAppend(now, p, m)
 		return
 	}
 	if m.Index > p.match {
 		p.match = m.Index
-		p.snapshotIndex = 0
 		n.advanceCommit(now)
 	}
+	if p.transfer != nil && p.match >= p.transfer.last {
+		p.transfer = nil
+	}
 	p.next = max(p.next, p.match+1)
+	if p.match == p.next-1 {
+		p.pipelined = 0
+	}
 	if p.next <= n.lastIndex() {
 		n.sendAppend(now, m.From, false)
 	}
 	n.sendTimeoutNow()
 }
 
+// onRejectedAppend moves back to the entries that a member lacks. Replies to heartbeats beside a transfer say nothing new.
+func (n *Node) onRejectedAppend(now time.Time, p *progress, m Message) {
+	if t := p.transfer; t != nil && (t.after <= p.match || m.RejectHint >= t.after) {
+		return
+	}
+	p.transfer = nil
+	p.pipelined = 0
+	p.next = max(p.match+1, min(p.next-1, m.RejectHint+1))
+	n.sendAppend(now, m.From, false)
+}
+
 func (n *Node) onSnapshot(now time.Time, m Message) {
 	if m.Term < n.hardState.Term || m.Snapshot == nil {
 		return
--- a/core/kwraft/types.go
+++ b/core/kwraft/types.go
@@ -124,6 +124,13 @@
 	return n
 }
 
+// Bulk reports whether a message is large enough to hold up heartbeats on a slow link. Messages that are not bulk rely on the order of
+// their transport; bulk messages may be overtaken by others.
+func (m Message) Bulk() bool { return m.DataBytes() > maxPipelinedBytes }
+
+// maxPipelinedBytes is the size of the commands in a message up to which it is sent without waiting for the reply to the one before.
+const maxPipelinedBytes = 16 << 10
+
 // Role is the role of a member in the current term.
 type Role string
 
@@ -145,18 +152,42 @@
 	HeartbeatInterval  time.Duration
 	MaxClockDrift      float64
 	MaxBatchEntries    int
+	// MaxBatchBytes bounds the commands in one append, a larger command is sent alone; 0 means DefaultMaxBatchBytes.
+	MaxBatchBytes int
+	// MinLinkBytesPerSecond is the rate of the slowest link that the log is replicated over; 0 means DefaultMinLinkBytesPerSecond.
+	MinLinkBytesPerSecond int
 }
 
+const (
+	// DefaultMaxBatchBytes is far below the size of the transport's frames, and large against what a link carries in a round trip.
+	DefaultMaxBatchBytes = 1 << 20
+	// DefaultMinLinkBytesPerSecond is 1 Mbit/s.
+	DefaultMinLinkBytesPerSecond = 1e6 / 8
+)
+
 // DefaultConfig returns the configuration of a control process.
 func DefaultConfig(id kwid.NodeID, seed uint64) Config {
 	return Config{
-		ID:                 id,
-		Seed:               seed,
-		MinElectionTimeout: time.Second,
-		HeartbeatInterval:  200 * time.Millisecond,
-		MaxClockDrift:      0.05,
-		MaxBatchEntries:    512,
+		ID:                    id,
+		Seed:                  seed,
+		MinElectionTimeout:    time.Second,
+		HeartbeatInterval:     200 * time.Millisecond,
+		MaxClockDrift:         0.05,
+		MaxBatchEntries:       512,
+		MaxBatchBytes:         DefaultMaxBatchBytes,
+		MinLinkBytesPerSecond: DefaultMinLinkBytesPerSecond,
+	}
+}
+
+// withDefaults sets the bounds of messages that are not set.
+func (c Config) withDefaults() Config {
+	if c.MaxBatchBytes == 0 {
+		c.MaxBatchBytes = DefaultMaxBatchBytes
+	}
+	if c.MinLinkBytesPerSecond == 0 {
+		c.MinLinkBytesPerSecond = DefaultMinLinkBytesPerSecond
 	}
+	return c
 }
 
 // PersistentState is the state that a member keeps on disk and restarts from.
--- a/io/kwcontrol/peers.go
+++ b/io/kwcontrol/peers.go
@@ -36,6 +36,8 @@
 	cancel    context.CancelFunc
 	workers   sync.WaitGroup
 	queues    map[kwid.NodeID]chan kwraft.Message
+	// undelivered is told of bulk messages that may be lost.
+	undelivered func(kwraft.Message)
 }
 
 // NewPeerSender returns a sender that only queues messages until Start is called.
@@ -48,9 +50,10 @@
 	return p
 }
 
-// Start starts sending the queued messages over a transport.
-func (p *PeerSender) Start(transport *kwquic.Node, peers []Peer) {
-	p.transport = transport
+// Start starts sending the queued messages over a transport. It calls undelivered, which must not block, with bulk messages that may be
+// lost.
+func (p *PeerSender) Start(transport *kwquic.Node, peers []Peer, undelivered func(kwraft.Message)) {
+	p.transport, p.undelivered = transport, undelivered
 	for _, peer := range peers {
 		p.workers.Add(1)
 		go p.sendLoop(peer)
@@ -73,6 +76,8 @@
 func (p *PeerSender) sendLoop(peer Peer) {
 	defer p.workers.Done()
 	var s *kwquic.Stream
+	// lastBulk is the last bulk message on the stream, which may be lost with it.
+	var lastBulk *kwraft.Message
 	for {
 		select {
 		case <-p.ctx.Done():
@@ -81,7 +86,14 @@
 			}
 			return
 		case m := <-p.queues[peer.Node]:
+			if m.Bulk() {
+				lastBulk = &m
+			}
 			s = p.deliver(s, peer, m)
+			if s == nil && lastBulk != nil {
+				p.undelivered(*lastBulk)
+				lastBulk = nil
+			}
 		}
 	}
 }
--- a/io/kwcontrol/requests.go
+++ b/io/kwcontrol/requests.go
@@ -19,6 +19,24 @@
 	}
 }
 
+// Delivered tells the log that a message has been handed to its receiver.
+func (l *Loop) Delivered(m kwraft.Message) {
+	l.reportDelivery(func() { l.raft.ReportDelivered(l.now(), m) })
+}
+
+// Undelivered tells the log that a message could not be delivered.
+func (l *Loop) Undelivered(m kwraft.Message) {
+	l.reportDelivery(func() { l.raft.ReportUndelivered(m) })
+}
+
+// reportDelivery runs f on the control goroutine, if that keeps up; the log does without reports by its deadlines.
+func (l *Loop) reportDelivery(f func()) {
+	select {
+	case l.calls <- f:
+	default:
+	}
+}
+
 // Propose appends a command to the replicated log and returns its reply once a quorum has synced it and it has been
 // applied. If the context ends or the loop stops first, the reply holds JournalUnavailable or ControlStopping, and the
 // command may still be applied.
--- a/io/kwcontrol/role.go
+++ b/io/kwcontrol/role.go
@@ -168,7 +168,7 @@
 func (r *Role) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	r.cancel = cancel
-	r.peers.Start(r.transport, r.cfg.Peers)
+	r.peers.Start(r.transport, r.cfg.Peers, r.loop.Undelivered)
 	var g run.Group
 	g.Add(r.loop.Run, func(error) { r.loop.Stop() })
 	g.Add(func() error { return r.adminServer.Serve(r.adminListener) }, func(error) { r.stopAdmin() })
--- a/io/kwdirectcontrol/server.go
+++ b/io/kwdirectcontrol/server.go
@@ -25,9 +25,11 @@
 
 // Server is a control process: a member of the replicated log, or a relay to the leader if it has no data folder.
 type Server struct {
-	cfg          Config
-	deps         Deps
-	pool         *kwtcprpc.Pool
+	cfg  Config
+	deps Deps
+	pool *kwtcprpc.Pool
+	// bulkPool holds the connections for large messages of the replicated log.
+	bulkPool     *kwtcprpc.Pool
 	leaderClient *kwtcprpc.LeaderClient
 	rpcServer    *kwtcprpc.Server
 	member       atomic.Pointer[logMember]
@@ -57,7 +59,7 @@
 func New(cfg Config, deps Deps) (*Server, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	traffic := kwtcprpc.NewTraffic(deps.Metrics, kwdirectproto.KindNames())
-	s := &Server{cfg: cfg, deps: deps, pool: kwtcprpc.NewPool(traffic), ctx: ctx, cancel: cancel, done: make(chan error, 1)}
+	s := &Server{cfg: cfg, deps: deps, pool: kwtcprpc.NewPool(traffic), bulkPool: kwtcprpc.NewPool(traffic), ctx: ctx, cancel: cancel, done: make(chan error, 1)}
 	s.leaderClient = kwtcprpc.NewLeaderClient(s.pool, cfg.Seeds)
 	s.watchers = newWatchers()
 	s.lender = kwretry.NewLender(cfg.RetryBudget)
@@ -114,6 +116,7 @@
 	s.rpcServer.Close()
 	s.wg.Wait()
 	s.pool.Close()
+	s.bulkPool.Close()
 }
 
 // SetControlAddresses replaces the known addresses of control processes after the settings have changed.
@@ -172,7 +175,7 @@
 	}
 	logCfg := kwraft.DefaultConfig(id, uint64(time.Now().UnixNano()))
 	logCfg.MinElectionTimeout, logCfg.HeartbeatInterval = minElectionTimeout, raftHeartbeat
-	sender := newPeerSender(s.ctx, s.pool, s.deps.Events)
+	sender := newPeerSender(s.ctx, s.pool, s.bulkPool, s.deps.Events)
 	loop, err := kwcontrol.NewLoop(kwcontrol.LoopConfig{
 		Member:         id,
 		Files:          folder,
@@ -192,6 +195,7 @@
 		sender.stop()
 		return nil, nil, err
 	}
+	sender.reportTo(loop)
 	return &logMember{id: id, loop: loop}, sender, nil
 }
 
--- a/io/kwtcprpc/frame.go
+++ b/io/kwtcprpc/frame.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"io"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -28,8 +29,9 @@
 	// maxFrameBytes leaves ample room for a snapshot that holds a declaration of 4 MB.
 	maxFrameBytes     = 32 << 20
 	lengthPrefixBytes = 4
-	// writeTimeout bounds one write; the connection to a peer that reads nothing for so long is closed.
+	// writeTimeout bounds the write of writeChunkBytes; the connection to a peer that reads nothing for so long is closed.
 	writeTimeout    = 2 * time.Second
+	writeChunkBytes = 64 << 10
 	readBufferBytes = 4 << 10
 )
 
@@ -44,10 +46,23 @@
 	}
 	out := make([]byte, lengthPrefixBytes, lengthPrefixBytes+len(data))
 	binary.BigEndian.PutUint32(out, uint32(len(data)))
-	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return 0, err
+	return writeChunks(c, append(out, data...))
+}
+
+// writeChunks writes data with a deadline for each chunk, so that a large frame may take its time on a slow link.
+func writeChunks(c net.Conn, data []byte) (int, error) {
+	written := 0
+	for chunk := range slices.Chunk(data, writeChunkBytes) {
+		if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			return written, err
+		}
+		n, err := c.Write(chunk)
+		written += n
+		if err != nil {
+			return written, err
+		}
 	}
-	return c.Write(append(out, data...))
+	return written, nil
 }
 
 // readFrame returns a frame and the number of bytes that it took.
--- a/io/kwtcprpc/pool.go
+++ b/io/kwtcprpc/pool.go
@@ -31,14 +31,15 @@
 // Call sends a request to an address and decodes the reply into resp, which may be nil. If the context ends before the
 // reply arrives, the connection is closed, since the peer may have become unresponsive.
 func (p *Pool) Call(ctx context.Context, address string, kind Kind, req, resp any) error {
-	body, err := kwcbor.Marshal(req)
-	if err != nil {
-		return kwcode.New(kwcode.FrameMalformed, "%v", err)
-	}
+	// A peer that is down costs no encoding.
 	c, err := p.get(ctx, address)
 	if err != nil {
 		return err
 	}
+	body, err := kwcbor.Marshal(req)
+	if err != nil {
+		return kwcode.New(kwcode.FrameMalformed, "%v", err)
+	}
 	reply, err := c.call(ctx, kind, body)
 	if err != nil {
 		p.drop(address, c)
