--- a/io/kwcontrol/loop.go
+++ b/io/kwcontrol/loop.go
@@ -71,10 +71,16 @@
 	// CompactEntries is the number of applied entries after which the log is compacted into a snapshot; 0 means
 	// DefaultCompactEntries.
 	CompactEntries int
+	// CompactBytes is the size of the log on disk from which it is compacted even before; 0 means DefaultCompactBytes.
+	CompactBytes int64
 }
 
-// DefaultCompactEntries is the default number of applied entries between two snapshots.
-const DefaultCompactEntries = 10_000
+const (
+	// DefaultCompactEntries is the default number of applied entries between two snapshots.
+	DefaultCompactEntries = 10_000
+	// DefaultCompactBytes is the default size of the log between two snapshots.
+	DefaultCompactBytes = 64 << 20
+)
 
 // queueLength is the capacity of each of the loop's input channels.
 const queueLength = 4096
@@ -151,6 +157,9 @@
 	if cfg.CompactEntries == 0 {
 		cfg.CompactEntries = DefaultCompactEntries
 	}
+	if cfg.CompactBytes == 0 {
+		cfg.CompactBytes = DefaultCompactBytes
+	}
 	l := &Loop{
 		cfg:       cfg,
 		started:   time.Now(),
@@ -413,9 +422,11 @@
 	return time.Now().UnixMilli()
 }
 
-// compact writes a snapshot once CompactEntries entries have been applied since the last one.
+// compact writes a snapshot once CompactEntries entries have been applied since the last one, or the log takes up CompactBytes: the disk
+// holds the old snapshot, the log and the new snapshot at the same time.
 func (l *Loop) compact() {
-	if int(l.appliedIndex-l.snapshotIndex) < l.cfg.CompactEntries {
+	applied := int(l.appliedIndex - l.snapshotIndex)
+	if applied < l.cfg.CompactEntries && (applied == 0 || l.disk.wal.SegmentSize() < l.cfg.CompactBytes) {
 		return
 	}
 	state, err := l.tables.State.Snapshot()
--- a/io/kwdirectcontrol/config.go
+++ b/io/kwdirectcontrol/config.go
@@ -27,6 +27,8 @@
 	// DataFolder holds the replicated log; it is empty on a VM without a disk, whose server only forwards calls to the
 	// leader.
 	DataFolder string
+	// DiskBytes is the size of the disk that holds the data folder, 0 if unknown.
+	DiskBytes int64
 	// ToleratedFailures is how many members may fail at the same time.
 	ToleratedFailures int
 	// Heartbeat is the usual interval between heartbeats of an endpoint.
@@ -71,6 +73,8 @@
 	// compactionEntries is the number of log entries between compactions; it is small since each entry may hold a whole
 	// declaration.
 	compactionEntries = 200
+	// compactionDiskParts leaves room on the disk for the old and the new snapshot, and for the entries of a slow compaction.
+	compactionDiskParts = 4
 	// entryLease is how long an entry process counts as live after its last watch.
 	entryLease = 3 * time.Second
 	// openRetryDelay is the delay before another attempt to open the data folder.
--- a/io/kwdirectcontrol/server.go
+++ b/io/kwdirectcontrol/server.go
@@ -190,6 +190,7 @@
 		Roster:         s.cfg.rosterConfig(),
 		Controllers:    []kwreconcile.Controller{s.placer, &recorder{propose: s.propose}},
 		CompactEntries: compactionEntries,
+		CompactBytes:   s.cfg.DiskBytes / compactionDiskParts,
 	})
 	if err != nil {
 		sender.stop()
