--- a/io/kwwal/log.go
+++ b/io/kwwal/log.go
@@ -242,8 +242,12 @@
 // SyncCount returns how many syncs Append has issued.
 func (l *Log) SyncCount() uint64 { return l.syncCount }
 
-// Snapshot writes the complete state, starts a new segment and removes the older files, which the snapshot supersedes.
+// Snapshot writes the complete state, starts a new segment and removes the older files, which the snapshot supersedes. It refuses a state
+// of more than MaxRecordBytes, which could not be read again.
 func (l *Log) Snapshot(state []byte) error {
+	if len(state) > MaxRecordBytes {
+		return kwcode.New(kwcode.DiskFailed, "snapshot of %d bytes exceeds the limit of %d", len(state), MaxRecordBytes)
+	}
 	next := l.segment + 1
 	if err := l.writeSnapshot(next, state); err != nil {
 		return err
