Bound the changes that one sync covers by their size

Six changes of 15 MB made a record of 94,372,047 bytes, beyond the limit of 67,108,864, and all six were refused with disk-failed, again at every try in the same company.

The control goroutine proposes queued changes until they hold 16 MB, and the others after them.

TestManyLargeChangesAtOnceAreWritten failed before, for all six changes.

--- a/io/kwcontrol/full_disk_test.go
+++ b/io/kwcontrol/full_disk_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"knapweedproxy/core/kwdeclaration"
+	"knapweedproxy/core/kwraft"
 	"knapweedproxy/core/kwstatemachine"
 	"knapweedproxy/io/kwwal"
 )
@@ -152,3 +153,35 @@
 		t.Errorf("after a restart: got %v and number %d, want number %d", reply.Err, reply.Number, changes+1)
 	}
 }
+
+// TestManyLargeChangesAtOnceAreWritten guards against changes that are refused since those of one sync exceed a record of the log.
+func TestManyLargeChangesAtOnceAreWritten(t *testing.T) {
+	const changes, changeBytes = 6, 15 << 20
+	folder := t.TempDir()
+	l := newLoop(t, openFolder(t, folder), 200)
+	runLoop(t, l)
+	mustClaim(t, l, "leads")
+	// The control goroutine is held up while the changes arrive, so that it takes them together.
+	held := make(chan struct{})
+	go l.Log(func(time.Time, *kwraft.Node) { <-held })
+	var declared sync.WaitGroup
+	for i := range changes {
+		declared.Go(func() {
+			if reply := declare(t, l, i+1, changeBytes); reply.Err != nil {
+				t.Errorf("change %d: got %v, want no error", i+1, reply.Err)
+			}
+		})
+	}
+	for len(l.proposals) < changes {
+		time.Sleep(time.Millisecond)
+	}
+	close(held)
+	declared.Wait()
+	l.Stop()
+	restarted := newLoop(t, openFolder(t, folder), 200)
+	runLoop(t, restarted)
+	mustClaim(t, restarted, "leads again")
+	if reply := declare(t, restarted, 1, 1); reply.Number != changes {
+		t.Errorf("after a restart: got number %d, want %d", reply.Number, changes)
+	}
+}
--- a/io/kwcontrol/loop.go
+++ b/io/kwcontrol/loop.go
@@ -79,7 +79,7 @@
 	// DefaultCompactEntries is the default number of applied entries between two snapshots.
 	DefaultCompactEntries = 10_000
 	// DefaultCompactBytes is the default size of the log between two snapshots.
-	DefaultCompactBytes = 64 << 20
+	DefaultCompactBytes = 16 << 20
 )
 
 // queueLength is the capacity of each of the loop's input channels.
@@ -285,19 +285,19 @@
 	}
 }
 
-// proposeBatch proposes first together with all queued proposals, so that one sync covers them (group commit).
+// maxBatchBytes bounds the commands that one sync covers, up to the last one: what is written at once has to fit into a record of the
+// log, and into memory several times over.
+const maxBatchBytes = 16 << 20
+
+// proposeBatch proposes first together with the queued proposals, so that one sync covers them (group commit).
 func (l *Loop) proposeBatch(first proposal) {
 	batch := []proposal{first}
-	for range len(l.proposals) {
-		batch = append(batch, <-l.proposals)
-	}
-	data := make([][]byte, 0, len(batch))
-	for i := range batch {
-		raw, err := kwcbor.Marshal(batch[i].command)
-		if err != nil {
-			raw = nil
-		}
-		data = append(data, raw)
+	data := [][]byte{encodeCommand(first.command)}
+	for size := len(data[0]); len(l.proposals) > 0 && size < maxBatchBytes; {
+		p := <-l.proposals
+		batch = append(batch, p)
+		data = append(data, encodeCommand(p.command))
+		size += len(data[len(data)-1])
 	}
 	index, err := l.raft.Propose(l.now(), data)
 	if err != nil {
@@ -313,6 +313,15 @@
 	}
 }
 
+// encodeCommand returns the log's encoding of a command; one that cannot be encoded becomes an entry without effect.
+func encodeCommand(c kwstatemachine.Command) []byte {
+	raw, err := kwcbor.Marshal(c)
+	if err != nil {
+		return nil
+	}
+	return raw
+}
+
 // processReady persists, sends and applies until Raft has nothing more to do. After a disk error, the member discards
 // its state in memory and recovers from the files.
 func (l *Loop) processReady() error {
