Fail a panicking function on the control goroutine alone

Such a function now fails alone: the caller gets operation-failed, the proposer of a command "unknown", the other controllers run. control-panicked names the function's kind and its stack, once a second at most; a counter in the metrics counts all.

--- a/io/kwcontrol/apply.go
+++ b/io/kwcontrol/apply.go
@@ -22,13 +22,23 @@
 		if err := kwcbor.Unmarshal(e.Data, &command); err != nil {
 			reply.Err = kwcode.New(kwcode.FrameMalformed, "%v", err)
 		} else {
-			reply = l.tables.State.Apply(command)
-			l.afterApply(command, reply)
+			reply = l.applyCommand(command)
 		}
 		l.replyToProposer(e, reply)
 	}
 }
 
+// applyCommand applies a command. One that panics does so on every member and again at each start, so that it must not end the process;
+// its proposer learns that the outcome is unknown.
+func (l *Loop) applyCommand(c kwstatemachine.Command) kwstatemachine.Reply {
+	reply := kwstatemachine.Reply{Err: kwcode.New(kwcode.JournalUnavailable, "applying the command panicked")}
+	l.safely("command", func() {
+		reply = l.tables.State.Apply(c)
+		l.afterApply(c, reply)
+	})
+	return reply
+}
+
 // replyToProposer answers the proposal that waits for the entry's index. An entry of another term has replaced the
 // proposed one, so the proposal then fails with NotLeader.
 func (l *Loop) replyToProposer(e kwraft.Entry, reply kwstatemachine.Reply) {
--- a/io/kwcontrol/disk_recovery.go
+++ b/io/kwcontrol/disk_recovery.go
@@ -58,7 +58,7 @@
 		case p := <-l.proposals:
 			p.reply <- kwstatemachine.Reply{Err: rejection}
 		case f := <-l.calls:
-			f()
+			l.safely("call", f)
 		case <-l.messages:
 		}
 	}
--- a/io/kwcontrol/loop.go
+++ b/io/kwcontrol/loop.go
@@ -129,6 +129,7 @@
 	proposals   chan proposal
 	messages    chan kwraft.Message
 	calls       chan func()
+	panicLogged time.Time
 	metrics     loopMetrics
 	stop        chan struct{}
 	stopped     chan struct{}
@@ -248,7 +249,7 @@
 			l.raft.Step(l.now(), m)
 			l.stepQueuedMessages()
 		case f := <-l.calls:
-			f()
+			l.safely("call", f)
 		case <-tick.C:
 			l.tick()
 		}
@@ -273,7 +274,7 @@
 	l.tables.Leading = l.raft.HoldsLease(now)
 	l.leaderKnown.Store(l.raft.Status().Leader != "")
 	for _, c := range l.controllers {
-		c.Run(now, l.tables)
+		l.safely("controller", func() { c.Run(now, l.tables) })
 	}
 	l.unknownOutcomes = append(l.unknownOutcomes, l.tables.UnknownOutcomes...)
 	for _, row := range l.tables.LostAnnounced {
--- a/io/kwcontrol/metrics.go
+++ b/io/kwcontrol/metrics.go
@@ -15,6 +15,8 @@
 	persistTime    metrics.Timer
 	entriesPerSync metrics.Histogram
 	appliedEntries metrics.Meter
+	// panics counts the functions on the control goroutine that have panicked.
+	panics metrics.Counter
 }
 
 func newLoopMetrics() loopMetrics {
@@ -24,5 +26,6 @@
 		persistTime:    metrics.GetOrRegisterTimer("log.persist", r),
 		entriesPerSync: metrics.GetOrRegisterHistogram("log.entries-a-sync", r, metrics.NewExpDecaySample(sampleSize, sampleDecay)),
 		appliedEntries: metrics.GetOrRegisterMeter("log.applied", r),
+		panics:         metrics.GetOrRegisterCounter("panics", r),
 	}
 }
--- a/io/kwcontrol/requests.go
+++ b/io/kwcontrol/requests.go
@@ -60,14 +60,15 @@
 	}
 }
 
-// Do runs f on the control goroutine and waits for it to return; it returns false if the loop has stopped.
+// Do runs f on the control goroutine and waits for it to return; it returns false if f has panicked or the loop has stopped.
 func (l *Loop) Do(f func(now time.Time, t *kwreconcile.Tables)) bool {
-	done := make(chan struct{})
+	done, returned := make(chan struct{}), false
 	call := func() {
+		defer close(done)
 		now := l.now()
 		l.tables.Leading = l.raft.HoldsLease(now)
 		f(now, l.tables)
-		close(done)
+		returned = true
 	}
 	select {
 	case l.calls <- call:
@@ -76,14 +77,14 @@
 	}
 	select {
 	case <-done:
-		return true
+		return returned
 	case <-l.stopped:
 		return false
 	}
 }
 
 // DoAsLeader runs f on the control goroutine if this member is the leader and holds its leader lease; otherwise it
-// returns NotLeader or ControlStopping.
+// returns NotLeader or ControlStopping. It returns OperationFailed if f has panicked.
 func (l *Loop) DoAsLeader(f func(now time.Time, t *kwreconcile.Tables)) error {
 	err := kwcode.New(kwcode.ControlStopping, "%s has stopped", l.cfg.Member)
 	l.Do(func(now time.Time, t *kwreconcile.Tables) {
@@ -91,8 +92,9 @@
 			err = l.notLeader()
 			return
 		}
-		err = nil
+		err = kwcode.New(kwcode.OperationFailed, "the call panicked on the control goroutine of %s", l.cfg.Member)
 		f(now, t)
+		err = nil
 	})
 	if err == nil {
 		return nil
--- a/io/kwevent/catalogue.go
+++ b/io/kwevent/catalogue.go
@@ -86,6 +86,7 @@
 	RequestsReleased    ID = 431
 	PlanFailed          ID = 432
 	ReplicationFailed   ID = 433
+	ControlPanicked     ID = 434
 	PeerRefused         ID = 501
 	KeyExpires          ID = 502
 )
@@ -186,6 +187,7 @@
 	{RequestsReleased, "requests-released", levelInfo, "The leader lets a request and its repeats reach servers again."},
 	{PlanFailed, "plan-failed", levelInfo, "The plan of a placement panicked; the fleet is planned again once it changes."},
 	{ReplicationFailed, "replication-failed", levelInfo, "A member of the replicated log could not be sent messages; those with entries are sent again."},
+	{ControlPanicked, "control-panicked", levelInfo, "A function on the control goroutine panicked; it failed alone."},
 	{PeerRefused, "peer-refused", levelInfo, "A connection or frame from a peer was refused."},
 	{KeyExpires, "key-expires", levelInfo, "The process's certificate expires soon."},
 }
