Refuse declarations with more layers or attempts than memory holds

Attempts of a route size a channel for each request.

A declaration holds at most 4,096 layers a model and 1,000 attempts a route; more is refused with settings-layers and settings-bad-value.

--- a/core/kwdeclaration/check.go
+++ b/core/kwdeclaration/check.go
@@ -25,6 +25,13 @@
 	return d.checkWorkspaces()
 }
 
+const (
+	// MaxLayers bounds the layers of a model. A plan keeps tables of them, and models have hundreds at most.
+	MaxLayers = 4096
+	// MaxAttempts bounds the attempts of a route, which each request keeps room for.
+	MaxAttempts = 1000
+)
+
 func (d *Declaration) checkServices() (map[kwid.ServiceName]bool, error) {
 	seen := make(map[kwid.ServiceName]bool, len(d.Services))
 	for i := range d.Services {
@@ -36,8 +43,8 @@
 			return nil, kwcode.New(kwcode.SettingsDuplicate, "service %q is declared twice", s.Name)
 		}
 		seen[s.Name] = true
-		if e := s.Engine; e != nil && e.Layers < 0 {
-			return nil, kwcode.New(kwcode.SettingsLayers, "service %q has %d layers", s.Name, e.Layers)
+		if e := s.Engine; e != nil && (e.Layers < 0 || e.Layers > MaxLayers) {
+			return nil, kwcode.New(kwcode.SettingsLayers, "service %q has %d layers, want 0 to %d", s.Name, e.Layers, MaxLayers)
 		}
 	}
 	return seen, nil
@@ -73,6 +80,8 @@
 		return kwcode.New(kwcode.SettingsBadValue, "route %q: prefix %q must start and end with a slash", r.Name, r.Prefix)
 	case r.Kind != Idempotent && r.Kind != AtMostOnce && r.Kind != Streaming:
 		return kwcode.New(kwcode.SettingsBadValue, "route %q has an unknown call kind", r.Name)
+	case r.MaxAttempts > MaxAttempts:
+		return kwcode.New(kwcode.SettingsBadValue, "route %q has %d attempts, want at most %d", r.Name, r.MaxAttempts, MaxAttempts)
 	case r.Timeout <= 0:
 		return kwcode.New(kwcode.SettingsBadValue, "route %q: the timeout must be greater than 0", r.Name)
 	}
