Share one budget of memory among requests and answers

Report of another operator: a faulty server sends bytes without end in a head or a body, the machine that called it keeps them all and runs out of memory; the requests of other clients end with it.

A request and its answers have one account: bodies of requests and answers, large events, heads beyond 4 KB. What goes beyond is broken off, and its server avoided like one that fails; a request that comes meanwhile is rejected at once (buffers-full, not run, Retry-After 1 s). An event that is too large is no longer taken for a crash.

--- a/core/kwcode/code.go
+++ b/core/kwcode/code.go
@@ -51,6 +51,7 @@
 	PromptQuarantined  Code = 1022
 	RequestQuarantined Code = 1023
 	EndpointLimit      Code = 1024
+	BuffersFull        Code = 1025
 	StreamCut          Code = 2001
 	LookupFailed       Code = 2002
 	OutcomeUnknown     Code = 3001
@@ -128,6 +129,7 @@
 	{PromptQuarantined, "prompt-quarantined", http.StatusServiceUnavailable, NotRun, "Model servers crash under a part of the prompt, so it is kept from them."},
 	{RequestQuarantined, "request-quarantined", http.StatusServiceUnavailable, NotRun, "Servers crash under this request whenever it comes, so it is kept from them."},
 	{EndpointLimit, "endpoint-limit", http.StatusServiceUnavailable, NotRun, "Every endpoint that could serve the request is at the limit of requests that it has named."},
+	{BuffersFull, "buffers-full", http.StatusServiceUnavailable, NotRun, "The process has no memory left to buffer the request or its answer."},
 	{StreamCut, "stream-cut", http.StatusBadGateway, Ran, "The stream ended with an error after part of the answer was produced."},
 	{LookupFailed, "lookup-failed", http.StatusBadGateway, Ran, "The idempotent call failed on every endpoint that was tried."},
 	{OutcomeUnknown, "outcome-unknown", http.StatusBadGateway, Unknown, "The call may have run; it will not run again until an operator settles it."},
--- a/io/kwdirectentry/config.go
+++ b/io/kwdirectentry/config.go
@@ -6,6 +6,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"knapweedproxy/core/kwbuffer"
 	"knapweedproxy/core/kwdeclaration"
 	"knapweedproxy/core/kwid"
 	"knapweedproxy/core/kwqueue"
@@ -58,6 +59,8 @@
 	maxDrainMargin   = 50 * time.Millisecond
 	// stoppingRetryAfter is the Retry-After time of a request that this entry has no time for: another entry can serve it at once.
 	stoppingRetryAfter = 10 * time.Millisecond
+	// buffersFullRetryAfter is the Retry-After time of a request that the entry has no memory for: what is without end is broken off soon.
+	buffersFullRetryAfter = time.Second
 	// maxResponseBytes bounds a response that is buffered in memory.
 	maxResponseBytes = 8 << 20
 	// defaultMaxBodyBytes bounds a request body if the declaration sets no limit.
@@ -148,6 +151,8 @@
 	Decoder Decoder
 	Dialect kwupstream.Dialect
 	Stalls  StallReader
+	// Buffers is the memory for requests and answers; nil means one of the default size.
+	Buffers *kwbuffer.Budget
 	// Now reads the clock that leases are measured by.
 	Now func() time.Time
 }
--- a/io/kwdirectentry/gateway.go
+++ b/io/kwdirectentry/gateway.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"knapweedproxy/core/kwbuffer"
 	"knapweedproxy/core/kwcode"
 	"knapweedproxy/core/kwhedge"
 	"knapweedproxy/core/kwquarantine"
@@ -36,6 +37,7 @@
 	// queued are the streams that wait for a chain.
 	queued        queuedRequests
 	upstreamPool  *kwupstream.Pool
+	buffers       *kwbuffer.Budget
 	controlPool   *kwtcprpc.Pool
 	leader        *kwtcprpc.LeaderClient
 	listener      net.Listener
@@ -77,6 +79,10 @@
 	g.partGuard = kwquarantine.NewGuard(kwquarantine.DefaultGuardConfig())
 	g.crashLog = newCrashLog()
 	g.upstreamPool = kwupstream.NewPool()
+	if g.buffers = deps.Buffers; g.buffers == nil {
+		g.buffers = kwbuffer.New(0)
+	}
+	registerBufferMetrics(deps.Metrics, g.buffers)
 	g.controlPool = kwtcprpc.NewPool(kwtcprpc.NewTraffic(deps.Metrics, kwdirectproto.KindNames()))
 	g.leader = kwtcprpc.NewLeaderClient(g.controlPool, cfg.ControlAddresses)
 	g.metrics = newGatewayMetrics(deps.Metrics)
--- a/io/kwdirectentry/metrics.go
+++ b/io/kwdirectentry/metrics.go
@@ -3,9 +3,16 @@
 import (
 	"github.com/rcrowley/go-metrics"
 
+	"knapweedproxy/core/kwbuffer"
 	"knapweedproxy/core/kwhedge"
 )
 
+// registerBufferMetrics adds the bytes that requests and answers hold, and how often they were refused more.
+func registerBufferMetrics(r metrics.Registry, buffers *kwbuffer.Budget) {
+	_ = r.Register("buffers.bytes", metrics.NewFunctionalGauge(func() int64 { return buffers.Usage().Used }))
+	_ = r.Register("buffers.refused", metrics.NewFunctionalGauge(func() int64 { return buffers.Usage().Refusals }))
+}
+
 // gatewayMetrics holds the counters and timers of an entry.
 type gatewayMetrics struct {
 	served     metrics.Counter
--- a/io/kwdirectentry/request.go
+++ b/io/kwdirectentry/request.go
@@ -5,13 +5,13 @@
 	"encoding/json"
 	"errors"
 	"hash/fnv"
-	"io"
 	"net"
 	"net/http"
 	"strings"
 	"time"
 
 	"knapweedproxy/core/kwadmission"
+	"knapweedproxy/core/kwbuffer"
 	"knapweedproxy/core/kwcode"
 	"knapweedproxy/core/kwdeclaration"
 	"knapweedproxy/core/kwid"
@@ -30,8 +30,10 @@
 	workspace *kwdeclaration.Workspace
 	service   kwid.ServiceName
 	body      []byte
-	arrived   time.Time
-	deadline  time.Time
+	// buffers is what the request and its answers hold of the memory of the entry.
+	buffers  *kwbuffer.Account
+	arrived  time.Time
+	deadline time.Time
 	// sends counts the attempts that were sent to an endpoint.
 	sends int
 	// crashes counts the attempts that ended with the crash of an endpoint before the answer had begun.
@@ -107,12 +109,13 @@
 	h := kwupstream.ForwardHeaders(q.r.Header)
 	d.WriteRequest(h, out)
 	return &kwupstream.Request{
-		ID:     q.meta.ID,
-		Method: q.r.Method,
-		Target: q.r.RequestURI,
-		Host:   q.r.Host,
-		Header: h,
-		Body:   q.body,
+		ID:      q.meta.ID,
+		Method:  q.r.Method,
+		Target:  q.r.RequestURI,
+		Host:    q.r.Host,
+		Header:  h,
+		Body:    q.body,
+		Buffers: q.buffers,
 	}
 }
 
@@ -147,10 +150,16 @@
 		g.reject(q, err)
 		return
 	}
+	q.buffers = g.buffers.Open()
+	defer q.buffers.Close()
 	if err := q.readBody(); err != nil {
 		g.reject(q, err)
 		return
 	}
+	if !g.buffers.HasRoom() {
+		g.reject(q, kwcode.New(kwcode.BuffersFull, "the entry has no memory for an answer").After(buffersFullRetryAfter))
+		return
+	}
 	q.setDigest()
 	if g.drained.Err() != nil {
 		g.reject(q, stoppingError("the entry has stopped"))
@@ -227,11 +236,14 @@
 	if q.r.ContentLength > limit {
 		return kwcode.New(kwcode.BodyTooLarge, "the body has %d bytes, the limit is %d", q.r.ContentLength, limit)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(q.w, q.r.Body, limit))
+	body, err := kwupstream.ReadAll(http.MaxBytesReader(q.w, q.r.Body, limit), q.buffers)
 	if err == nil {
 		q.body = body
 		return nil
 	}
+	if kwcode.Is(err, kwcode.BuffersFull) {
+		return kwcode.FromError(err).After(buffersFullRetryAfter)
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return kwcode.New(kwcode.BodyTooLarge, "the body exceeds %d bytes", limit)
--- a/io/kwdirectentry/stream.go
+++ b/io/kwdirectentry/stream.go
@@ -336,7 +336,7 @@
 	ctx context.Context, s *streamState, chain kwchainsearch.Chain, resp *http.Response, opened *openedStream, firstWait *firstEventWait,
 ) attemptResult {
 	q := s.q
-	events := opened.reader(resp, s.lastEventID)
+	events := opened.reader(resp, s.lastEventID, q.buffers)
 	flusher := http.NewResponseController(q.w)
 	eventsBefore := q.events
 	for {
--- a/io/kwdirectentry/stream_failure.go
+++ b/io/kwdirectentry/stream_failure.go
@@ -47,7 +47,7 @@
 // handleErrorResponse handles a response with a status other than 200; complete means that its body was read to the
 // end.
 func (g *Gateway) handleErrorResponse(ctx context.Context, s *streamState, chain kwchainsearch.Chain, resp *http.Response, meta kwupstream.ResponseMeta) (result attemptResult, complete bool) {
-	body, err := kwupstream.ReadBody(resp, maxResponseBytes)
+	body, err := kwupstream.ReadBody(resp, maxResponseBytes, s.q.buffers)
 	if err != nil {
 		return g.handleBrokenStream(ctx, s, chain, err), false
 	}
@@ -93,6 +93,10 @@
 		if stage, ok := chain.StageOf(blamed); ok {
 			g.checkStreamForCrash(s, blamed, stage.Address)
 		}
+	case oversized(err):
+		first := chain.First()
+		s.attempts.exclude[first.Endpoint] = true
+		g.eject(s.q.meta.ID, first.Endpoint, first.Address, false, err.Error())
 	case connectionDropped(err):
 		g.checkStreamForCrash(s, chain.First().Endpoint, chain.First().Address)
 		g.recordStreamReset(s.q, chain.First(), err)
@@ -106,6 +110,11 @@
 	return resultBroken
 }
 
+// oversized reports whether the first endpoint of a chain has sent more than an answer may hold.
+func oversized(err error) bool {
+	return kwcode.Is(err, kwcode.FrameTooLarge) || kwcode.Is(err, kwcode.BuffersFull)
+}
+
 // connectionDropped reports whether the first endpoint of a chain closed the connection, rather than being silent for
 // too long.
 func connectionDropped(err error) bool {
--- a/io/kwdirectentry/stream_hedge.go
+++ b/io/kwdirectentry/stream_hedge.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"knapweedproxy/core/kwbuffer"
 	"knapweedproxy/core/kwchainsearch"
 	"knapweedproxy/core/kwcode"
 	"knapweedproxy/core/kwhedge"
@@ -27,11 +28,11 @@
 }
 
 // reader returns the reader of the events of a response, which an opened attempt has already.
-func (o *openedStream) reader(resp *http.Response, lastEventID string) *kwupstream.EventReader {
+func (o *openedStream) reader(resp *http.Response, lastEventID string, buffers *kwbuffer.Account) *kwupstream.EventReader {
 	if o != nil {
 		return o.events
 	}
-	return kwupstream.NewEventReader(resp.Body, lastEventID)
+	return kwupstream.NewEventReader(resp.Body, lastEventID, buffers)
 }
 
 // next returns the first events of an opened attempt, and then those that the reader brings.
@@ -205,7 +206,7 @@
 		err := kwcode.New(kwcode.StreamCut, "endpoint %s responded with status %d", first.Endpoint, resp.StatusCode)
 		return nil, &lostHedge{chain: chain, err: err, notRun: meta.NotRun}
 	}
-	opened := &openedStream{conn: c, resp: resp, events: kwupstream.NewEventReader(resp.Body, q.meta.LastEventID)}
+	opened := &openedStream{conn: c, resp: resp, events: kwupstream.NewEventReader(resp.Body, q.meta.LastEventID, q.buffers)}
 	if opened.first, err = opened.events.Next(); err != nil {
 		return nil, &lostHedge{chain: chain, err: err}
 	}
--- a/io/kwupstream/events.go
+++ b/io/kwupstream/events.go
@@ -5,6 +5,9 @@
 	"errors"
 	"io"
 	"strconv"
+
+	"knapweedproxy/core/kwbuffer"
+	"knapweedproxy/core/kwcode"
 )
 
 // ErrNotEvents is the error of a stream whose bytes are no events, or none that go on after the last one.
@@ -19,7 +22,9 @@
 // EventReader splits a stream of server-sent events between events.
 type EventReader struct {
 	body io.Reader
-	buf  []byte
+	// buffers pays for the buffer beyond its initial size.
+	buffers *kwbuffer.Account
+	buf     []byte
 	// returned is the number of bytes at the start of buf that the last call of Next returned.
 	returned int
 	// LastID is the ID of the last event that Next returned.
@@ -31,9 +36,10 @@
 	numbered, resumed bool
 }
 
-// NewEventReader returns a reader of the events in body, which go on after the one with lastID, "" for the first.
-func NewEventReader(body io.Reader, lastID string) *EventReader {
-	e := &EventReader{body: body, buf: make([]byte, 0, initialBufferBytes), LastID: lastID}
+// NewEventReader returns a reader of the events in body, which go on after the one with lastID, "" for the first. Large events take memory
+// of the account.
+func NewEventReader(body io.Reader, lastID string, buffers *kwbuffer.Account) *EventReader {
+	e := &EventReader{body: body, buffers: buffers, buf: make([]byte, 0, initialBufferBytes), LastID: lastID}
 	if n, err := strconv.ParseUint(lastID, 10, 64); err == nil {
 		e.last, e.numbered, e.resumed = n, true, true
 	}
@@ -41,17 +47,31 @@
 }
 
 // Next returns the bytes of one or more complete events, valid until the next call. It returns io.EOF if the stream
-// ended after a complete event, io.ErrUnexpectedEOF if it ended within an event or the event is too large, and ErrNotEvents for an error
-// page, the head of another answer, or events that come again.
+// ended after a complete event, io.ErrUnexpectedEOF if it ended within an event, FrameTooLarge or BuffersFull if the event is too large, and
+// ErrNotEvents for an error page, the head of another answer, or events that come again.
 func (e *EventReader) Next() ([]byte, error) {
+	events, err := e.next()
+	if err != nil {
+		e.buffers.Shrink(int64(cap(e.buf) - initialBufferBytes))
+		e.buf = make([]byte, 0, initialBufferBytes)
+		e.returned = 0
+	}
+	return events, err
+}
+
+func (e *EventReader) next() ([]byte, error) {
 	remaining := copy(e.buf[:cap(e.buf)], e.buf[e.returned:])
 	e.buf, e.returned = e.buf[:remaining], 0
 	for {
 		if len(e.buf) == cap(e.buf) {
 			if len(e.buf) > maxEventBytes {
-				return nil, io.ErrUnexpectedEOF
+				return nil, kwcode.New(kwcode.FrameTooLarge, "an event exceeds %d bytes", maxEventBytes)
+			}
+			grown, err := growBuffer(e.buf, e.buffers)
+			if err != nil {
+				return nil, err
 			}
-			e.buf = append(e.buf, make([]byte, len(e.buf))...)[:len(e.buf)]
+			e.buf = grown
 		}
 		n, err := e.body.Read(e.buf[len(e.buf):cap(e.buf)])
 		e.buf = e.buf[:len(e.buf)+n]
--- a/io/kwupstream/exchange.go
+++ b/io/kwupstream/exchange.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"knapweedproxy/core/kwbuffer"
 	"knapweedproxy/core/kwcode"
 	"knapweedproxy/core/kwid"
 )
@@ -22,6 +23,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Buffers is what the request and its answers hold of the memory of the process.
+	Buffers *kwbuffer.Account
 }
 
 // hopByHopHeaders apply to a single connection and are not forwarded.
@@ -69,7 +72,7 @@
 
 func (c *Conn) write(r *Request) error {
 	var b bytes.Buffer
-	b.Grow(1024 + len(r.Body))
+	b.Grow(1024 + min(len(r.Body), backgroundBodyBytes))
 	b.WriteString(r.Method)
 	b.WriteByte(' ')
 	b.WriteString(r.Target)
@@ -85,8 +88,16 @@
 		b.WriteString("\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(r.Body)
-	_, err := c.raw.Write(b.Bytes())
+	if len(r.Body) < backgroundBodyBytes {
+		b.Write(r.Body)
+		_, err := c.raw.Write(b.Bytes())
+		return err
+	}
+	// A large body is not copied.
+	if _, err := c.raw.Write(b.Bytes()); err != nil {
+		return err
+	}
+	_, err := c.raw.Write(r.Body)
 	return err
 }
 
@@ -97,7 +108,7 @@
 func (c *Conn) Receive(r *Request, d Dialect) (*http.Response, ResponseMeta, error) {
 	leaving := false
 	for range maxMismatchedResponses {
-		c.limit.begin()
+		c.limit.begin(r.Buffers)
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		c.limit.end()
 		if err != nil {
@@ -156,7 +167,7 @@
 	}
 	result.Response, result.Meta, result.Err = c.Receive(r, d)
 	if result.Err == nil {
-		result.Body, result.Err = ReadBody(result.Response, limit)
+		result.Body, result.Err = ReadBody(result.Response, limit, r.Buffers)
 	}
 	if result.Err != nil {
 		c.Close()
@@ -170,14 +181,65 @@
 	return result
 }
 
-// ReadBody reads a whole response body of at most limit bytes; a connection reset is an error, not the end of the body.
-func ReadBody(resp *http.Response, limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+// ReadBody reads a whole response body of at most limit bytes into memory of the account; a connection reset is an error, not the end of
+// the body.
+func ReadBody(resp *http.Response, limit int64, buffers *kwbuffer.Account) ([]byte, error) {
+	if resp.ContentLength > limit {
+		return nil, kwcode.New(kwcode.FrameTooLarge, "response body of %d bytes exceeds %d", resp.ContentLength, limit)
+	}
+	body, err := ReadAll(io.LimitReader(resp.Body, limit+1), buffers)
 	if err != nil {
 		return nil, err
 	}
 	if int64(len(body)) > limit {
+		buffers.Shrink(int64(cap(body)))
 		return nil, kwcode.New(kwcode.FrameTooLarge, "response body exceeds %d bytes", limit)
 	}
 	return body, nil
 }
+
+// ReadAll is io.ReadAll into memory of an account, which keeps the capacity of the result until it is closed. After an error it keeps
+// nothing.
+func ReadAll(r io.Reader, buffers *kwbuffer.Account) ([]byte, error) {
+	body, err := readInto(r, buffers)
+	if err != nil {
+		buffers.Shrink(int64(cap(body)))
+		return nil, err
+	}
+	return body, nil
+}
+
+// readInto returns what it has read also beside an error.
+func readInto(r io.Reader, buffers *kwbuffer.Account) ([]byte, error) {
+	if err := buffers.Grow(initialBufferBytes); err != nil {
+		return nil, err
+	}
+	body := make([]byte, 0, initialBufferBytes)
+	for {
+		if len(body) == cap(body) {
+			grown, err := growBuffer(body, buffers)
+			if err != nil {
+				return body, err
+			}
+			body = grown
+		}
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if err == io.EOF {
+			return body, nil
+		}
+		if err != nil {
+			return body, err
+		}
+	}
+}
+
+// growBuffer returns b with twice the capacity.
+func growBuffer(b []byte, buffers *kwbuffer.Account) ([]byte, error) {
+	if err := buffers.Grow(int64(cap(b))); err != nil {
+		return b, err
+	}
+	grown := make([]byte, len(b), 2*cap(b))
+	copy(grown, b)
+	return grown, nil
+}
