Pass on no call that a planned stop may cut

Report of another operator: in a planned stop, in calm, requests that came late in the grace were taken and passed on, and cut at its end, among them requests that may not be repeated.

It happens here: a call of a stopping entry was sent whatever time was left.

Change: an entry that stops passes a call on if the caller's deadline comes before the end of the drain, or if twice the longest answer of the service (of the last 30 to 60 s, or still in progress) fits before it. Nothing known of a service: only calls that may be repeated are sent. Further attempts of a call that has been sent are made as before.

--- /dev/null
+++ b/core/kwdrain/calls.go
@@ -0,0 +1,110 @@
+package kwdrain
+
+import (
+	"sync"
+	"time"
+
+	"knapweedproxy/core/kwid"
+)
+
+const (
+	// window is for how long the longest answer of a service counts; it counts for up to twice as long.
+	window = 30 * time.Second
+	// caution is how many times the longest answer has to fit into the time that is left.
+	caution = 2
+)
+
+// Calls knows how long the calls of each service take. It answers calls that arrive late in a planned stop: one that is passed on and cut
+// may have run, one that is rejected is served at once by another entry. It is safe for concurrent use.
+type Calls struct {
+	mu       sync.Mutex
+	services map[kwid.ServiceName]*serviceCalls
+}
+
+// serviceCalls holds the longest answers of the present and the last window, and when the calls in progress began.
+type serviceCalls struct {
+	windowEnd     time.Time
+	longest, last time.Duration
+	known         bool
+	inProgress    map[*Call]bool
+}
+
+// Call is a call in progress.
+type Call struct {
+	service kwid.ServiceName
+	began   time.Time
+}
+
+// NewCalls returns a Calls without any.
+func NewCalls() *Calls {
+	return &Calls{services: make(map[kwid.ServiceName]*serviceCalls)}
+}
+
+// Begin records that a call is sent to a server.
+func (c *Calls) Begin(now time.Time, service kwid.ServiceName) *Call {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s, ok := c.services[service]
+	if !ok {
+		s = &serviceCalls{inProgress: make(map[*Call]bool)}
+		c.services[service] = s
+	}
+	call := &Call{service: service, began: now}
+	s.inProgress[call] = true
+	return call
+}
+
+// End records that a call is over; answered is whether the server has answered it.
+func (c *Calls) End(now time.Time, call *Call, answered bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.services[call.service]
+	delete(s.inProgress, call)
+	if !answered {
+		return
+	}
+	s.advance(now)
+	s.known = true
+	s.longest = max(s.longest, now.Sub(call.began))
+}
+
+// advance begins a new window once the present one is over.
+func (s *serviceCalls) advance(now time.Time) {
+	if now.Before(s.windowEnd) {
+		return
+	}
+	s.last = s.longest
+	if now.Sub(s.windowEnd) >= window {
+		s.last = 0
+	}
+	s.longest, s.windowEnd = 0, now.Add(window)
+}
+
+// Limits are the times of a call of an entry that stops.
+type Limits struct {
+	// Deadline is that of the caller; DrainEnd is when the entry ends its requests.
+	Deadline, DrainEnd time.Time
+	// Repeatable means that the caller may send the call again after it was cut.
+	Repeatable bool
+}
+
+// MayPassOn reports whether a call may be sent to a server by an entry that stops. One whose deadline comes before the end of the drain is
+// answered in any case; another one only if even the longest answers end well before, also those that are still in progress. Of a service
+// without any answers nothing is known: then a call is sent if it may be repeated.
+func (c *Calls) MayPassOn(now time.Time, service kwid.ServiceName, limits Limits) bool {
+	if limits.Deadline.Before(limits.DrainEnd) {
+		return true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s, ok := c.services[service]
+	if !ok || !s.known {
+		return limits.Repeatable
+	}
+	s.advance(now)
+	longest := max(s.longest, s.last)
+	for call := range s.inProgress {
+		longest = max(longest, now.Sub(call.began))
+	}
+	return now.Add(caution * longest).Before(limits.DrainEnd)
+}
--- /dev/null
+++ b/core/kwdrain/doc.go
@@ -0,0 +1,2 @@
+// Package kwdrain decides which calls an entry that stops still passes on.
+package kwdrain
--- a/io/kwdirectentry/gateway.go
+++ b/io/kwdirectentry/gateway.go
@@ -11,6 +11,7 @@
 
 	"knapweedproxy/core/kwbuffer"
 	"knapweedproxy/core/kwcode"
+	"knapweedproxy/core/kwdrain"
 	"knapweedproxy/core/kwhedge"
 	"knapweedproxy/core/kwquarantine"
 	"knapweedproxy/core/kwretry"
@@ -38,6 +39,7 @@
 	queued        queuedRequests
 	upstreamPool  *kwupstream.Pool
 	buffers       *kwbuffer.Budget
+	calls         *kwdrain.Calls
 	controlPool   *kwtcprpc.Pool
 	leader        *kwtcprpc.LeaderClient
 	listener      net.Listener
@@ -78,6 +80,7 @@
 	g.hedger = kwhedge.New(kwhedge.DefaultConfig(), cfg.Node)
 	g.partGuard = kwquarantine.NewGuard(kwquarantine.DefaultGuardConfig())
 	g.crashLog = newCrashLog()
+	g.calls = kwdrain.NewCalls()
 	g.upstreamPool = kwupstream.NewPool()
 	if g.buffers = deps.Buffers; g.buffers == nil {
 		g.buffers = kwbuffer.New(0)
--- a/io/kwdirectentry/unary.go
+++ b/io/kwdirectentry/unary.go
@@ -9,6 +9,7 @@
 
 	"knapweedproxy/core/kwcode"
 	"knapweedproxy/core/kwdeclaration"
+	"knapweedproxy/core/kwdrain"
 	"knapweedproxy/core/kwid"
 	"knapweedproxy/core/kwmembership"
 	"knapweedproxy/core/kwretry"
@@ -112,6 +113,9 @@
 		u.attempts.refusal = err
 		return false
 	}
+	if u.attempts.refusal = g.refuseLate(u); u.attempts.refusal != nil {
+		return false
+	}
 	endpoint, ok := g.pickUnary(ctx, u)
 	if !ok {
 		endpoint, ok = g.awaitTurn(ctx, u)
@@ -119,6 +123,11 @@
 	if !ok {
 		return false
 	}
+	// The stop may have begun during the wait.
+	if u.attempts.refusal = g.refuseLate(u); u.attempts.refusal != nil {
+		g.scheduler.withdrawUnary(endpoint)
+		return false
+	}
 	if len(u.attempts.exclude)+len(u.attempts.unreached) > 0 && !g.mayRetry(ctx, q, u.count()) {
 		g.scheduler.withdrawUnary(endpoint)
 		return false
@@ -127,6 +136,19 @@
 	return true
 }
 
+// refuseLate returns the rejection of a call that may not be answered before this entry stops, nil if it may be sent. Another attempt
+// does a call that has been sent before no harm.
+func (g *Gateway) refuseLate(u *unaryState) *kwcode.Error {
+	q, exit := u.q, g.exitTime()
+	if exit.IsZero() || u.attempts.mayHaveRun+u.inProgress > 0 {
+		return nil
+	}
+	if g.calls.MayPassOn(time.Now(), q.service, kwdrain.Limits{Deadline: q.deadline, DrainEnd: exit, Repeatable: q.route.Retryable()}) {
+		return nil
+	}
+	return stoppingError("the answer may not come before the entry stops")
+}
+
 // pickUnary picks the endpoint of the next attempt.
 func (g *Gateway) pickUnary(ctx context.Context, u *unaryState) (kwmembership.Announcement, bool) {
 	live := g.liveEndpoints(u.q)
@@ -169,8 +191,10 @@
 	// whether the request was read.
 	fresh := !q.route.Retryable()
 	upstreamReq := q.upstreamRequest(g.deps.Dialect, kwupstream.ForwardMeta{Endpoint: endpoint.ID})
+	call := g.calls.Begin(time.Now(), q.service)
 	g.goBackground(func() {
 		res := g.upstreamPool.Exchange(ctx, endpoint.Address, fresh, upstreamReq, g.deps.Dialect, maxResponseBytes)
+		g.calls.End(time.Now(), call, res.Err == nil && !res.Meta.NotRun)
 		g.recordNotices(upstreamReq.ID, endpoint.Process(), endpoint.Address, res.Meta)
 		if !res.Sent {
 			g.scheduler.limits.Return(time.Now(), endpoint.Process())
