Answer requests whose body is still read when a drain ends

The end of the drain interrupts the read, and the caller is told entry-stopping (not run).

TestBodyStillReadAtTheEndOfADrainIsAnswered failed before for streams, alerts and lookups (unexpected EOF).

--- a/io/kwdirectentry/request.go
+++ b/io/kwdirectentry/request.go
@@ -236,11 +236,17 @@
 	if q.r.ContentLength > limit {
 		return kwcode.New(kwcode.BodyTooLarge, "the body has %d bytes, the limit is %d", q.r.ContentLength, limit)
 	}
+	// The end of a drain interrupts the read; the read's own error would say nothing of that.
+	stop := context.AfterFunc(q.r.Context(), func() { _ = http.NewResponseController(q.w).SetReadDeadline(time.Now()) })
+	defer stop()
 	body, err := kwupstream.ReadAll(http.MaxBytesReader(q.w, q.r.Body, limit), q.buffers)
 	if err == nil {
 		q.body = body
 		return nil
 	}
+	if q.stopped() {
+		return stoppingError("the entry has stopped before the body was complete")
+	}
 	if kwcode.Is(err, kwcode.BuffersFull) {
 		return kwcode.FromError(err).After(buffersFullRetryAfter)
 	}
