--- a/io/kwdirectentry/request.go
+++ b/io/kwdirectentry/request.go
@@ -239,7 +239,7 @@
 	// The end of a drain interrupts the read; the read's own error would say nothing of that.
 	stop := context.AfterFunc(q.r.Context(), func() { _ = http.NewResponseController(q.w).SetReadDeadline(time.Now()) })
 	defer stop()
-	body, err := kwupstream.ReadAll(http.MaxBytesReader(q.w, q.r.Body, limit), q.buffers)
+	body, err := kwupstream.ReadAll(http.MaxBytesReader(q.w, q.r.Body, limit), q.r.ContentLength, q.buffers)
 	if err == nil {
 		q.body = body
 		return nil
--- a/io/kwupstream/events.go
+++ b/io/kwupstream/events.go
@@ -67,7 +67,7 @@
 			if len(e.buf) > maxEventBytes {
 				return nil, kwcode.New(kwcode.FrameTooLarge, "an event exceeds %d bytes", maxEventBytes)
 			}
-			grown, err := growBuffer(e.buf, e.buffers)
+			grown, err := growBuffer(e.buf, 2*cap(e.buf), e.buffers)
 			if err != nil {
 				return nil, err
 			}
--- a/io/kwupstream/exchange.go
+++ b/io/kwupstream/exchange.go
@@ -187,7 +187,7 @@
 	if resp.ContentLength > limit {
 		return nil, kwcode.New(kwcode.FrameTooLarge, "response body of %d bytes exceeds %d", resp.ContentLength, limit)
 	}
-	body, err := ReadAll(io.LimitReader(resp.Body, limit+1), buffers)
+	body, err := ReadAll(io.LimitReader(resp.Body, limit+1), resp.ContentLength, buffers)
 	if err != nil {
 		return nil, err
 	}
@@ -199,9 +199,9 @@
 }
 
 // ReadAll is io.ReadAll into memory of an account, which keeps the capacity of the result until it is closed. After an error it keeps
-// nothing.
-func ReadAll(r io.Reader, buffers *kwbuffer.Account) ([]byte, error) {
-	body, err := readInto(r, buffers)
+// nothing. expected is the number of bytes that are announced, -1 if unknown; memory is taken only for what has come.
+func ReadAll(r io.Reader, expected int64, buffers *kwbuffer.Account) ([]byte, error) {
+	body, err := readInto(r, expected, buffers)
 	if err != nil {
 		buffers.Shrink(int64(cap(body)))
 		return nil, err
@@ -210,14 +210,19 @@
 }
 
 // readInto returns what it has read also beside an error.
-func readInto(r io.Reader, buffers *kwbuffer.Account) ([]byte, error) {
+func readInto(r io.Reader, expected int64, buffers *kwbuffer.Account) ([]byte, error) {
 	if err := buffers.Grow(initialBufferBytes); err != nil {
 		return nil, err
 	}
 	body := make([]byte, 0, initialBufferBytes)
 	for {
 		if len(body) == cap(body) {
-			grown, err := growBuffer(body, buffers)
+			capacity := 2 * cap(body)
+			if int64(len(body)) <= expected && expected < int64(capacity) {
+				// One byte more finds the end.
+				capacity = int(expected) + 1
+			}
+			grown, err := growBuffer(body, capacity, buffers)
 			if err != nil {
 				return body, err
 			}
@@ -234,12 +239,12 @@
 	}
 }
 
-// growBuffer returns b with twice the capacity.
-func growBuffer(b []byte, buffers *kwbuffer.Account) ([]byte, error) {
-	if err := buffers.Grow(int64(cap(b))); err != nil {
+// growBuffer returns b with a larger capacity.
+func growBuffer(b []byte, capacity int, buffers *kwbuffer.Account) ([]byte, error) {
+	if err := buffers.Grow(int64(capacity - cap(b))); err != nil {
 		return b, err
 	}
-	grown := make([]byte, len(b), 2*cap(b))
+	grown := make([]byte, len(b), capacity)
 	copy(grown, b)
 	return grown, nil
 }
