--- a/core/kwraft/catch_up_test.go
+++ b/core/kwraft/catch_up_test.go
@@ -43,9 +43,13 @@
 }
 
 func newLinkedCluster(t *testing.T, bytesPerSecond float64) *linkedCluster {
+	t.Helper()
+	return newLinkedClusterOf(t, bytesPerSecond, "a", "b", "c")
+}
+
+func newLinkedClusterOf(t *testing.T, bytesPerSecond float64, voters ...kwid.NodeID) *linkedCluster {
 	t.Helper()
 	c := &linkedCluster{t: t, bytesPerSecond: bytesPerSecond, ledBy: make(map[kwid.NodeID]bool)}
-	voters := []kwid.NodeID{"a", "b", "c"}
 	for _, id := range voters {
 		m := &linkedMember{id: id, disk: kwraft.Bootstrap(kwraft.Members{Voters: voters})}
 		c.members = append(c.members, m)
@@ -270,3 +274,62 @@
 		t.Errorf("got a member at index %d, want %d", got, want)
 	}
 }
+
+// TestTwoMembersCatchUpAtOnce has two of five members miss large changes, beside a change of leader.
+func TestTwoMembersCatchUpAtOnce(t *testing.T) {
+	k := newLinkedClusterOf(t, 200*megabit, "a", "b", "c", "d", "e")
+	old, followers := k.leader(), k.followers()
+	behind := followers[:2]
+	behind[0].node, behind[1].node = nil, nil
+	for range 130 {
+		k.propose(400_000)
+		k.run(40 * time.Millisecond)
+	}
+	k.start(behind[0])
+	k.start(behind[1])
+	k.run(time.Second)
+	old.node = nil
+	k.run(15 * time.Second)
+	next := k.leader()
+	if next == nil {
+		t.Fatal("got no leader, want one")
+	}
+	k.propose(400_000)
+	k.run(time.Second)
+	for _, m := range followers {
+		if got, want := m.node.Status().CommitIndex, lastIndex(next); got != want {
+			t.Errorf("%s: got commit index %d, want %d", m.id, got, want)
+		}
+	}
+}
+
+// TestSnapshotArrivesBesideChanges guards against a member behind a slow link that never gets a snapshot, since the leader compacts its log
+// again before it has arrived.
+func TestSnapshotArrivesBesideChanges(t *testing.T) {
+	const stateBytes, changeBytes = 8 << 20, 1 << 10
+	k := newLinkedCluster(t, 1000*megabit)
+	leader, behind := k.leader(), k.followers()[0]
+	behind.node = nil
+	compact := func() {
+		k.propose(changeBytes)
+		k.run(20 * time.Millisecond)
+		leader.node.Compact(leader.node.Status().CommitIndex, make([]byte, stateBytes))
+	}
+	compact()
+	k.bytesPerSecond = 20 * megabit
+	k.sent = 0
+	k.start(behind)
+	// The snapshot takes 3.4 s, and the log is compacted each second.
+	for range 12 {
+		compact()
+		k.run(time.Second)
+	}
+	k.run(8 * time.Second)
+	if got, want := lastIndex(behind), lastIndex(leader); got != want {
+		t.Errorf("got a member at index %d, want %d", got, want)
+	}
+	if len(k.ledBy) != 1 {
+		t.Errorf("got leaders %v, want one", k.ledBy)
+	}
+	t.Logf("%d snapshots sent", k.sent/stateBytes)
+}
