Let a large reply arrive over a slow link

A view with a declaration of 3 MB over 20 Mbit/s takes 1.2 s, a watch ends after 1.1 s (attemptTimeout and the long poll), and the next one begins anew: the entry never gets the declaration.

A deadline that passes while a frame arrives is extended until 300 ms bring no bytes. A silent peer is given up as before.

--- a/io/kwtcprpc/pool.go
+++ b/io/kwtcprpc/pool.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"knapweedproxy/core/kwcbor"
@@ -29,7 +31,8 @@
 }
 
 // Call sends a request to an address and decodes the reply into resp, which may be nil. If the context ends before the
-// reply arrives, the connection is closed, since the peer may have become unresponsive.
+// reply arrives, the connection is closed, since the peer may have become unresponsive. A deadline that passes while the connection brings
+// a frame is extended until it brings nothing any more: a large reply over a slow link would else never arrive.
 func (p *Pool) Call(ctx context.Context, address string, kind Kind, req, resp any) error {
 	// A peer that is down costs no encoding.
 	c, err := p.get(ctx, address)
@@ -117,6 +120,24 @@
 	pending   map[uint64]chan frame
 	closed    chan struct{}
 	closeOnce sync.Once
+	// receiving means that a frame has begun to arrive; lastRead is when the last bytes came, in Unix nanoseconds.
+	receiving atomic.Bool
+	lastRead  atomic.Int64
+}
+
+// stallTimeout is how long a frame that has begun to arrive may bring no bytes; a lost packet is sent again after 200 ms.
+const stallTimeout = 300 * time.Millisecond
+
+// Read reads from the connection and notes when bytes come.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.raw.Read(p)
+	c.lastRead.Store(time.Now().UnixNano())
+	return n, err
+}
+
+// delivers reports whether a frame is arriving.
+func (c *conn) delivers() bool {
+	return c.receiving.Load() && time.Since(time.Unix(0, c.lastRead.Load())) < stallTimeout
 }
 
 func (c *conn) close() {
@@ -127,8 +148,12 @@
 }
 
 func (c *conn) readReplies() {
-	r := bufio.NewReaderSize(c.raw, readBufferBytes)
+	r := bufio.NewReaderSize(c, readBufferBytes)
 	for {
+		if _, err := r.Peek(lengthPrefixBytes); err != nil {
+			return
+		}
+		c.receiving.Store(true)
 		f, n, err := readFrame(r)
 		if err != nil {
 			return
@@ -141,6 +166,7 @@
 		if ok {
 			reply <- f
 		}
+		c.receiving.Store(false)
 	}
 }
 
@@ -163,12 +189,25 @@
 	if err != nil {
 		return frame{}, err
 	}
-	select {
-	case r := <-reply:
-		return r, nil
-	case <-c.closed:
-		return frame{}, net.ErrClosed
-	case <-ctx.Done():
-		return frame{}, ctx.Err()
+	done := ctx.Done()
+	var recheck <-chan time.Time
+	for {
+		select {
+		case r := <-reply:
+			return r, nil
+		case <-c.closed:
+			return frame{}, net.ErrClosed
+		case <-done:
+		case <-recheck:
+		}
+		if !errors.Is(ctx.Err(), context.DeadlineExceeded) || !c.delivers() {
+			select {
+			case r := <-reply:
+				return r, nil
+			default:
+				return frame{}, ctx.Err()
+			}
+		}
+		done, recheck = nil, time.After(stallTimeout)
 	}
 }
