--- a/io/kwcontrol/apply.go
+++ b/io/kwcontrol/apply.go
@@ -29,7 +29,7 @@
 }
 
 // applyCommand applies a command. One that panics does so on every member and again at each start, so that it must not end the process;
-// its proposer learns that the outcome is unknown.
+// its proposer gets an error, after which the command may have been applied in part.
 func (l *Loop) applyCommand(c kwstatemachine.Command) kwstatemachine.Reply {
 	reply := kwstatemachine.Reply{Err: kwcode.New(kwcode.JournalUnavailable, "applying the command panicked")}
 	l.safely("command", func() {
--- a/io/kwdirectcontrol/peer_sender.go
+++ b/io/kwdirectcontrol/peer_sender.go
@@ -40,7 +40,7 @@
 	wg         sync.WaitGroup
 }
 
-// peerQueues are the messages queued for one member.
+// peerQueues are the messages queued for one member, on the two lanes.
 type peerQueues struct {
 	small, bulk chan kwraft.Message
 }
@@ -91,10 +91,7 @@
 			batch.Messages = append(batch.Messages, m)
 			size += m.DataBytes()
 		}
-		for range len(queue) {
-			if size > kwraft.DefaultMaxBatchBytes {
-				break
-			}
+		for len(queue) > 0 && size < kwraft.DefaultMaxBatchBytes {
 			m := <-queue
 			batch.Messages = append(batch.Messages, m)
 			size += m.DataBytes()
--- a/io/kwupstream/endless_test.go
+++ b/io/kwupstream/endless_test.go
@@ -4,12 +4,13 @@
 	"bufio"
 	"context"
 	"io"
-	"knapweedproxy/core/kwcode"
 	"net"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"knapweedproxy/core/kwcode"
 )
 
 // maxEndlessBytes is how much of an endless answer an entry may read, with room for the socket buffers of both sides.
