--- a/io/kwdirectentry/request.go
+++ b/io/kwdirectentry/request.go
@@ -30,10 +30,11 @@
 	workspace *kwdeclaration.Workspace
 	service   kwid.ServiceName
 	body      []byte
-	// buffers is what the request and its answers hold of the memory of the entry.
-	buffers  *kwbuffer.Account
-	arrived  time.Time
-	deadline time.Time
+	// bodyBuffers is what the body holds of the memory of the entry, buffers what the answers hold: a large body must not keep a request that
+	// has been sent from its answer.
+	bodyBuffers, buffers *kwbuffer.Account
+	arrived              time.Time
+	deadline             time.Time
 	// sends counts the attempts that were sent to an endpoint.
 	sends int
 	// crashes counts the attempts that ended with the crash of an endpoint before the answer had begun.
@@ -150,7 +151,8 @@
 		g.reject(q, err)
 		return
 	}
-	q.buffers = g.buffers.Open()
+	q.bodyBuffers, q.buffers = g.buffers.Open(), g.buffers.Open()
+	defer q.bodyBuffers.Close()
 	defer q.buffers.Close()
 	if err := q.readBody(); err != nil {
 		g.reject(q, err)
@@ -239,7 +241,7 @@
 	// The end of a drain interrupts the read; the read's own error would say nothing of that.
 	stop := context.AfterFunc(q.r.Context(), func() { _ = http.NewResponseController(q.w).SetReadDeadline(time.Now()) })
 	defer stop()
-	body, err := kwupstream.ReadAll(http.MaxBytesReader(q.w, q.r.Body, limit), q.r.ContentLength, q.buffers)
+	body, err := kwupstream.ReadAll(http.MaxBytesReader(q.w, q.r.Body, limit), q.r.ContentLength, q.bodyBuffers)
 	if err == nil {
 		q.body = body
 		return nil
--- a/io/kwupstream/exchange.go
+++ b/io/kwupstream/exchange.go
@@ -23,7 +23,7 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// Buffers is what the request and its answers hold of the memory of the process.
+	// Buffers is what the answers hold of the memory of the process beyond a small buffer each.
 	Buffers *kwbuffer.Account
 }
 
@@ -192,18 +192,18 @@
 		return nil, err
 	}
 	if int64(len(body)) > limit {
-		buffers.Shrink(int64(cap(body)))
+		buffers.Shrink(int64(cap(body) - initialBufferBytes))
 		return nil, kwcode.New(kwcode.FrameTooLarge, "response body exceeds %d bytes", limit)
 	}
 	return body, nil
 }
 
-// ReadAll is io.ReadAll into memory of an account, which keeps the capacity of the result until it is closed. After an error it keeps
+// ReadAll is io.ReadAll into memory of an account, which keeps what the result takes beyond a small buffer until it is closed. After an error it keeps
 // nothing. expected is the number of bytes that are announced, -1 if unknown; memory is taken only for what has come.
 func ReadAll(r io.Reader, expected int64, buffers *kwbuffer.Account) ([]byte, error) {
 	body, err := readInto(r, expected, buffers)
 	if err != nil {
-		buffers.Shrink(int64(cap(body)))
+		buffers.Shrink(int64(cap(body) - initialBufferBytes))
 		return nil, err
 	}
 	return body, nil
@@ -211,9 +211,6 @@
 
 // readInto returns what it has read also beside an error.
 func readInto(r io.Reader, expected int64, buffers *kwbuffer.Account) ([]byte, error) {
-	if err := buffers.Grow(initialBufferBytes); err != nil {
-		return nil, err
-	}
 	body := make([]byte, 0, initialBufferBytes)
 	for {
 		if len(body) == cap(body) {
