--- a/io/kwcontrol/full_disk_test.go
+++ b/io/kwcontrol/full_disk_test.go
@@ -162,8 +162,12 @@
 	runLoop(t, l)
 	mustClaim(t, l, "leads")
 	// The control goroutine is held up while the changes arrive, so that it takes them together.
-	held := make(chan struct{})
-	go l.Log(func(time.Time, *kwraft.Node) { <-held })
+	begun, held := make(chan struct{}), make(chan struct{})
+	go l.Log(func(time.Time, *kwraft.Node) {
+		close(begun)
+		<-held
+	})
+	<-begun
 	var declared sync.WaitGroup
 	for i := range changes {
 		declared.Go(func() {
