Let requests start work while a stop waits for it

What callers saw: nothing but an entry that panics at the end of its stop in place of an orderly exit, once its last requests outlive the closing of its server.

Cause: Stop waits on a sync.WaitGroup while requests that are being ended start attempts, probes and reports. If the count has just reached zero, Wait panics. A node of the QUIC transport (streams that peers open) and the calls of an entry with agents had the same.

Change: kwtask.Group, whose Wait may go beside Go and ends with a context.

--- a/io/kwagententry/at_most_once.go
+++ b/io/kwagententry/at_most_once.go
@@ -77,9 +77,7 @@
 	window := sc.deriveKey()
 	done := make(chan callResult, 1)
 	var gate sendGate
-	sc.role.backgroundCalls.Add(1)
-	go func() {
-		defer sc.role.backgroundCalls.Done()
+	sc.role.backgroundCalls.Go(func() {
 		callCtx, cancel := context.WithTimeout(sc.role.background, backgroundTimeout)
 		defer cancel()
 		stopEarly := context.AfterFunc(ctx, func() {
@@ -89,7 +87,7 @@
 		})
 		defer stopEarly()
 		done <- sc.claimAndSend(callCtx, &gate, window)
-	}()
+	})
 	select {
 	case res := <-done:
 		sc.replayed = res.replayed
@@ -176,16 +174,14 @@
 // releaseClaim fences a grant that control may have recorded although its answer was lost. This request won't use the
 // grant, and a resend must not wait for it.
 func (sc *serviceCall) releaseClaim(endpoint kwmembership.Endpoint, window time.Duration) {
-	sc.role.backgroundCalls.Add(1)
-	go func() {
-		defer sc.role.backgroundCalls.Done()
+	sc.role.backgroundCalls.Go(func() {
 		ctx, cancel := context.WithTimeout(sc.role.background, releaseTimeout)
 		defer cancel()
 		reply, err := sc.claim(ctx, endpoint, window)
 		if err == nil && reply.Granted {
 			sc.recordFenced(*reply.Row)
 		}
-	}()
+	})
 }
 
 // notRunError converts a failed claim to an error with the outcome "not run": the call has not been sent.
--- a/io/kwagententry/role.go
+++ b/io/kwagententry/role.go
@@ -22,6 +22,7 @@
 	"knapweedproxy/io/kwevent"
 	"knapweedproxy/io/kwkeys"
 	"knapweedproxy/io/kwquic"
+	"knapweedproxy/io/kwtask"
 )
 
 // Config holds the settings of an entry.
@@ -91,11 +92,12 @@
 	// background ends when the process is killed or has stopped; calls that outlive their caller run under it.
 	background       context.Context
 	cancelBackground context.CancelFunc
-	backgroundCalls  sync.WaitGroup
-	chooserMu        sync.Mutex
-	chooser          *kwmaxflow.Chooser
-	cancel           context.CancelFunc
-	done             chan error
+	// backgroundCalls continue after their callers were answered; Stop waits for them.
+	backgroundCalls kwtask.Group
+	chooserMu       sync.Mutex
+	chooser         *kwmaxflow.Chooser
+	cancel          context.CancelFunc
+	done            chan error
 }
 
 // New opens the listeners; the role serves once Start is called.
@@ -169,26 +171,13 @@
 	ctx, cancel := context.WithTimeout(context.Background(), r.cfg.DrainTimeout)
 	defer cancel()
 	_ = r.server.Shutdown(ctx)
-	r.waitForCalls(ctx)
+	r.backgroundCalls.Wait(ctx)
 	r.cancel()
 	r.cancelBackground()
 	r.transport.Close()
 	r.deps.Events.Emit(kwevent.ProcessStopped, "", kwevent.F("role", "entry"))
 }
 
-// waitForCalls waits for the calls that continue after their caller was answered.
-func (r *Role) waitForCalls(ctx context.Context) {
-	done := make(chan struct{})
-	go func() {
-		r.backgroundCalls.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-ctx.Done():
-	}
-}
-
 // Kill closes all connections at once, as a crash of the VM would.
 func (r *Role) Kill() {
 	r.transport.Kill()
--- a/io/kwdirectentry/gateway.go
+++ b/io/kwdirectentry/gateway.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -17,6 +16,7 @@
 	"knapweedproxy/core/kwretry"
 	"knapweedproxy/io/kwdirectproto"
 	"knapweedproxy/io/kwevent"
+	"knapweedproxy/io/kwtask"
 	"knapweedproxy/io/kwtcprpc"
 	"knapweedproxy/io/kwtime"
 	"knapweedproxy/io/kwupstream"
@@ -64,7 +64,7 @@
 	inFlight    atomic.Int64
 	ctx         context.Context
 	cancel      context.CancelFunc
-	wg          sync.WaitGroup
+	background  kwtask.Group
 	done        chan error
 }
 
@@ -134,13 +134,10 @@
 }
 
 // goBackground runs a function in a goroutine that Stop waits for.
-func (g *Gateway) goBackground(f func()) {
-	g.wg.Add(1)
-	go func() {
-		defer g.wg.Done()
-		f()
-	}()
-}
+func (g *Gateway) goBackground(f func()) { g.background.Go(f) }
+
+// awaitBackground waits for the functions of goBackground. Requests that are being ended may start more meanwhile.
+func (g *Gateway) awaitBackground() { g.background.Wait(context.Background()) }
 
 func (g *Gateway) serve(s *http.Server, l net.Listener) {
 	err := s.Serve(l)
@@ -166,7 +163,7 @@
 	_ = g.readyServer.Close()
 	g.cancel()
 	g.controlPool.Close()
-	g.wg.Wait()
+	g.awaitBackground()
 }
 
 // drainTimes returns the times of a drain that begins now: see drain.
--- a/io/kwdirectentry/relay_test.go
+++ b/io/kwdirectentry/relay_test.go
@@ -104,7 +104,7 @@
 		_ = g.readyServer.Close()
 		_ = g.readyListener.Close()
 		g.cancel()
-		g.wg.Wait()
+		g.awaitBackground()
 	})
 	return g
 }
--- a/io/kwquic/node.go
+++ b/io/kwquic/node.go
@@ -14,6 +14,7 @@
 	"knapweedproxy/core/kwid"
 	"knapweedproxy/io/kwagentproto"
 	"knapweedproxy/io/kwkeys"
+	"knapweedproxy/io/kwtask"
 )
 
 // Protocol is the ALPN protocol name. An incompatible change to the frames needs a new name.
@@ -70,7 +71,7 @@
 	pool          map[string]*pooledConn
 	openConns     map[*quic.Conn]struct{}
 	closedTraffic Traffic
-	handlers      sync.WaitGroup
+	handlers      kwtask.Group
 }
 
 // Traffic counts the bytes, including UDP and IP headers, and the packets of a node's connections.
@@ -193,14 +194,12 @@
 			return
 		}
 		s := &Stream{raw: raw, clock: n.cfg.Clock, peer: identity}
-		n.handlers.Add(1)
-		go n.handleStream(s)
+		n.handlers.Go(func() { n.handleStream(s) })
 	}
 }
 
 // handleStream reads the first frame, runs its handler and then closes the stream.
 func (n *Node) handleStream(s *Stream) {
-	defer n.handlers.Done()
 	defer s.Close()
 	first, err := s.RecvUntil(time.Now().Add(firstFrameTimeout))
 	if err != nil {
@@ -383,17 +382,7 @@
 }
 
 // Wait blocks until no incoming stream is being handled, or the context ends.
-func (n *Node) Wait(ctx context.Context) {
-	done := make(chan struct{})
-	go func() {
-		n.handlers.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-ctx.Done():
-	}
-}
+func (n *Node) Wait(ctx context.Context) { n.handlers.Wait(ctx) }
 
 // Close closes all connections gracefully and notifies the peers.
 func (n *Node) Close() {
