Take streams in a stop only if the longest answers end before it

Cause: the only check is a forecast that one in a hundred may outlast, and that knows lengths and paces but no silence of a server.

Change: the rule for calls (core/kwdrain) holds for streams, before and after their wait for a chain: the deadline or twice the longest answer of the last 30 to 60 s must fit before the end of the drain; else the caller gets entry-stopping at once and another entry serves it.

--- a/io/kwdirectentry/gateway.go
+++ b/io/kwdirectentry/gateway.go
@@ -36,18 +36,19 @@
 	crashLog      *crashLog
 	crashReports  crashReports
 	// queued are the streams that wait for a chain.
-	queued        queuedRequests
-	upstreamPool  *kwupstream.Pool
-	buffers       *kwbuffer.Budget
-	calls         *kwdrain.Calls
-	controlPool   *kwtcprpc.Pool
-	leader        *kwtcprpc.LeaderClient
-	listener      net.Listener
-	readyListener net.Listener
-	server        *http.Server
-	readyServer   *http.Server
-	metrics       gatewayMetrics
-	viewChanged   notifier
+	queued       queuedRequests
+	upstreamPool *kwupstream.Pool
+	buffers      *kwbuffer.Budget
+	// streams are the requests that chains answer, calls the others.
+	calls, streams *kwdrain.Calls
+	controlPool    *kwtcprpc.Pool
+	leader         *kwtcprpc.LeaderClient
+	listener       net.Listener
+	readyListener  net.Listener
+	server         *http.Server
+	readyServer    *http.Server
+	metrics        gatewayMetrics
+	viewChanged    notifier
 	// needsWholeDeclaration is set after a declaration could not be taken over; only watchControl uses it.
 	needsWholeDeclaration bool
 	started               time.Time
@@ -80,7 +81,7 @@
 	g.hedger = kwhedge.New(kwhedge.DefaultConfig(), cfg.Node)
 	g.partGuard = kwquarantine.NewGuard(kwquarantine.DefaultGuardConfig())
 	g.crashLog = newCrashLog()
-	g.calls = kwdrain.NewCalls()
+	g.calls, g.streams = kwdrain.NewCalls(), kwdrain.NewCalls()
 	g.upstreamPool = kwupstream.NewPool()
 	if g.buffers = deps.Buffers; g.buffers == nil {
 		g.buffers = kwbuffer.New(0)
--- a/io/kwdirectentry/stream.go
+++ b/io/kwdirectentry/stream.go
@@ -13,6 +13,7 @@
 	"knapweedproxy/core/kwchainsearch"
 	"knapweedproxy/core/kwcode"
 	"knapweedproxy/core/kwdispatch"
+	"knapweedproxy/core/kwdrain"
 	"knapweedproxy/core/kwid"
 	"knapweedproxy/core/kwmembership"
 	"knapweedproxy/io/kwevent"
@@ -46,6 +47,8 @@
 	hedge *streamHedge
 	// nextHandOverCheck is when the stream is next checked for a hand-over.
 	nextHandOverCheck time.Time
+	// call is set once the stream was sent to a chain.
+	call *kwdrain.Call
 }
 
 // attemptResult is how an attempt of a stream ended.
@@ -70,6 +73,8 @@
 	}
 	s := &streamState{q: q, size: estimateSize(q), attempts: attemptState{exclude: make(endpointSet)}, lastEventID: q.meta.LastEventID}
 	defer g.releaseReserved(s)
+	served := false
+	defer func() { s.endCall(g, served) }()
 	for {
 		chain, ok := s.takeReserved()
 		if !ok {
@@ -77,12 +82,14 @@
 				break
 			}
 		}
+		s.beginCall(g)
 		result := g.attemptChains(ctx, s, chain)
 		if q.callerLeft() {
 			g.abortCallerGone(q)
 		}
 		switch result {
 		case resultComplete:
+			served = true
 			return
 		case resultHandedOver:
 			continue
@@ -103,7 +110,7 @@
 func (g *Gateway) acquireStreamChain(ctx context.Context, s *streamState) (kwchainsearch.Chain, bool) {
 	q := s.q
 	for {
-		if err := g.checkQuarantine(ctx, q); err != nil {
+		if err := g.checkBeforeSend(ctx, s); err != nil {
 			s.recordNoChain(err)
 			return kwchainsearch.Chain{}, false
 		}
@@ -127,8 +134,8 @@
 			s.recordNoChain(err)
 			return kwchainsearch.Chain{}, false
 		}
-		// The part may have been quarantined while the request waited.
-		if err := g.checkQuarantine(ctx, q); err != nil {
+		// The part may have been quarantined while the request waited, or the entry may be stopping since.
+		if err := g.checkBeforeSend(ctx, s); err != nil {
 			g.scheduler.releaseUnsent(chain, s.size.TotalTokens)
 			s.recordNoChain(err)
 			return kwchainsearch.Chain{}, false
@@ -137,6 +144,31 @@
 	}
 }
 
+// checkBeforeSend returns why a stream may not be sent to any chain now, nil if it may.
+func (g *Gateway) checkBeforeSend(ctx context.Context, s *streamState) error {
+	if err := g.checkQuarantine(ctx, s.q); err != nil {
+		return err
+	}
+	if s.attempts.mayHaveRun == 0 && !g.mayEndBeforeExit(g.streams, s.q) {
+		return endsLateError()
+	}
+	return nil
+}
+
+// beginCall records that a stream is sent for the first time.
+func (s *streamState) beginCall(g *Gateway) {
+	if s.call == nil {
+		s.call = g.streams.Begin(time.Now(), s.q.service)
+	}
+}
+
+// endCall records that a stream is over; served is whether its caller got all of it.
+func (s *streamState) endCall(g *Gateway, served bool) {
+	if s.call != nil {
+		g.streams.End(time.Now(), s.call, served)
+	}
+}
+
 // chainRequest returns the request for a chain for the next attempt.
 func (s *streamState) chainRequest(g *Gateway) chainRequest {
 	return chainRequest{r: s.q, size: s.size, exclude: s.attempts.exclude, unreached: s.attempts.unreached, currentView: g.view.Load, exitTime: g.exitTime}
