Leave the test of held hedges time to set what holds them

Cause: the case is set after the first server has the request and must be set within the hedge's delay of 200 ms; with a pause of 250 ms before it nine of the eleven cases fail with the same line.

Change: a delay of 800 ms; what is checked is the same. The other endpoint is slow by twice the delay.

--- a/io/kwdirectentry/hedge_share_test.go
+++ b/io/kwdirectentry/hedge_share_test.go
@@ -154,6 +154,8 @@
 
 // TestHedgeHeldBack guards against hedges that take capacity that others wait for, or that endanger servers.
 func TestHedgeHeldBack(t *testing.T) {
+	// hedgeDelay leaves time to set what holds the hedge back.
+	const hedgeDelay = 800 * time.Millisecond
 	cases := []struct {
 		name string
 		want kwhedge.Reason
@@ -178,7 +180,7 @@
 		{"the request is held", kwhedge.Suspect, func(g *Gateway) { hold(g, "/lookups/x", time.Minute) }},
 		{"the other endpoint is as slow", kwhedge.NoEndpoint, func(g *Gateway) {
 			for range 5 {
-				g.hedger.RecordLatency(time.Now(), kwhedge.Class{Service: "records", Route: "/lookups/"}, "r1", time.Second)
+				g.hedger.RecordLatency(time.Now(), kwhedge.Class{Service: "records", Route: "/lookups/"}, "r1", 2*hedgeDelay)
 			}
 		}},
 		{"a smaller limit", kwhedge.ShareSpent, func(g *Gateway) { g.hedger.SetShare(0.01) }},
@@ -204,14 +206,14 @@
 			if c.want == kwhedge.NotHeldBack {
 				path = "/alerts/"
 			}
-			allowHedges(g, "records", path, 200*time.Millisecond)
+			allowHedges(g, "records", path, hedgeDelay)
 			response := postInBackground(t, g, path+"x", "q")
 			awaitTrue(t, "the request arrives", func() bool { return first.arrivals.Load() == 1 })
 			if c.set != nil {
 				c.set(g)
 			}
 			if c.want == kwhedge.NotHeldBack {
-				time.Sleep(400 * time.Millisecond)
+				time.Sleep(2 * hedgeDelay)
 			} else {
 				awaitTrue(t, "the hedge is held back", func() bool { return g.metrics.hedgesHeld[c.want].Count() == 1 })
 			}
