Reject requests that wait in a stop as soon as they are late

Cause: the time that is left was asked before and after a wait only.

Change: the wait ends once the time that is left falls below twice the longest answer, checked each 100 ms from the beginning of the drain. kwdrain keeps the calls in progress in the order of their begin, so that a check costs the same with any number of them. endsLateError, refuseLate and mayEndBeforeExit move to late_requests.go.

The tests of stops, waits and queues pass with the race detector.

--- a/core/kwdrain/calls.go
+++ b/core/kwdrain/calls.go
@@ -1,6 +1,7 @@
 package kwdrain
 
 import (
+	"container/list"
 	"sync"
 	"time"
 
@@ -21,18 +22,19 @@
 	services map[kwid.ServiceName]*serviceCalls
 }
 
-// serviceCalls holds the longest answers of the present and the last window, and when the calls in progress began.
+// serviceCalls holds the longest answers of the present and the last window, and the calls in progress, the oldest one first.
 type serviceCalls struct {
 	windowEnd     time.Time
 	longest, last time.Duration
 	known         bool
-	inProgress    map[*Call]bool
+	inProgress    *list.List
 }
 
 // Call is a call in progress.
 type Call struct {
 	service kwid.ServiceName
 	began   time.Time
+	element *list.Element
 }
 
 // NewCalls returns a Calls without any.
@@ -46,11 +48,11 @@
 	defer c.mu.Unlock()
 	s, ok := c.services[service]
 	if !ok {
-		s = &serviceCalls{inProgress: make(map[*Call]bool)}
+		s = &serviceCalls{inProgress: list.New()}
 		c.services[service] = s
 	}
 	call := &Call{service: service, began: now}
-	s.inProgress[call] = true
+	call.element = s.inProgress.PushBack(call)
 	return call
 }
 
@@ -59,7 +61,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.services[call.service]
-	delete(s.inProgress, call)
+	s.inProgress.Remove(call.element)
 	if !answered {
 		return
 	}
@@ -103,8 +105,8 @@
 	}
 	s.advance(now)
 	longest := max(s.longest, s.last)
-	for call := range s.inProgress {
-		longest = max(longest, now.Sub(call.began))
+	if oldest := s.inProgress.Front(); oldest != nil {
+		longest = max(longest, now.Sub(oldest.Value.(*Call).began))
 	}
 	return now.Add(caution * longest).Before(limits.DrainEnd)
 }
--- a/io/kwdirectentry/limits.go
+++ b/io/kwdirectentry/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -68,8 +69,16 @@
 	if g.scheduler.limits.None() || !g.scheduler.anyLimited(g.liveEndpoints(u.q)) || ctx.Err() != nil {
 		return kwmembership.Announcement{}, false
 	}
+	waiting, leave := ctx, func() {}
+	if u.unsent() {
+		waiting, leave = g.whileInTime(ctx, g.calls, u.q)
+	}
 	begin := time.Now()
-	endpoint, ok, err := g.scheduler.awaitTurn(ctx, u, func() []kwmembership.Announcement { return g.liveEndpoints(u.q) })
+	endpoint, ok, err := g.scheduler.awaitTurn(waiting, u, func() []kwmembership.Announcement { return g.liveEndpoints(u.q) })
+	if !ok && errors.Is(context.Cause(waiting), errTooLate) {
+		err = endsLateError()
+	}
+	leave()
 	if err != nil {
 		u.attempts.refusal = err
 		u.attempts.lastErr = err
--- a/io/kwdirectentry/queue.go
+++ b/io/kwdirectentry/queue.go
@@ -147,11 +147,6 @@
 	return err.After(decision.RetryAfter)
 }
 
-// endsLateError rejects a request whose answer would be cut off.
-func endsLateError() error {
-	return stoppingError("the answer may not end before the entry stops")
-}
-
 // waitInQueue waits until a queued request gets a chain or its waiting time is over; the caller holds the lock, which
 // is released while it sleeps.
 func (s *scheduler) waitInQueue(ctx context.Context, req chainRequest, decision kwdispatch.Decision) (kwchainsearch.Chain, error) {
--- a/io/kwdirectentry/stream.go
+++ b/io/kwdirectentry/stream.go
@@ -114,10 +114,7 @@
 			s.recordNoChain(err)
 			return kwchainsearch.Chain{}, false
 		}
-		queueCtx, leaveQueue := g.queued.enter(ctx, q)
-		chain, waited, err := g.scheduler.acquireChain(queueCtx, s.chainRequest(g))
-		heldInQueue := errors.Is(context.Cause(queueCtx), errHeld)
-		leaveQueue()
+		chain, waited, err := g.awaitChain(ctx, s)
 		g.countAdmission(q, waited, err)
 		q.waited += waited
 		g.metrics.queueWait.Update(waited)
@@ -127,7 +124,7 @@
 			}
 			g.abortCallerGone(q)
 		}
-		if err != nil && heldInQueue {
+		if errors.Is(err, errHeld) {
 			continue
 		}
 		if err != nil {
@@ -144,6 +141,29 @@
 	}
 }
 
+// awaitChain acquires a chain and returns how long that took. The wait ends with errHeld once the request is kept from servers, and with a
+// rejection once a stop leaves it too little time.
+func (g *Gateway) awaitChain(ctx context.Context, s *streamState) (kwchainsearch.Chain, time.Duration, error) {
+	waiting, leave := ctx, func() {}
+	if s.attempts.mayHaveRun == 0 {
+		waiting, leave = g.whileInTime(ctx, g.streams, s.q)
+	}
+	defer leave()
+	waiting, leaveQueue := g.queued.enter(waiting, s.q)
+	defer leaveQueue()
+	chain, waited, err := g.scheduler.acquireChain(waiting, s.chainRequest(g))
+	if err == nil {
+		return chain, waited, nil
+	}
+	switch cause := context.Cause(waiting); {
+	case errors.Is(cause, errHeld):
+		err = errHeld
+	case errors.Is(cause, errTooLate):
+		err = endsLateError()
+	}
+	return chain, waited, err
+}
+
 // checkBeforeSend returns why a stream may not be sent to any chain now, nil if it may.
 func (g *Gateway) checkBeforeSend(ctx context.Context, s *streamState) error {
 	if err := g.checkQuarantine(ctx, s.q); err != nil {
--- a/io/kwdirectentry/unary.go
+++ b/io/kwdirectentry/unary.go
@@ -9,7 +9,6 @@
 
 	"knapweedproxy/core/kwcode"
 	"knapweedproxy/core/kwdeclaration"
-	"knapweedproxy/core/kwdrain"
 	"knapweedproxy/core/kwid"
 	"knapweedproxy/core/kwmembership"
 	"knapweedproxy/core/kwretry"
@@ -80,6 +79,9 @@
 	kwupstream.Result
 }
 
+// unsent reports whether no server has received the request.
+func (u *unaryState) unsent() bool { return u.attempts.mayHaveRun+u.inProgress == 0 }
+
 // count returns the attempts so far, including those in progress.
 func (u *unaryState) count() kwretry.Attempts {
 	a := u.attempts.count(u.q)
@@ -136,22 +138,6 @@
 	return true
 }
 
-// refuseLate returns the rejection of a call that may not be answered before this entry stops, nil if it may be sent. Another attempt
-// does a call that has been sent before no harm.
-func (g *Gateway) refuseLate(u *unaryState) *kwcode.Error {
-	if u.attempts.mayHaveRun+u.inProgress > 0 || g.mayEndBeforeExit(g.calls, u.q) {
-		return nil
-	}
-	return stoppingError("the answer may not come before the entry stops")
-}
-
-// mayEndBeforeExit reports whether a request may be sent for the first time: if this entry is stopping, its answer must end before.
-func (g *Gateway) mayEndBeforeExit(calls *kwdrain.Calls, q *request) bool {
-	exit := g.exitTime()
-	return exit.IsZero() ||
-		calls.MayPassOn(time.Now(), q.service, kwdrain.Limits{Deadline: q.deadline, DrainEnd: exit, Repeatable: q.route.Retryable()})
-}
-
 // pickUnary picks the endpoint of the next attempt.
 func (g *Gateway) pickUnary(ctx context.Context, u *unaryState) (kwmembership.Announcement, bool) {
 	live := g.liveEndpoints(u.q)
