Leave time for a silence when a stopping entry passes a request on

What callers saw: in simulated stops, requests that were passed on because the longest answer of the last minute fitted twice, and were cut by the first silence of a server since then.

Cause: with short answers the rule left a fraction of a second, while a sound server may be silent for 1.5 s (kwretry.MaxSoundSilence).

Change: the longest answer must fit twice, and with such a silence.

--- a/core/kwdrain/calls.go
+++ b/core/kwdrain/calls.go
@@ -6,14 +6,11 @@
 	"time"
 
 	"knapweedproxy/core/kwid"
+	"knapweedproxy/core/kwretry"
 )
 
-const (
-	// window is for how long the longest answer of a service counts; it counts for up to twice as long.
-	window = 30 * time.Second
-	// caution is how many times the longest answer has to fit into the time that is left.
-	caution = 2
-)
+// window is for how long the longest answer of a service counts; it counts for up to twice as long.
+const window = 30 * time.Second
 
 // Calls knows how long the calls of each service take. It answers calls that arrive late in a planned stop: one that is passed on and cut
 // may have run, one that is rejected is served at once by another entry. It is safe for concurrent use.
@@ -91,8 +88,8 @@
 }
 
 // MayPassOn reports whether a call may be sent to a server by an entry that stops. One whose deadline comes before the end of the drain is
-// answered in any case; another one only if even the longest answers end well before, also those that are still in progress. Of a service
-// without any answers nothing is known: then a call is sent if it may be repeated.
+// answered in any case; another one only if even the longest answers end well before, also those that are still in progress: twice as long,
+// or after a silence of a sound server. Of a service without any answers nothing is known: then a call is sent if it may be repeated.
 func (c *Calls) MayPassOn(now time.Time, service kwid.ServiceName, limits Limits) bool {
 	if limits.Deadline.Before(limits.DrainEnd) {
 		return true
@@ -108,5 +105,5 @@
 	if oldest := s.inProgress.Front(); oldest != nil {
 		longest = max(longest, now.Sub(oldest.Value.(*Call).began))
 	}
-	return now.Add(caution * longest).Before(limits.DrainEnd)
+	return now.Add(longest + max(longest, kwretry.MaxSoundSilence)).Before(limits.DrainEnd)
 }
