--- a/io/kwdirectentry/cut_answer_test.go
+++ b/io/kwdirectentry/cut_answer_test.go
@@ -74,3 +74,50 @@
 		t.Errorf("cut after %d bytes: an at-most-once call was sent %d times", cut, sent.Load())
 	}
 }
+
+// TestCutAnswersOfHedgesAreNeverPassedOnAsWhole has a slow server, its hedge or both stop anywhere in their answers.
+func TestCutAnswersOfHedgesAreNeverPassedOnAsWhole(t *testing.T) {
+	const id, body, slow, hedgeDelay = "cut", "answer", 60 * time.Millisecond, 20 * time.Millisecond
+	answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+	// cuts returns a server that answers after a delay and closes after some bytes of its answer.
+	cuts := func(t *testing.T, after time.Duration, bytes int, hedges *atomic.Int64) string {
+		return serveRaw(t, func(w io.Writer, _ string) bool {
+			hedges.Add(1)
+			time.Sleep(after)
+			_, _ = io.WriteString(w, answer[:bytes])
+			return false
+		})
+	}
+	for _, c := range []struct {
+		name                string
+		cutFirst, cutHedged bool
+	}{{"the slow one", true, false}, {"the hedge", false, true}, {"both", true, true}} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			var first, hedges atomic.Int64
+			for cut := 1; cut < len(answer); cut += 2 {
+				firstBytes, hedgedBytes := len(answer), len(answer)
+				if c.cutFirst {
+					firstBytes = cut
+				}
+				if c.cutHedged {
+					hedgedBytes = cut
+				}
+				g := newTestGateway(t, "127.0.0.1:1", "127.0.0.1:1")
+				setServers(g, nil, []string{cuts(t, slow, firstBytes, &first), cuts(t, 0, hedgedBytes, &hedges)})
+				preferFirst(g)
+				allowHedges(g, "records", "/lookups/", hedgeDelay)
+				status, got := post(t, &http.Client{Timeout: time.Second}, g, "/lookups/x", id)
+				if status == http.StatusOK && !strings.HasPrefix(got, "broken: ") && got != body {
+					t.Errorf("cut after %d bytes: got a 200 framed as whole with %q, want %q or a failure", cut, got, body)
+				}
+				if !(c.cutFirst && c.cutHedged) && (status != http.StatusOK || got != body) {
+					t.Errorf("cut after %d bytes: got %d %q, want the answer of the other server", cut, status, got)
+				}
+			}
+			if hedges.Load() == 0 {
+				t.Error("got no hedge, want some")
+			}
+		})
+	}
+}
