--- a/commands/operator.go
+++ b/commands/operator.go
@@ -60,6 +60,9 @@
 	printf := func(format string, args ...any) { _, _ = fmt.Fprintf(w, format, args...) }
 	printf("control %s leading=%t term=%d voters=%v learners=%v\n", st.Node, st.Leading, st.Log.Term, st.Log.Members.Voters, st.Log.Members.Learners)
 	printf("revision %d  fence %d  open journal rows %d  key expires %s\n", st.Revision, st.FencingToken, st.OpenRows, st.KeyExpiry.Format(time.RFC3339))
+	if len(st.SilentVoters) > 0 {
+		printf("NOTICE: voters that do not answer the leader: %v\n", st.SilentVoters)
+	}
 	if st.Notice != "" {
 		printf("NOTICE: %s\n", st.Notice)
 	}
--- a/core/kwraft/autopilot.go
+++ b/core/kwraft/autopilot.go
@@ -76,6 +76,20 @@
 	return ""
 }
 
+// SilentVoters returns the voters that have not replied to this leader for longer than a timeout; it returns none on other members.
+func (n *Node) SilentVoters(now time.Time, timeout time.Duration) []kwid.NodeID {
+	if n.role != Leader {
+		return nil
+	}
+	var out []kwid.NodeID
+	for _, id := range n.members.Voters {
+		if id != n.cfg.ID && n.silence(now, id) > timeout {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 // silence returns the time since a member last replied to this leader, or since the election if it has not replied
 // yet.
 func (n *Node) silence(now time.Time, id kwid.NodeID) time.Duration {
--- a/core/kwraft/autopilot_test.go
+++ b/core/kwraft/autopilot_test.go
@@ -169,3 +169,22 @@
 		t.Error("got no acknowledgement with the target number of members, want one")
 	}
 }
+
+// TestSilentVotersAreReported guards against a log that has lost a voter while nobody sees it.
+func TestSilentVotersAreReported(t *testing.T) {
+	const timeout = 2500 * time.Millisecond
+	c := newLinkedCluster(t, 1000*megabit)
+	leader, lost := c.leader(), c.followers()[0]
+	if got := leader.node.SilentVoters(c.time(), timeout); len(got) != 0 {
+		t.Errorf("all voters run: got %v silent, want none", got)
+	}
+	lost.node = nil
+	c.run(timeout + time.Second)
+	got := leader.node.SilentVoters(c.time(), timeout)
+	if len(got) != 1 || got[0] != lost.id {
+		t.Errorf("%s is down: got %v silent, want it alone", lost.id, got)
+	}
+	if got := c.followers()[1].node.SilentVoters(c.time(), timeout); got != nil {
+		t.Errorf("a follower: got %v silent, want none", got)
+	}
+}
--- a/io/kwcontrol/admin.go
+++ b/io/kwcontrol/admin.go
@@ -37,9 +37,14 @@
 	OpenRows     int                     `json:"open-rows"`
 	Owners       []kwstatemachine.Owner  `json:"owners"`
 	KeyExpiry    time.Time               `json:"key-expires"`
-	Notice       string                  `json:"notice,omitempty"`
+	// SilentVoters are the voters that do not answer the leader; each of them uses up a failure that the log tolerates.
+	SilentVoters []kwid.NodeID `json:"silent-voters,omitempty"`
+	Notice       string        `json:"notice,omitempty"`
 }
 
+// silentVoterTimeout is longer than an election and a reconnect.
+const silentVoterTimeout = 3 * time.Second
+
 // FileBody is one settings file in an admin request or reply.
 type FileBody struct {
 	Name string `json:"name"`
@@ -147,8 +152,9 @@
 
 func (r *Role) onStatus(c *gin.Context) {
 	out := StatusReply{Node: r.cfg.Node, KeyExpiry: r.deps.Keys.Self().Expires}
-	r.loop.Do(func(_ time.Time, t *kwreconcile.Tables) {
+	r.loop.Do(func(now time.Time, t *kwreconcile.Tables) {
 		out.Leading = t.Leading
+		out.SilentVoters = r.loop.raft.SilentVoters(now, silentVoterTimeout)
 		out.Revision = t.State.Revision()
 		out.FencingToken = t.State.FencingToken()
 		out.Endpoints = t.Membership.Since(0)
--- a/io/kwdirectcontrol/server.go
+++ b/io/kwdirectcontrol/server.go
@@ -152,7 +152,7 @@
 			continue
 		}
 		s.member.Store(m)
-		s.background(func() { s.maintainMembership(m) })
+		s.background(newMembership(s, m).run)
 		err = m.loop.Run()
 		sender.stop()
 		if err != nil && s.ctx.Err() == nil {
@@ -214,41 +214,6 @@
 	})
 }
 
-// maintainMembership asks the leader to add this member while it is neither a voter nor a learner, or a learner that
-// knows no leader. While this process leads, it applies the autopilot's membership changes.
-func (s *Server) maintainMembership(m *logMember) {
-	autopilot := s.cfg.autopilot()
-	for s.ctx.Err() == nil {
-		kwtime.Sleep(s.ctx, membershipInterval)
-		var status kwraft.Status
-		var change *kwraft.MembershipChange
-		m.loop.Log(func(now time.Time, n *kwraft.Node) {
-			status = n.Status()
-			next, ok := autopilot.NextChange(now, n)
-			if !ok {
-				return
-			}
-			if _, err := n.ChangeMembers(now, next); err == nil {
-				change = &next
-			}
-		})
-		if change != nil {
-			s.deps.Events.Emit(kwevent.MembersChanged, "", kwevent.F("promote", change.Promote),
-				kwevent.F("remove", change.Remove), kwevent.F("voters", len(status.Members.Voters)))
-		}
-		if status.Leader == "" && !status.Members.IsVoter(m.id) || !status.Members.IsVoter(m.id) && !status.Members.IsLearner(m.id) {
-			s.requestAddMember(m.id)
-		}
-	}
-}
-
-func (s *Server) requestAddMember(id kwid.NodeID) {
-	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
-	defer cancel()
-	// The next check repeats a failed request; the leader logs the change.
-	_ = s.leaderClient.Call(ctx, kwdirectproto.KindAddMember, kwdirectproto.AddMember{Member: id}, nil, 0)
-}
-
 // runAsLeader runs f on the control goroutine of this process, or returns an error if it does not lead.
 func (s *Server) runAsLeader(ctx context.Context, f func(now time.Time, t *kwreconcile.Tables)) error {
 	m := s.member.Load()
--- a/io/kwevent/catalogue.go
+++ b/io/kwevent/catalogue.go
@@ -87,6 +87,8 @@
 	PlanFailed          ID = 432
 	ReplicationFailed   ID = 433
 	ControlPanicked     ID = 434
+	JoinFailed          ID = 435
+	RedundancyChanged   ID = 436
 	PeerRefused         ID = 501
 	KeyExpires          ID = 502
 )
@@ -188,6 +190,8 @@
 	{PlanFailed, "plan-failed", levelInfo, "The plan of a placement panicked; the fleet is planned again once it changes."},
 	{ReplicationFailed, "replication-failed", levelInfo, "A member of the replicated log could not be sent messages; those with entries are sent again."},
 	{ControlPanicked, "control-panicked", levelInfo, "A function on the control goroutine panicked; it failed alone."},
+	{JoinFailed, "join-failed", levelInfo, "A control process with a disk is not a member of the replicated log and could not ask its leader to join."},
+	{RedundancyChanged, "redundancy-changed", levelInfo, "The leader found that more or fewer voters answer it than before, or that the log has another number of voters."},
 	{PeerRefused, "peer-refused", levelInfo, "A connection or frame from a peer was refused."},
 	{KeyExpires, "key-expires", levelInfo, "The process's certificate expires soon."},
 }
