Tell the seeds who the members of the replicated log are

Discovery went one way: members never call a process that has not called them, and a control process without a log answered not-leader and named nobody. Once the settings name such processes, and the member among the seeds loses its disk or is replaced, nobody can name a member. The successor of a replaced seed never joined, so that the next lost disk cost the quorum.

Control processes now exchange what they know of the log: members tell the seeds of their settings, each second and at news, and who does not lead says where to ask. Messages for an earlier member on a VM tell the present one of the leader. Decisions are in core/kwdiscovery; the choice of the next address moved there from kwtcprpc.

--- /dev/null
+++ b/core/kwdiscovery/finder_test.go
@@ -0,0 +1,22 @@
+package kwdiscovery_test
+
+import (
+	"testing"
+	"time"
+
+	"knapweedproxy/core/kwdiscovery"
+)
+
+// TestHintsInACircleAreLeft guards against processes that know nothing new and name each other: calls would go between them for good.
+func TestHintsInACircleAreLeft(t *testing.T) {
+	f, now := kwdiscovery.NewFinder([]string{"a", "b", "c"}), time.Unix(1000, 0)
+	other := map[string]string{"a": "b", "b": "a"}
+	for range 20 {
+		address, _ := f.Next(now)
+		if address == "c" {
+			return
+		}
+		f.Failed(now, kwdiscovery.Failure{Address: address, Suggested: other[address]})
+	}
+	t.Error("two processes that name each other: got no call to the third, want one")
+}
--- a/core/kwraft/node.go
+++ b/core/kwraft/node.go
@@ -119,6 +119,16 @@
 	return n.snapshot.Members.clone()
 }
 
+// MembersPosition returns the position of the latest membership in the log, or that of the snapshot if the log holds none.
+func (n *Node) MembersPosition() Position {
+	for i := len(n.entries) - 1; i >= 0; i-- {
+		if e := n.entries[i]; e.Kind == EntryMembers {
+			return Position{Term: e.Term, Index: e.Index}
+		}
+	}
+	return Position{Term: n.snapshot.Term, Index: n.snapshot.Index}
+}
+
 func (n *Node) resetElectionDeadline(now time.Time) {
 	jitter := time.Duration(n.rng.Int64N(int64(n.cfg.MinElectionTimeout)))
 	n.electionDeadline = now.Add(n.cfg.MinElectionTimeout + jitter)
--- a/core/kwraft/types.go
+++ b/core/kwraft/types.go
@@ -13,6 +13,20 @@
 // Term is a Raft term; each term has at most one leader.
 type Term uint64
 
+// Position is the term and the index of a log entry. Of two entries that were ever in a log, the one at the later position is the newer.
+type Position struct {
+	Term  Term  `cbor:"1,keyasint"`
+	Index Index `cbor:"2,keyasint"`
+}
+
+// After reports whether a position is later than another.
+func (p Position) After(o Position) bool {
+	if p.Term != o.Term {
+		return p.Term > o.Term
+	}
+	return p.Index > o.Index
+}
+
 // EntryKind is the kind of a log entry.
 type EntryKind uint8
 
--- a/io/kwdirectcontrol/crashing_requests_test.go
+++ b/io/kwdirectcontrol/crashing_requests_test.go
@@ -179,6 +179,7 @@
 	defer cancel()
 	// Without a replicated log the process does not lead when a decision is due.
 	s := &Server{ctx: ctx, promptParts: f.parts}
+	s.discovery = newDiscovery(s)
 	for i := range 6 {
 		digest := kwid.RequestDigest{byte(1 + i/3)}
 		f.crash(1, fmt.Sprint("m", i), kwdirectproto.CrashedRequest{Request: "q", Digest: digest})
--- a/io/kwdirectcontrol/handlers.go
+++ b/io/kwdirectcontrol/handlers.go
@@ -17,7 +17,7 @@
 	"knapweedproxy/io/kwtcprpc"
 )
 
-// handleRaft delivers messages of the replicated log, and drops those to an earlier member on this VM.
+// handleRaft delivers messages of the replicated log. Those to an earlier member on this VM only tell who the members are.
 func (s *Server) handleRaft(_ context.Context, body kwtcprpc.Body) (any, error) {
 	var batch kwdirectproto.RaftBatch
 	if err := body.Decode(&batch); err != nil {
@@ -25,11 +25,14 @@
 	}
 	m := s.member.Load()
 	if m == nil {
-		return nil, kwcode.New(kwcode.NotLeader, "%s has no replicated log", s.cfg.Address)
+		s.discovery.hear(batch.Messages)
+		return nil, s.discovery.notLeader()
 	}
 	for _, msg := range batch.Messages {
 		if msg.To == m.id {
 			m.loop.Deliver(msg)
+		} else {
+			s.discovery.hear([]kwraft.Message{msg})
 		}
 	}
 	return nil, nil
@@ -43,7 +46,7 @@
 	}
 	m := s.member.Load()
 	if m == nil {
-		return nil, kwcode.New(kwcode.NotLeader, "%s has no replicated log", s.cfg.Address)
+		return nil, s.discovery.notLeader()
 	}
 	if err := s.runAsLeader(ctx, func(time.Time, *kwreconcile.Tables) {}); err != nil {
 		return nil, err
--- a/io/kwdirectcontrol/membership.go
+++ b/io/kwdirectcontrol/membership.go
@@ -43,18 +43,20 @@
 	}
 }
 
-// run asks the leader to add this member while it is neither a voter nor a learner, or a learner that knows no leader. While this
-// process leads, it applies the autopilot's membership changes.
+// run tells discovery of the state of this member, and asks the leader to add it while it is outside the log. While this process leads, it
+// applies the autopilot's membership changes.
 func (m *membership) run() {
-	s, id := m.server, m.member.id
+	s := m.server
 	autopilot := s.cfg.autopilot()
 	for s.ctx.Err() == nil {
 		kwtime.Sleep(s.ctx, membershipInterval)
 		var status kwraft.Status
+		var position kwraft.Position
 		var change *kwraft.MembershipChange
 		silent := 0
 		m.member.loop.Log(func(now time.Time, n *kwraft.Node) {
-			status, silent = n.Status(), len(n.SilentVoters(now, autopilot.VoterTimeout))
+			status, position = n.Status(), n.MembersPosition()
+			silent = len(n.SilentVoters(now, autopilot.VoterTimeout))
 			next, ok := autopilot.NextChange(now, n)
 			if !ok {
 				return
@@ -68,7 +70,9 @@
 				kwevent.F("remove", change.Remove), kwevent.F("voters", len(status.Members.Voters)))
 		}
 		m.report(status, silent, autopilot.TargetVoters)
-		if status.Leader == "" && !status.Members.IsVoter(id) || !status.Members.IsVoter(id) && !status.Members.IsLearner(id) {
+		outside := s.discovery.updateOwn(status, position)
+		m.member.outside.Store(outside)
+		if outside {
 			m.requestJoin()
 		}
 	}
--- a/io/kwdirectcontrol/server.go
+++ b/io/kwdirectcontrol/server.go
@@ -33,6 +33,7 @@
 	leaderClient *kwtcprpc.LeaderClient
 	rpcServer    *kwtcprpc.Server
 	member       atomic.Pointer[logMember]
+	discovery    *discovery
 	placer       *placer
 	watchers     *watchers
 	deltas       declarationDeltas
@@ -53,6 +54,8 @@
 type logMember struct {
 	id   kwid.NodeID
 	loop *kwcontrol.Loop
+	// outside is set while the member has to ask the leader to add it.
+	outside atomic.Bool
 }
 
 // New opens the listener; the server serves once Start is called.
@@ -61,6 +64,7 @@
 	traffic := kwtcprpc.NewTraffic(deps.Metrics, kwdirectproto.KindNames())
 	s := &Server{cfg: cfg, deps: deps, pool: kwtcprpc.NewPool(traffic), bulkPool: kwtcprpc.NewPool(traffic), ctx: ctx, cancel: cancel, done: make(chan error, 1)}
 	s.leaderClient = kwtcprpc.NewLeaderClient(s.pool, cfg.Seeds)
+	s.discovery = newDiscovery(s)
 	s.watchers = newWatchers()
 	s.lender = kwretry.NewLender(cfg.RetryBudget)
 	s.promptParts = newPromptParts(deps.Events)
@@ -83,6 +87,7 @@
 		kwdirectproto.KindEndpointCrashed:   s.handleEndpointCrashed,
 		kwdirectproto.KindQuarantineTrial:   s.handleQuarantineTrial,
 		kwdirectproto.KindSaidLeaving:       s.handleSaidLeaving,
+		kwdirectproto.KindExchangeRecords:   s.discovery.handle,
 	}, traffic)
 	if err != nil {
 		cancel()
@@ -99,6 +104,7 @@
 			s.fail(err)
 		}
 	})
+	s.background(s.discovery.run)
 	if s.cfg.DataFolder != "" {
 		s.background(s.runMember)
 	}
@@ -120,7 +126,10 @@
 }
 
 // SetControlAddresses replaces the known addresses of control processes after the settings have changed.
-func (s *Server) SetControlAddresses(addresses []string) { s.leaderClient.SetAddresses(addresses) }
+func (s *Server) SetControlAddresses(addresses []string) {
+	s.leaderClient.SetSeeds(addresses)
+	s.discovery.setSeeds(addresses)
+}
 
 // background runs f in a goroutine that Stop waits for.
 func (s *Server) background(f func()) {
@@ -218,7 +227,7 @@
 func (s *Server) runAsLeader(ctx context.Context, f func(now time.Time, t *kwreconcile.Tables)) error {
 	m := s.member.Load()
 	if m == nil {
-		return kwcode.New(kwcode.NotLeader, "%s has no replicated log", s.cfg.Address)
+		return s.discovery.notLeader()
 	}
 	out := make(chan error, 1)
 	var call abandonableCall
@@ -228,7 +237,7 @@
 	select {
 	case err := <-out:
 		if e := kwcode.FromError(err); e != nil {
-			return e
+			return s.withHint(m, e)
 		}
 		return nil
 	case <-ctx.Done():
@@ -237,6 +246,15 @@
 	}
 }
 
+// withHint adds to a NotLeader error of a member that does not belong to the log, or not any more, where to ask next. A voter without a
+// leader names nobody: an election is under way.
+func (s *Server) withHint(m *logMember, err *kwcode.Error) *kwcode.Error {
+	if err.Code != kwcode.NotLeader || err.Endpoint != "" || !m.outside.Load() {
+		return err
+	}
+	return s.discovery.notLeader()
+}
+
 // abandonableCall is a call whose caller may stop waiting for it. From then on the variables that it uses are the caller's alone.
 type abandonableCall struct {
 	mu        sync.Mutex
@@ -265,8 +283,11 @@
 	if !kwcode.Is(err, kwcode.NotLeader) && !kwcode.Is(err, kwcode.ControlStopping) {
 		return err
 	}
-	if hint := kwcode.FromError(err).Endpoint; hint != "" && hint != s.cfg.Address {
-		s.leaderClient.SetHint(hint)
+	// A process outside the log knows no better than its client for the leader.
+	if m := s.member.Load(); m != nil && !m.outside.Load() {
+		if hint := kwcode.FromError(err).Endpoint; hint != "" && hint != s.cfg.Address {
+			s.leaderClient.SetHint(hint)
+		}
 	}
 	return s.leaderClient.Call(ctx, kind, req, resp, 0)
 }
--- a/io/kwdirectcontrol/watch.go
+++ b/io/kwdirectcontrol/watch.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"knapweedproxy/core/kwcode"
 	"knapweedproxy/core/kwid"
 	"knapweedproxy/core/kwmembership"
 	"knapweedproxy/core/kwraft"
@@ -27,7 +26,7 @@
 	}
 	m := s.member.Load()
 	if m == nil {
-		return nil, kwcode.New(kwcode.NotLeader, "%s has no replicated log", s.cfg.Address)
+		return nil, s.discovery.notLeader()
 	}
 	timer := time.NewTimer(min(req.MaxWait, maxWatchTime))
 	defer timer.Stop()
--- a/io/kwdirectentry/declaration_change_test.go
+++ b/io/kwdirectentry/declaration_change_test.go
@@ -525,7 +525,7 @@
 	if g.deps.Decoder == nil {
 		g.deps.Decoder = changeDecoder{g.view.Load().index.Declaration}
 	}
-	g.leader.SetAddresses([]string{control.Address()})
+	g.leader.SetSeeds([]string{control.Address()})
 	g.goBackground(func() { g.watchControl(g.ctx) })
 	awaitTrue(t, "the script is over", func() bool {
 		l.mu.Lock()
--- a/io/kwdirectentry/gateway.go
+++ b/io/kwdirectentry/gateway.go
@@ -155,7 +155,7 @@
 func (g *Gateway) Done() <-chan error { return g.done }
 
 // SetControlAddresses replaces the addresses of the control processes after the settings have changed.
-func (g *Gateway) SetControlAddresses(control []string) { g.leader.SetAddresses(control) }
+func (g *Gateway) SetControlAddresses(control []string) { g.leader.SetSeeds(control) }
 
 // Stop shuts down gracefully: it fails readiness checks, asks callers to close their connections, accepts new ones
 // until the load balancer has removed the entry, and finishes the requests in flight within DrainTimeout.
--- a/io/kwdirectentry/hedge_share_test.go
+++ b/io/kwdirectentry/hedge_share_test.go
@@ -248,7 +248,7 @@
 	}
 	go func() { _ = control.Serve() }()
 	t.Cleanup(control.Close)
-	g.leader.SetAddresses([]string{control.Address()})
+	g.leader.SetSeeds([]string{control.Address()})
 	for i, want := range []bool{true, false, true} {
 		if err := g.fetchView(t.Context()); err != nil {
 			t.Fatal(err)
--- a/io/kwdirectentry/held_requests_test.go
+++ b/io/kwdirectentry/held_requests_test.go
@@ -148,7 +148,7 @@
 	go func() { _ = server.Serve() }()
 	t.Cleanup(server.Close)
 	c.address = server.Address()
-	g.leader.SetAddresses([]string{c.address})
+	g.leader.SetSeeds([]string{c.address})
 	return c
 }
 
--- a/io/kwdirectentry/quarantine_test.go
+++ b/io/kwdirectentry/quarantine_test.go
@@ -147,7 +147,7 @@
 			t.Cleanup(control.Close)
 			g := newTestGateway(t, serveOneBreak(t, c.crashes), "127.0.0.1:1")
 			g.deps.Dialect = partsDialect{}
-			g.leader.SetAddresses([]string{control.Address()})
+			g.leader.SetSeeds([]string{control.Address()})
 			if status, body := postParts(t, g, "r", "first bad"); status == http.StatusOK {
 				t.Fatalf("got status 200, %s, want an error", body)
 			}
--- a/io/kwdirectentry/view.go
+++ b/io/kwdirectentry/view.go
@@ -105,7 +105,7 @@
 	if err := g.leader.Call(ctx, kwdirectproto.KindWatch, req, &reply, watchMaxWait); err != nil {
 		return err
 	}
-	g.leader.SetAddresses(reply.ControlAddresses)
+	g.leader.SetMembers(reply.ControlAddresses)
 	next, err := g.mergeView(old, reply)
 	if err != nil {
 		return err
--- a/io/kwdirectproto/messages.go
+++ b/io/kwdirectproto/messages.go
@@ -29,6 +29,8 @@
 	KindEndpointCrashed   kwtcprpc.Kind = 11
 	KindQuarantineTrial   kwtcprpc.Kind = 12
 	KindSaidLeaving       kwtcprpc.Kind = 13
+	// KindExchangeRecords carries a kwdiscovery.Record each way.
+	KindExchangeRecords kwtcprpc.Kind = 14
 )
 
 // KindNames returns the names of the kinds in metrics.
@@ -38,7 +40,7 @@
 		KindWriteDeclaration: "write-declaration", KindReadDeclaration: "read-declaration", KindWatch: "watch",
 		KindConnectionRefused: "connection-refused", KindRetryLoan: "retry-loan",
 		KindUnresponsive: "unresponsive", KindEndpointCrashed: "endpoint-crashed", KindQuarantineTrial: "quarantine-trial",
-		KindSaidLeaving: "said-leaving",
+		KindSaidLeaving: "said-leaving", KindExchangeRecords: "exchange-records",
 	}
 }
 
--- a/io/kwevent/catalogue.go
+++ b/io/kwevent/catalogue.go
@@ -89,6 +89,7 @@
 	ControlPanicked     ID = 434
 	JoinFailed          ID = 435
 	RedundancyChanged   ID = 436
+	LeaderFound         ID = 437
 	PeerRefused         ID = 501
 	KeyExpires          ID = 502
 )
@@ -192,6 +193,7 @@
 	{ControlPanicked, "control-panicked", levelInfo, "A function on the control goroutine panicked; it failed alone."},
 	{JoinFailed, "join-failed", levelInfo, "A control process with a disk is not a member of the replicated log and could not ask its leader to join."},
 	{RedundancyChanged, "redundancy-changed", levelInfo, "The leader found that more or fewer voters answer it than before, or that the log has another number of voters."},
+	{LeaderFound, "leader-found", levelInfo, "A control process learned from another one, or from the replicated log, which process leads."},
 	{PeerRefused, "peer-refused", levelInfo, "A connection or frame from a peer was refused."},
 	{KeyExpires, "key-expires", levelInfo, "The process's certificate expires soon."},
 }
