Let a voter that was removed in a cut ask to join again

A member that is cut off for longer than voterTimeout loses its place to a learner. Back in touch, it was a voter by its own log, nobody called it, its requests for votes were ignored, and it never asked to join: the log had one spare less for good, seen by nobody. A voter without a leader asks to join if a later membership does not hold it.

--- a/core/kwdiscovery/directory.go
+++ b/core/kwdiscovery/directory.go
@@ -136,11 +136,12 @@
 }
 
 // NeedsToJoin reports whether a member of the log has to ask the leader to add it: it is neither a voter nor a learner, or a learner without
-// a leader.
-func (d *Directory) NeedsToJoin(status kwraft.Status) bool {
+// a leader, or a voter without one that a later membership no longer holds.
+func (d *Directory) NeedsToJoin(status kwraft.Status, position kwraft.Position) bool {
 	switch {
 	case status.Members.IsVoter(status.ID):
-		return false
+		removed := d.record.Position.After(position) && !slices.Contains(d.record.Members, d.cfg.Self)
+		return status.Leader == "" && removed
 	case status.Members.IsLearner(status.ID):
 		return status.Leader == ""
 	}
--- a/core/kwdiscovery/directory_test.go
+++ b/core/kwdiscovery/directory_test.go
@@ -113,3 +113,23 @@
 		t.Errorf("another seed: got %v, want it", got)
 	}
 }
+
+// TestRemovedVoterAsksToJoin guards against a voter that was cut off until another member had taken its place, and never comes back: nobody
+// calls it any more, and by its own log it is a voter.
+func TestRemovedVoterAsksToJoin(t *testing.T) {
+	d := newDirectory("a", "x")
+	status := kwraft.Status{ID: "a@0", Term: 2, Members: kwraft.Members{Voters: []kwid.NodeID{"a@0", "b@0", "c@0"}}}
+	position := at(2, 5)
+	d.UpdateOwn(status, position)
+	if d.NeedsToJoin(status, position) {
+		t.Error("an election is under way: got a request to join, want none")
+	}
+	d.Learn(kwdiscovery.Record{Position: at(2, 9), Members: []string{"b", "c", "d"}, Term: 2, Leader: "b"})
+	if !d.NeedsToJoin(status, position) {
+		t.Error("a later membership does not hold it: got no request to join, want one")
+	}
+	status.Leader = "b@0"
+	if d.NeedsToJoin(status, position) {
+		t.Error("the leader calls it: got a request to join, want none")
+	}
+}
--- a/core/kwdiscovery/simulation_test.go
+++ b/core/kwdiscovery/simulation_test.go
@@ -278,7 +278,7 @@
 		}
 		status, position := p.node.Status(), p.node.MembersPosition()
 		h.learn(p, func(d *kwdiscovery.Directory) bool { return d.UpdateOwn(status, position) })
-		p.outside = p.directory.NeedsToJoin(status)
+		p.outside = p.directory.NeedsToJoin(status, position)
 	}
 	for _, address := range p.directory.Exchanges(h.time()) {
 		if to := h.control(address); to != nil && to.running && h.linked(p.address, address) {
@@ -480,7 +480,8 @@
 		}
 	}
 	// A voter that comes back after it has got a successor stays.
-	voters := h.members().Voters
+	members := h.members()
+	voters := members.Voters
 	if len(voters) < targetVoters {
 		return fmt.Errorf("got voters %v, want %d", voters, targetVoters)
 	}
@@ -490,7 +491,7 @@
 		}
 	}
 	for _, p := range h.controls {
-		if p.outside {
+		if p.hasDisk && !members.IsVoter(p.member()) && !members.IsLearner(p.member()) {
 			return fmt.Errorf("%s is outside the log", p.member())
 		}
 	}
--- a/io/kwdirectcontrol/discovery.go
+++ b/io/kwdirectcontrol/discovery.go
@@ -108,7 +108,7 @@
 	d.learn(func(dir *kwdiscovery.Directory) bool { return dir.UpdateOwn(status, position) })
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.directory.NeedsToJoin(status)
+	return d.directory.NeedsToJoin(status, position)
 }
 
 // hear learns from messages of the log.
