Keep the seeds beside the members that a process knows

The members that a view names replaced the seeds of an entry until its settings changed. The members are tried first, then the seeds.

--- a/core/kwdiscovery/finder.go
+++ b/core/kwdiscovery/finder.go
@@ -1,6 +1,9 @@
 package kwdiscovery
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// maxCooldown bounds how long an unreachable address is skipped, even if another process names it as the leader: members keep naming a
@@ -25,11 +28,11 @@
 	Suggested   string
 }
 
-// Finder decides which address a call to the leader tries next: the last leader, those that others name, and the members, or the seeds
-// while it knows no member.
+// Finder decides which address a call to the leader tries next: the last leader, those that others name, the members, and the seeds, which
+// are never forgotten, since all members that a process knows may have been replaced while it was cut off.
 type Finder struct {
 	seeds, members []string
-	// addresses are the members, or else the seeds.
+	// addresses are the members, then the seeds that are none.
 	addresses []string
 	hint      string
 	// hints counts the hints that were followed since the last address from the list.
@@ -63,9 +66,11 @@
 }
 
 func (f *Finder) list() {
-	f.addresses = f.members
-	if len(f.addresses) == 0 {
-		f.addresses = f.seeds
+	f.addresses = nil
+	for _, a := range slices.Concat(f.members, f.seeds) {
+		if !slices.Contains(f.addresses, a) {
+			f.addresses = append(f.addresses, a)
+		}
 	}
 }
 
--- a/core/kwdiscovery/finder_test.go
+++ b/core/kwdiscovery/finder_test.go
@@ -7,6 +7,21 @@
 	"knapweedproxy/core/kwdiscovery"
 )
 
+// TestSeedsAreTriedBesideMembers guards against a process that was cut off while all members that it knows were replaced.
+func TestSeedsAreTriedBesideMembers(t *testing.T) {
+	f, now := kwdiscovery.NewFinder([]string{"x"}), time.Unix(1000, 0)
+	f.SetMembers([]string{"a", "b"})
+	for range 3 {
+		address, _ := f.Next(now)
+		if address == "x" {
+			return
+		}
+		f.Failed(now, kwdiscovery.Failure{Address: address, Elapsed: time.Second, Unreachable: true})
+		now = now.Add(time.Second)
+	}
+	t.Error("members that are gone: got no call to the seed, want one")
+}
+
 // TestHintsInACircleAreLeft guards against processes that know nothing new and name each other: calls would go between them for good.
 func TestHintsInACircleAreLeft(t *testing.T) {
 	f, now := kwdiscovery.NewFinder([]string{"a", "b", "c"}), time.Unix(1000, 0)
