Keep the control goroutine from waiting for itself

A new leader queued the proposal of its fencing token for its own goroutine. If that queue was full, as it is after a disk that stalled under load, the goroutine waited for itself for good. It proposes directly now.

--- a/io/kwcontrol/loop.go
+++ b/io/kwcontrol/loop.go
@@ -329,6 +329,9 @@
 	for {
 		rd := l.raft.Ready()
 		if rd.Empty() {
+			if l.updateLeadership() {
+				continue
+			}
 			break
 		}
 		l.send(rd.ImmediateMessages)
@@ -339,7 +342,6 @@
 		l.send(rd.Messages)
 		l.apply(rd.Committed)
 	}
-	l.updateLeadership()
 	l.restoreRoster()
 	l.compact()
 	l.notifyWatchers()
@@ -385,18 +387,18 @@
 	}
 }
 
-// updateLeadership handles a gain or a loss of leadership. A new leader starts with empty membership tables, collects
-// announcements for the gather period and advances the fencing token.
-func (l *Loop) updateLeadership() {
+// updateLeadership handles a gain or a loss of leadership, and reports whether there was one. A new leader starts with empty membership
+// tables, collects announcements for the gather period and advances the fencing token.
+func (l *Loop) updateLeadership() (changed bool) {
 	isLeader := l.raft.Status().Role == kwraft.Leader
 	if isLeader == l.wasLeader {
-		return
+		return false
 	}
 	l.wasLeader = isLeader
 	if !isLeader {
 		l.cfg.Events.Emit(kwevent.LeaderSteppedDown, "")
 		l.failPending(l.notLeader())
-		return
+		return true
 	}
 	now := l.now()
 	l.cfg.Events.Emit(kwevent.LeaderElected, "", kwevent.F("term", uint64(l.raft.Status().Term)))
@@ -406,12 +408,11 @@
 	l.tables.Epoch = uint64(l.raft.Status().Term)
 	l.tables.GatherUntil = now.Add(l.cfg.Timing.GatherPeriod)
 	l.fenceAdvanced = false
-	l.calls <- func() {
-		l.proposeBatch(proposal{
-			command: kwstatemachine.Command{TimeMillis: l.wallMillis(), AdvanceFencingToken: &kwstatemachine.AdvanceFencingToken{Node: l.cfg.Member}},
-			reply:   make(chan kwstatemachine.Reply, 1),
-		})
-	}
+	l.proposeBatch(proposal{
+		command: kwstatemachine.Command{TimeMillis: l.wallMillis(), AdvanceFencingToken: &kwstatemachine.AdvanceFencingToken{Node: l.cfg.Member}},
+		reply:   make(chan kwstatemachine.Reply, 1),
+	})
+	return true
 }
 
 // restoreRoster fills the roster of a new leader with the endpoints that earlier leaders recorded, once an entry of its
