Answer a proposal whose index another one takes

A member that loses the lead and wins it again may propose at an index that still has a waiting proposal of its earlier term; that one was forgotten, and its caller waited for its whole timeout. It gets not-leader now. TestReplacedProposalIsAnswered failed before.

--- a/io/kwcontrol/full_queue_test.go
+++ b/io/kwcontrol/full_queue_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"knapweedproxy/core/kwcode"
+	"knapweedproxy/core/kwraft"
 	"knapweedproxy/core/kwstatemachine"
 )
 
@@ -46,3 +47,25 @@
 	}
 	t.Error("a leader with a full queue: got no change accepted within 5s, want one")
 }
+
+// TestReplacedProposalIsAnswered guards against a proposal whose index another one takes after a change of leader, and which is then never
+// answered.
+func TestReplacedProposalIsAnswered(t *testing.T) {
+	l := newLoop(t, openFolder(t, t.TempDir()), 0)
+	l.raft.Tick(l.now())
+	if got := l.raft.Status().Role; got != kwraft.Leader {
+		t.Fatalf("got role %s, want the leader", got)
+	}
+	old := make(chan kwstatemachine.Reply, 1)
+	next := l.raft.Status().LastIndex + 1
+	l.pending[next] = pendingReply{term: 1, reply: old}
+	l.proposeBatch(proposal{reply: make(chan kwstatemachine.Reply, 1)})
+	select {
+	case got := <-old:
+		if !kwcode.Is(got.Err, kwcode.NotLeader) {
+			t.Errorf("got %v, want %v", got.Err, kwcode.NotLeader)
+		}
+	default:
+		t.Error("a proposal whose index is taken: got no answer, want one")
+	}
+}
--- a/io/kwcontrol/loop.go
+++ b/io/kwcontrol/loop.go
@@ -310,7 +310,11 @@
 	}
 	term := l.raft.Status().Term
 	for i, p := range batch {
-		l.pending[index+kwraft.Index(i)] = pendingReply{term: term, reply: p.reply}
+		at := index + kwraft.Index(i)
+		if replaced, ok := l.pending[at]; ok {
+			replaced.reply <- kwstatemachine.Reply{Err: l.notLeader()}
+		}
+		l.pending[at] = pendingReply{term: term, reply: p.reply}
 	}
 }
 
