Take a refused removal for a full disk, not for a damaged log

The segment before it then was not the last one, and its torn tail counted as damage: the process ended with log-damaged instead of trying again. TestRefusedRemovalIsNoDamage failed before.

--- a/io/kwwal/log.go
+++ b/io/kwwal/log.go
@@ -70,7 +70,10 @@
 	base := newestNumber(names, snapshotPattern)
 	segments := fileNumbers(names, segmentPattern)
 	segments = slices.DeleteFunc(segments, func(n uint64) bool { return n < base })
-	segments = l.removeEmptyTailSegments(segments)
+	segments, err = l.removeEmptyTailSegments(segments)
+	if err != nil {
+		return nil, Recovered{}, err
+	}
 	recovered, err := l.recover(base, segments)
 	if err != nil {
 		return nil, Recovered{}, err
@@ -107,20 +110,24 @@
 	return out, nil
 }
 
-// removeEmptyTailSegments removes the empty newest segments that unfinished snapshots left behind.
-func (l *Log) removeEmptyTailSegments(segments []uint64) []uint64 {
+// removeEmptyTailSegments removes the empty newest segments that unfinished snapshots left behind. While one of them stays, the segment before
+// it is not the last one, whose tail may be torn.
+func (l *Log) removeEmptyTailSegments(segments []uint64) ([]uint64, error) {
 	for len(segments) > 1 {
 		name := fmt.Sprintf(segmentPattern, segments[len(segments)-1])
 		data, err := l.files.Read(name)
-		if err != nil || len(data) > 0 {
-			return segments
+		if err != nil {
+			return nil, kwcode.New(kwcode.DiskFailed, "%v", err)
+		}
+		if len(data) > 0 {
+			return segments, nil
 		}
 		if err := l.files.Remove(name); err != nil {
-			return segments
+			return nil, kwcode.New(kwcode.DiskFailed, "%v", err)
 		}
 		segments = segments[:len(segments)-1]
 	}
-	return segments
+	return segments, nil
 }
 
 // readSegment appends the segment's records to out. It opens the last segment for appending and truncates its torn
--- a/io/kwwal/log_test.go
+++ b/io/kwwal/log_test.go
@@ -28,6 +28,10 @@
 	failAt      int
 	failAfter   bool
 	shortWrites bool
+	// refuseRemoval lets no file be removed.
+	refuseRemoval bool
+	// open counts the files that are open.
+	open int
 }
 
 func newMemFiles() *memFiles {
@@ -75,17 +79,22 @@
 	return nil
 }
 
-func (h memHandle) Close() error { return nil }
+func (h memHandle) Close() error {
+	h.fs.open--
+	return nil
+}
 
 func (m *memFiles) Create(name string) (File, error) {
 	if m.nextOpFails() {
 		return nil, errInjected
 	}
 	m.files[name] = &memFile{}
+	m.open++
 	return memHandle{m, m.files[name]}, nil
 }
 
 func (m *memFiles) Append(name string) (File, error) {
+	m.open++
 	return memHandle{m, m.files[name]}, nil
 }
 
@@ -107,6 +116,9 @@
 }
 
 func (m *memFiles) Remove(name string) error {
+	if m.refuseRemoval {
+		return errInjected
+	}
 	delete(m.files, name)
 	return nil
 }
@@ -340,3 +352,27 @@
 		})
 	}
 }
+
+// TestRefusedRemovalIsNoDamage guards against a process that ends for good, as if its log were damaged, since a full disk refuses to remove
+// the empty segment of an unfinished snapshot behind a torn one.
+func TestRefusedRemovalIsNoDamage(t *testing.T) {
+	fs := newMemFiles()
+	l, _, err := Open(Config{Files: fs})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Append([][]byte{[]byte("kept")}); err != nil {
+		t.Fatal(err)
+	}
+	torn := fs.files[fmt.Sprintf(segmentPattern, 1)]
+	torn.data = append(torn.data, 1, 2, 3)
+	fs.files[fmt.Sprintf(segmentPattern, 2)] = &memFile{}
+	fs.refuseRemoval = true
+	if _, _, err := Open(Config{Files: fs}); !kwcode.Is(err, kwcode.DiskFailed) {
+		t.Errorf("while the disk is full: got %v, want %v", err, kwcode.DiskFailed)
+	}
+	fs.refuseRemoval = false
+	if got := reopenRecords(t, fs); len(got) != 1 {
+		t.Errorf("with room again: got %d records, want 1", len(got))
+	}
+}
