Close the segment of a log that cannot be opened

A log whose torn tail cannot be cut, or a new one that cannot be founded, left its segment open. Both are tried twice a second while the disk is full, until the process has no file descriptor left. TestFailedOpenLeavesNoFileOpen failed before (operations 1 and 2: one open file).

--- a/io/kwcontrol/loop.go
+++ b/io/kwcontrol/loop.go
@@ -186,11 +186,16 @@
 }
 
 // open recovers the Raft node and the state machine from the files, and resets all state that is kept in memory only.
-func (l *Loop) open() error {
+func (l *Loop) open() (err error) {
 	d, state, empty, err := openDisk(l.cfg.Files)
 	if err != nil {
 		return err
 	}
+	defer func() {
+		if err != nil {
+			d.close()
+		}
+	}()
 	if empty && l.cfg.Bootstrap {
 		voters := l.cfg.InitialMembers
 		if len(voters) == 0 {
--- a/io/kwwal/log.go
+++ b/io/kwwal/log.go
@@ -76,6 +76,9 @@
 	}
 	recovered, err := l.recover(base, segments)
 	if err != nil {
+		if l.file != nil {
+			_ = l.file.Close()
+		}
 		return nil, Recovered{}, err
 	}
 	l.removeFilesBefore(names, base)
--- a/io/kwwal/log_test.go
+++ b/io/kwwal/log_test.go
@@ -376,3 +376,28 @@
 		t.Errorf("with room again: got %d records, want 1", len(got))
 	}
 }
+
+// TestFailedOpenLeavesNoFileOpen guards against a process that runs out of file descriptors while its disk is full: it opens its log twice a
+// second until that succeeds.
+func TestFailedOpenLeavesNoFileOpen(t *testing.T) {
+	for failAt := 1; failAt <= 4; failAt++ {
+		fs := newMemFiles()
+		l, _, err := Open(Config{Files: fs})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := l.Close(); err != nil {
+			t.Fatal(err)
+		}
+		segment := fs.files[fmt.Sprintf(segmentPattern, 1)]
+		segment.data = append(segment.data, 1, 2, 3)
+		fs.ops, fs.failAt, fs.open = 0, failAt, 0
+		l, _, err = Open(Config{Files: fs})
+		if err != nil && fs.open != 0 {
+			t.Errorf("operation %d fails: got %d open files, want none", failAt, fs.open)
+		}
+		if err == nil && fs.open != 1 {
+			t.Errorf("no operation fails: got %d open files, want the segment", fs.open)
+		}
+	}
+}
