--- a/io/kwwal/log.go
+++ b/io/kwwal/log.go
@@ -81,6 +81,9 @@
 		}
 		return nil, Recovered{}, err
 	}
+	if slices.Contains(names, tempSnapshotName) {
+		_ = l.files.Remove(tempSnapshotName)
+	}
 	l.removeFilesBefore(names, base)
 	return l, recovered, nil
 }
@@ -289,6 +292,8 @@
 		err = closeErr
 	}
 	if err != nil {
+		// What remains of it is overwritten by the next snapshot, but takes room until then.
+		_ = l.files.Remove(tempSnapshotName)
 		return kwcode.New(kwcode.DiskFailed, "%v", err)
 	}
 	segment, err := l.files.Create(fmt.Sprintf(segmentPattern, n))
--- a/io/kwwal/log_test.go
+++ b/io/kwwal/log_test.go
@@ -401,3 +401,26 @@
 		}
 	}
 }
+
+// TestUnfinishedSnapshotTakesNoRoom guards against a temporary file that stays on a full disk and takes the room of what follows.
+func TestUnfinishedSnapshotTakesNoRoom(t *testing.T) {
+	fs := newMemFiles()
+	l, _, err := Open(Config{Files: fs})
+	if err != nil {
+		t.Fatal(err)
+	}
+	fs.ops, fs.failAt, fs.shortWrites = 0, 2, true
+	if err := l.Snapshot([]byte("a state")); err == nil {
+		t.Fatal("a write that fails: got a snapshot, want an error")
+	}
+	if _, ok := fs.files[tempSnapshotName]; ok {
+		t.Errorf("after a snapshot that failed: got the file %s, want none", tempSnapshotName)
+	}
+	fs.files[tempSnapshotName] = &memFile{data: []byte("of a process that crashed")}
+	if _, _, err := Open(Config{Files: fs}); err != nil {
+		t.Fatal(err)
+	}
+	if _, ok := fs.files[tempSnapshotName]; ok {
+		t.Errorf("after a start: got the file %s, want none", tempSnapshotName)
+	}
+}
