--- a/core/kwraft/node.go
+++ b/core/kwraft/node.go
@@ -318,15 +318,24 @@
 	}
 }
 
-// Compact discards the entries up to an applied index; state is the snapshot of the state machine after that entry.
-func (n *Node) Compact(index Index, state []byte) {
+// CompactedState returns the state that must be on disk before Compact is called with the same arguments, or false if that would do nothing.
+func (n *Node) CompactedState(index Index, state []byte) (PersistentState, bool) {
 	term, ok := n.termAt(index)
 	if !ok || index > n.applied || index <= n.snapshot.Index {
-		return
+		return PersistentState{}, false
+	}
+	return PersistentState{
+		HardState: n.hardState,
+		Snapshot:  Snapshot{Index: index, Term: term, Members: n.membersAt(index), State: state},
+		Entries:   append([]Entry(nil), n.entriesBetween(index+1, n.lastIndex())...),
+	}, true
+}
+
+// Compact discards the entries up to an applied index; state is the snapshot of the state machine after that entry.
+func (n *Node) Compact(index Index, state []byte) {
+	if compacted, ok := n.CompactedState(index, state); ok {
+		n.snapshot, n.entries = compacted.Snapshot, compacted.Entries
 	}
-	members := n.membersAt(index)
-	n.entries = append([]Entry(nil), n.entriesBetween(index+1, n.lastIndex())...)
-	n.snapshot = Snapshot{Index: index, Term: term, Members: members, State: state}
 }
 
 // PersistentState returns the state that must be on disk for the member to restart from its current state.
--- a/io/kwcontrol/loop.go
+++ b/io/kwcontrol/loop.go
@@ -122,6 +122,8 @@
 	// rosterRestored means that the roster holds what earlier leaders have recorded; it applies to the present term only.
 	rosterRestored bool
 	snapshotIndex  kwraft.Index
+	// nextCompaction is the earliest time of a compaction after one that failed.
+	nextCompaction time.Time
 	appliedIndex   kwraft.Index
 	// appliedTerm is the term of the last applied entry.
 	appliedTerm kwraft.Term
@@ -446,19 +448,24 @@
 // holds the old snapshot, the log and the new snapshot at the same time.
 func (l *Loop) compact() {
 	applied := int(l.appliedIndex - l.snapshotIndex)
-	if applied < l.cfg.CompactEntries && (applied == 0 || l.disk.wal.SegmentSize() < l.cfg.CompactBytes) {
+	if applied < l.cfg.CompactEntries && (applied == 0 || l.disk.wal.SegmentSize() < l.cfg.CompactBytes) || l.now().Before(l.nextCompaction) {
 		return
 	}
 	state, err := l.tables.State.Snapshot()
 	if err != nil {
 		return
 	}
-	l.raft.Compact(l.appliedIndex, state)
-	l.snapshotIndex = l.appliedIndex
-	if err := l.disk.rewrite(l.raft.PersistentState()); err != nil {
+	compacted, ok := l.raft.CompactedState(l.appliedIndex, state)
+	if !ok {
+		return
+	}
+	if err := l.disk.rewrite(compacted); err != nil {
+		l.nextCompaction = l.now().Add(diskRetryInterval)
 		l.cfg.Events.Emit(kwevent.DiskRefused, "", kwevent.F("error", err.Error()))
 		return
 	}
+	l.raft.Compact(l.appliedIndex, state)
+	l.snapshotIndex = l.appliedIndex
 	l.cfg.Events.Emit(kwevent.SnapshotWritten, "", kwevent.F("index", uint64(l.appliedIndex)), kwevent.F("bytes", len(state)))
 }
 
