Take no half-written ID for that of a member

A disk that is full while a process starts for the first time may keep half of the ID of its member. The next try took that for the ID, unsynced, and after a loss of power the process was another member with the log of the first. The ID is written aside, synced, and renamed now; one without its end of line is not taken.

--- a/io/kwcontrol/disk.go
+++ b/io/kwcontrol/disk.go
@@ -120,7 +120,8 @@
 func MemberID(folder string, node kwid.NodeID, initial bool) (kwid.NodeID, error) {
 	path := filepath.Join(folder, diskIDFile)
 	data, err := os.ReadFile(path)
-	if id := strings.TrimSpace(string(data)); err == nil && id != "" {
+	// Without its end of line, the ID was cut off by a full disk.
+	if id, complete := strings.CutSuffix(string(data), "\n"); err == nil && complete && id != "" {
 		return joinMemberID(node, id), nil
 	}
 	var raw [diskIDBytes]byte
@@ -131,7 +132,19 @@
 	if initial {
 		id = initialDiskID
 	}
-	if err := writeSynced(path, id); err != nil {
+	// An ID that is not synced may be lost with the power, so that it gets its name only then.
+	temp := path + ".tmp"
+	if err := writeSynced(temp, id); err != nil {
+		return "", kwcode.New(kwcode.DiskFailed, "%v", err)
+	}
+	if err := os.Rename(temp, path); err != nil {
+		return "", kwcode.New(kwcode.DiskFailed, "%v", err)
+	}
+	files, err := kwwal.OpenFolder(folder)
+	if err == nil {
+		err = files.SyncFolder()
+	}
+	if err != nil {
 		return "", kwcode.New(kwcode.DiskFailed, "%v", err)
 	}
 	return joinMemberID(node, id), nil
