--- a/core/kwraft/simulation_test.go
+++ b/core/kwraft/simulation_test.go
@@ -45,6 +45,21 @@
 	}
 }
 
+// TestFullDiskSchedules runs the schedules with disks that are full in turn, beside crashes, cuts, lost disks, elections and compactions. At
+// the end all have room, and a leader must have applied all that was acknowledged.
+func TestFullDiskSchedules(t *testing.T) {
+	for _, create := range []func(uint64) *simulation{newSimulation, newAutopilotSimulation} {
+		total, all := runSchedules(t, func(seed uint64) *simulation {
+			s := create(seed)
+			s.fullDisks = true
+			return s
+		})
+		if all && (total.Acked == 0 || total.FullDisks == 0 || total.Elections == 0 || total.Snapshots == 0 || total.DiskLosses == 0) {
+			t.Errorf("got %+v, want every kind of event", total)
+		}
+	}
+}
+
 // runSchedules runs the schedules of all seeds and sums the events that they covered. With the flag -seed it replays
 // that schedule alone and returns false.
 func runSchedules(t *testing.T, create func(seed uint64) *simulation) (total eventCounts, all bool) {
@@ -68,7 +83,7 @@
 
 // eventCounts counts the events that the schedules covered.
 type eventCounts struct {
-	Acked, Elections, Crashes, Torn, DiskLosses, Promotions, Snapshots, Runs, Fences, Reads int
+	Acked, Elections, Crashes, Torn, DiskLosses, Promotions, Snapshots, Runs, Fences, Reads, FullDisks int
 }
 
 func (t *eventCounts) add(o eventCounts) {
@@ -82,6 +97,7 @@
 	t.Runs += o.Runs
 	t.Fences += o.Fences
 	t.Reads += o.Reads
+	t.FullDisks += o.FullDisks
 }
 
 // vm is a VM that runs one member, with its disk. A nil node means that the member is down.
@@ -97,7 +113,9 @@
 	firstStart   time.Duration
 	appliedIndex kwraft.Index
 	frozenUntil  time.Duration
-	pending      map[kwraft.Index]*request
+	// fullUntil is when the disk has room again.
+	fullUntil time.Duration
+	pending   map[kwraft.Index]*request
 }
 
 // delivery is a message in flight and when it arrives.
@@ -146,6 +164,10 @@
 	// autopilot manages the membership if it is set; otherwise the schedule does.
 	autopilot *kwraft.Autopilot
 	declared  kwdeclaration.Number
+	// fullDisks has the disks be full in turn; the next one is, from nextFull on, that of the member at fullTurn.
+	fullDisks bool
+	fullTurn  int
+	nextFull  time.Duration
 }
 
 func newSimulation(seed uint64) *simulation {
@@ -229,6 +251,7 @@
 		return err
 	}
 	s.startDueMembers()
+	s.fillNextDisk()
 	for _, v := range s.vms {
 		if v.node == nil || v.frozenUntil > s.now {
 			continue
@@ -419,6 +442,10 @@
 			s.crash(v)
 			return nil
 		}
+		if v.fullUntil > s.now && (recordCount(rd) > 0 || rd.Snapshot != nil) {
+			s.refuseWrite(v, rd)
+			return nil
+		}
 		s.persist(v, rd)
 		if !s.faultsOff && s.rng.IntN(400) == 0 {
 			s.crash(v)
@@ -433,6 +460,26 @@
 	return nil
 }
 
+// fillNextDisk fills the disk of the next member for a while, once all others have room.
+func (s *simulation) fillNextDisk() {
+	if !s.fullDisks || s.now < s.nextFull {
+		return
+	}
+	v := s.vms[s.fullTurn%len(s.vms)]
+	s.fullTurn++
+	v.fullUntil = s.now + time.Duration(s.rng.Int64N(int64(8*electionMin)))
+	s.nextFull = v.fullUntil + time.Duration(s.rng.Int64N(int64(4*electionMin)))
+}
+
+// refuseWrite has a member forget its state in memory after a refused write, of which a part may be on the disk, and start from the disk once
+// that has room.
+func (s *simulation) refuseWrite(v *vm, rd kwraft.Ready) {
+	s.counts.FullDisks++
+	s.tornWrite(v, rd)
+	v.node = nil
+	v.firstStart = v.fullUntil
+}
+
 // recordCount returns the number of records that a Ready writes to the log file.
 func recordCount(rd kwraft.Ready) int {
 	if rd.HardState != nil {
@@ -542,7 +589,7 @@
 			return err
 		}
 	}
-	if v.node != nil && v.appliedIndex > v.disk.Snapshot.Index+40 && s.rng.IntN(10) == 0 {
+	if v.node != nil && v.fullUntil <= s.now && v.appliedIndex > v.disk.Snapshot.Index+40 && s.rng.IntN(10) == 0 {
 		s.compact(v)
 	}
 	return nil
@@ -734,7 +781,7 @@
 func (s *simulation) endFaults() error {
 	s.faultsOff = true
 	for _, v := range s.vms {
-		v.frozenUntil = 0
+		v.frozenUntil, v.fullUntil = 0, 0
 	}
 	s.blockedLinks = make(map[[2]int]bool)
 	for _, v := range s.vms {
