--- a/io/kwwal/log_test.go
+++ b/io/kwwal/log_test.go
@@ -392,7 +392,7 @@
 		segment := fs.files[fmt.Sprintf(segmentPattern, 1)]
 		segment.data = append(segment.data, 1, 2, 3)
 		fs.ops, fs.failAt, fs.open = 0, failAt, 0
-		l, _, err = Open(Config{Files: fs})
+		_, _, err = Open(Config{Files: fs})
 		if err != nil && fs.open != 0 {
 			t.Errorf("operation %d fails: got %d open files, want none", failAt, fs.open)
 		}
