Free a declaration that requests in progress began under

A request now keeps its own route and workspace, and of the view only the service, its priority classes and the limits.

--- a/core/kwdeclaration/index.go
+++ b/core/kwdeclaration/index.go
@@ -17,6 +17,8 @@
 	workspaces map[string]*Workspace
 	services   map[kwid.ServiceName]*Service
 	classes    map[kwid.ServiceName]PriorityClasses
+	// byService holds the index of each service's requests.
+	byService map[kwid.ServiceName]*Index
 }
 
 // NewIndex returns the index of a checked declaration, which must not change afterwards.
@@ -43,9 +45,36 @@
 	for i := range d.Services {
 		x.services[d.Services[i].Name] = &d.Services[i]
 	}
+	x.byService = make(map[kwid.ServiceName]*Index, len(d.Services))
+	for _, s := range d.Services {
+		x.byService[s.Name] = x.only(s.Name)
+	}
 	return x
 }
 
+// ForService returns what requests of a service need once they have been routed: the service, its priority classes and the limits. A request
+// may outlive its declaration by far, which is large, and keeps only this of it.
+func (x *Index) ForService(name kwid.ServiceName) *Index {
+	if only, ok := x.byService[name]; ok {
+		return only
+	}
+	return x.only(name)
+}
+
+func (x *Index) only(name kwid.ServiceName) *Index {
+	out := &Index{
+		Declaration: &Declaration{Number: x.Declaration.Number, Limits: x.Declaration.Limits},
+		services:    make(map[kwid.ServiceName]*Service),
+		classes:     map[kwid.ServiceName]PriorityClasses{name: x.classes[name]},
+	}
+	if s := x.services[name]; s != nil {
+		service := *s
+		out.Declaration.Services = []Service{service}
+		out.services[name] = &service
+	}
+	return out
+}
+
 // Route returns the host's route with the longest matching path prefix, or nil.
 func (x *Index) Route(host, path string) *Route {
 	for _, r := range x.routes[host] {
--- a/io/kwdirectentry/request.go
+++ b/io/kwdirectentry/request.go
@@ -189,15 +189,21 @@
 		return kwcode.New(kwcode.ViewExpired, "the view was last confirmed %v ago", g.deps.Now().Sub(q.view.confirmedAt)).After(noViewRetryAfter)
 	}
 	path, _, _ := strings.Cut(q.r.RequestURI, "?")
-	q.route = q.view.index.Route(stripPort(q.r.Host), path)
-	if q.route == nil {
+	route := q.view.index.Route(stripPort(q.r.Host), path)
+	if route == nil {
 		return kwcode.New(kwcode.NoRule, "no route for host %q and path %q", q.r.Host, path)
 	}
-	if q.view.index.RequiresKey(q.route) {
-		q.workspace = q.view.index.WorkspaceByKey(q.meta.Credential)
-		if q.workspace == nil {
+	// A pointer into the declaration would keep all of it as long as the request lasts.
+	ownRoute := *route
+	q.route = &ownRoute
+	if q.view.index.RequiresKey(route) {
+		workspace := q.view.index.WorkspaceByKey(q.meta.Credential)
+		if workspace == nil {
 			return kwcode.New(kwcode.Unauthenticated, "the key belongs to no workspace")
 		}
+		ownWorkspace := *workspace
+		ownWorkspace.Keys = nil
+		q.workspace = &ownWorkspace
 	}
 	timeout := q.route.Timeout
 	if q.meta.Timeout > 0 {
@@ -205,6 +211,7 @@
 	}
 	q.deadline = q.arrived.Add(timeout)
 	q.service = q.route.PickService(hashFraction(q.meta.ID))
+	q.view = q.view.forService(q.service)
 	g.retryBudgets.ForService(q.service).RecordFirstAttempt(q.arrived)
 	if g.hedger.On() {
 		g.hedger.RecordRequest(q.arrived, q.service)
--- a/io/kwdirectentry/view.go
+++ b/io/kwdirectentry/view.go
@@ -268,6 +268,13 @@
 	}
 }
 
+// forService returns the part of the view that requests of a service need once they have been routed.
+func (v *view) forService(name kwid.ServiceName) *view {
+	out := *v
+	out.declarationContent, out.index = nil, v.index.ForService(name)
+	return &out
+}
+
 // hasService reports whether a service is declared or has live endpoints.
 func (v *view) hasService(name kwid.ServiceName) bool {
 	return len(v.live[name]) > 0 || v.index != nil && v.index.Service(name) != nil
