Have relays that know the members ask for news seldom

Each control process without a disk asked one address a second; at the target size, with some 120 of them, that would be 6 KB a second at each member, where a node may spend 3.

--- a/core/kwdiscovery/directory.go
+++ b/core/kwdiscovery/directory.go
@@ -12,6 +12,10 @@
 // it, and has to be a voter again within seconds.
 const DefaultInterval = time.Second
 
+// relayIntervals is the time between two exchanges of a process without a log that knows the members, in intervals: members tell it of changes
+// if it is a seed, and calls to the leader tell it otherwise. There may be a hundred of them.
+const relayIntervals = 5
+
 // Config configures a Directory.
 type Config struct {
 	// Self is the address of this process.
@@ -28,9 +32,9 @@
 	cfg    Config
 	seeds  []string
 	record Record
-	// member is set while this process is a member of the log that knows the leader.
-	member       bool
-	nextExchange time.Time
+	// hasLog is set once this process runs a member of the log, member while that belongs to the log and knows the leader.
+	hasLog, member bool
+	nextExchange   time.Time
 	// turn counts the exchanges of a process that is no member.
 	turn int
 }
@@ -73,6 +77,7 @@
 
 // UpdateOwn takes over the state of this process's own member of the log, whose membership has a position. A change is passed on at once.
 func (d *Directory) UpdateOwn(status kwraft.Status, position kwraft.Position) bool {
+	d.hasLog = true
 	d.member = status.Leader != "" && (status.Members.IsVoter(status.ID) || status.Members.IsLearner(status.ID))
 	r := Record{Position: position, Term: status.Term}
 	for _, id := range slices.Concat(status.Members.Voters, status.Members.Learners) {
@@ -82,9 +87,6 @@
 		r.Leader = d.cfg.AddressOf(status.Leader)
 	}
 	changed := d.Learn(r)
-	if d.member && r.Term == d.record.Term {
-		d.record.Leader = r.Leader
-	}
 	if changed && d.member {
 		d.nextExchange = time.Time{}
 	}
@@ -92,7 +94,7 @@
 }
 
 // Exchanges returns the addresses to exchange records with now. Members tell all their seeds, so that these can answer; a process that is
-// no member asks one address in turn, or all seeds while it knows no member. The cost at a seed grows with the number of control processes,
+// no member asks one address in turn, seldom if it has no log, or all seeds while it knows no member. The cost at a seed grows with the number of control processes,
 // not with that of entries or heartbeats.
 func (d *Directory) Exchanges(now time.Time) []string {
 	if now.Before(d.nextExchange) {
@@ -106,6 +108,9 @@
 	if len(known) == 0 {
 		return nil
 	}
+	if !d.hasLog {
+		d.nextExchange = now.Add(relayIntervals * d.cfg.Interval)
+	}
 	d.turn++
 	return []string{known[d.turn%len(known)]}
 }
