Keep the leader's address while many calls follow it

The bound on hints in a row counted each call that followed one. With four calls at once, as at a relay that passes on heartbeats, the fourth forgot the leader and asked a follower. Only hints that others give are counted now. TestCallsAtOnceGoToTheLeader failed before (the fourth call); found on reading the change.

--- a/core/kwdiscovery/finder.go
+++ b/core/kwdiscovery/finder.go
@@ -35,7 +35,7 @@
 	// addresses are the members, then the seeds that are none.
 	addresses []string
 	hint      string
-	// hints counts the hints that were followed since the last address from the list.
+	// hints counts the hints of others since the last address from the list.
 	hints     int
 	nextIndex int
 	// cooldownUntil holds the end of the cooldown of each unreachable address.
@@ -79,11 +79,10 @@
 
 // Next returns the address to try next, or "" if there is none; roundDone reports that every known address has been tried once more.
 func (f *Finder) Next(now time.Time) (address string, roundDone bool) {
-	if f.hint != "" && f.hints < maxHintsInARow {
-		f.hints++
+	if f.hint != "" {
 		return f.hint, false
 	}
-	f.hint, f.hints = "", 0
+	f.hints = 0
 	if len(f.addresses) == 0 {
 		return "", true
 	}
@@ -109,8 +108,9 @@
 		f.cooldownUntil[c.Address] = now.Add(min(cooldownFactor*c.Elapsed, maxCooldown))
 		return
 	}
-	if c.Suggested != "" && c.Suggested != c.Address && now.After(f.cooldownUntil[c.Suggested]) {
+	if c.Suggested != "" && c.Suggested != c.Address && f.hints < maxHintsInARow && now.After(f.cooldownUntil[c.Suggested]) {
 		f.hint = c.Suggested
+		f.hints++
 	}
 }
 
--- a/core/kwdiscovery/finder_test.go
+++ b/core/kwdiscovery/finder_test.go
@@ -35,3 +35,14 @@
 	}
 	t.Error("two processes that name each other: got no call to the third, want one")
 }
+
+// TestCallsAtOnceGoToTheLeader guards against a hint that is forgotten since many calls follow it before the first of them has ended.
+func TestCallsAtOnceGoToTheLeader(t *testing.T) {
+	f, now := kwdiscovery.NewFinder([]string{"a", "b"}), time.Unix(1000, 0)
+	f.SetHint("leader")
+	for i := range 10 {
+		if got, _ := f.Next(now); got != "leader" {
+			t.Fatalf("call %d at once: got %s, want the leader", i+1, got)
+		}
+	}
+}
