Stop a control process whose data folder is still being opened

Cause: Server.Stop stops the member of the replicated log that it finds. One that is stored a moment later ran for good, and Stop waited for it: a control process that gets SIGTERM as it starts does not end before it is killed. One Loop.Run was left, started beside the last control role.

Change: the end of the process's context stops the member, too.

--- a/io/kwdirectcontrol/server.go
+++ b/io/kwdirectcontrol/server.go
@@ -161,6 +161,8 @@
 			continue
 		}
 		s.member.Store(m)
+		// Stop finds no member to stop if it is called before this one is stored.
+		context.AfterFunc(s.ctx, m.loop.Stop)
 		s.background(newMembership(s, m).run)
 		err = m.loop.Run()
 		sender.stop()
