Close connections that are accepted while an RPC server closes

Cause, found by looking where else a stop can miss what is only being started: Serve put an accepted connection into the list that Close goes through without looking whether Close had been called, and dropped one that was accepted after it without closing it. Such a connection stayed open, and calls on it waited for an answer until their own time ended.

Change: a connection is registered under the lock that Close holds, or closed.

--- a/io/kwtcprpc/rpc_test.go
+++ b/io/kwtcprpc/rpc_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"os"
 	"sync"
@@ -268,3 +269,33 @@
 		t.Errorf("next call: got %q, %v, want x", got, err)
 	}
 }
+
+// TestCloseBesideAccept guards against a connection that stays open after Close, as it was accepted meanwhile.
+func TestCloseBesideAccept(t *testing.T) {
+	const (
+		rounds, dialers = 300, 4
+		closedWithin    = 20 * time.Second
+	)
+	for range rounds {
+		s := startServer(t, map[Kind]Handler{kindEcho: echo})
+		var wg sync.WaitGroup
+		for range dialers {
+			wg.Go(func() {
+				c, err := net.Dial("tcp", s.Address())
+				if err != nil {
+					return
+				}
+				defer c.Close()
+				_ = c.SetReadDeadline(time.Now().Add(closedWithin))
+				if _, err := c.Read(make([]byte, 1)); errors.Is(err, os.ErrDeadlineExceeded) {
+					t.Errorf("a connection that was accepted beside Close: still open after %v", closedWithin)
+				}
+			})
+		}
+		s.Close()
+		wg.Wait()
+		if t.Failed() {
+			return
+		}
+	}
+}
--- a/io/kwtcprpc/server.go
+++ b/io/kwtcprpc/server.go
@@ -62,10 +62,10 @@
 func (s *Server) Serve() error {
 	for {
 		c, err := s.listener.Accept()
-		if s.ctx.Err() != nil {
-			return nil
-		}
 		if err != nil {
+			if s.ctx.Err() != nil {
+				return nil
+			}
 			if temporary(err) {
 				kwtime.Sleep(s.ctx, acceptRetryDelay)
 				continue
@@ -73,13 +73,25 @@
 			return kwcode.New(kwcode.ListenFailed, "%v", err)
 		}
 		kwkeepalive.Enable(c)
-		s.mu.Lock()
-		s.conns[c] = struct{}{}
-		s.mu.Unlock()
+		if !s.register(c) {
+			_ = c.Close()
+			return nil
+		}
 		go s.serveConn(c)
 	}
 }
 
+// register has Close close the connection, or returns false if Close has been called already.
+func (s *Server) register(c net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ctx.Err() != nil {
+		return false
+	}
+	s.conns[c] = struct{}{}
+	return true
+}
+
 // acceptRetryDelay is the delay after a temporary accept error.
 const acceptRetryDelay = 20 * time.Millisecond
 
