Count a voter's silence from the end of the leader before

Operators see the log short of a voter for longer than a new member is given: the successor of a machine that is replaced beside a loss of all power, or of a leader that is lost, becomes a voter an election too late.

Cause: a new leader counted the silence of a voter that has not replied to it from its own election. What nobody could have heard while there was no leader was added to the 2.5 s that a voter may be silent.

Change: the silence counts from when this member last had a leader, itself included, or started. A new leader first waits for the answers to its own messages, as it does before it steps down.

Measured: TestElectionDelaysNoReplacement finds no silent voter 2.5 s after the loss of a leader before, the lost one now.

--- a/core/kwraft/autopilot.go
+++ b/core/kwraft/autopilot.go
@@ -41,7 +41,7 @@
 	m := n.members
 	silentVoter := kwid.NodeID("")
 	for _, id := range m.Voters {
-		if id != n.cfg.ID && n.silence(now, id) > a.VoterTimeout {
+		if id != n.cfg.ID && n.voterSilence(now, id) > a.VoterTimeout {
 			silentVoter = id
 			break
 		}
@@ -83,7 +83,7 @@
 	}
 	var out []kwid.NodeID
 	for _, id := range n.members.Voters {
-		if id != n.cfg.ID && n.silence(now, id) > timeout {
+		if id != n.cfg.ID && n.voterSilence(now, id) > timeout {
 			out = append(out, id)
 		}
 	}
@@ -99,3 +99,12 @@
 	}
 	return now.Sub(since)
 }
+
+// voterSilence returns the time since a voter last replied to this leader, or since this member was left without a leader if it has not
+// replied yet. As in quorumActive, a new leader first waits for the replies to its own messages.
+func (n *Node) voterSilence(now time.Time, id kwid.NodeID) time.Duration {
+	if !n.progressOf(id).lastReply.IsZero() || now.Sub(n.electedAt) < n.cfg.MinElectionTimeout {
+		return n.silence(now, id)
+	}
+	return now.Sub(n.leaderlessSince)
+}
--- a/core/kwraft/autopilot_test.go
+++ b/core/kwraft/autopilot_test.go
@@ -188,3 +188,20 @@
 		t.Errorf("a follower: got %v silent, want none", got)
 	}
 }
+
+// TestElectionDelaysNoReplacement guards against a voter whose replacement starts late, as its silence counts from the election of a
+// leader and not from its end, which brought that election about.
+func TestElectionDelaysNoReplacement(t *testing.T) {
+	const timeout = 2500 * time.Millisecond
+	c := newLinkedCluster(t, 1000*megabit)
+	lost := c.leader()
+	lost.node = nil
+	c.run(timeout + 200*time.Millisecond)
+	leader := c.leader()
+	if leader == nil {
+		t.Fatalf("%v after %s was lost: got no leader", timeout, lost.id)
+	}
+	if got := leader.node.SilentVoters(c.time(), timeout); len(got) != 1 || got[0] != lost.id {
+		t.Errorf("%v after the leader %s was lost: got %v silent, want it alone", timeout, lost.id, got)
+	}
+}
--- a/core/kwraft/election.go
+++ b/core/kwraft/election.go
@@ -110,6 +110,7 @@
 	n.hardState.LedTerm = n.hardState.Term
 	n.peers = make(map[kwid.NodeID]*progress)
 	n.electedAt = now
+	n.leaderlessSince = slices.MaxFunc([]time.Time{n.started, n.lastLeaderContact, n.ledUntil}, time.Time.Compare)
 	n.nextHeartbeat = now.Add(n.cfg.HeartbeatInterval)
 	members := n.members.clone()
 	n.append(Entry{Kind: EntryMembers, Members: &members})
--- a/core/kwraft/node.go
+++ b/core/kwraft/node.go
@@ -48,11 +48,13 @@
 	ledBeforeRestart Term
 	nextHeartbeat    time.Time
 	electedAt        time.Time
-	pendingSnapshot  *Snapshot
-	immediate        []Message
-	outbox           []Message
-	transferTarget   kwid.NodeID
-	transferDeadline time.Time
+	// ledUntil is when this member last led, leaderlessSince from when on it had no leader, itself included, before it was elected.
+	ledUntil, leaderlessSince time.Time
+	pendingSnapshot           *Snapshot
+	immediate                 []Message
+	outbox                    []Message
+	transferTarget            kwid.NodeID
+	transferDeadline          time.Time
 }
 
 // New returns a member that continues from its persistent state.
@@ -184,6 +186,7 @@
 }
 
 func (n *Node) tickLeader(now time.Time) {
+	n.ledUntil = now
 	transferExpired := n.transferTarget != "" && now.After(n.transferDeadline)
 	if transferExpired || !n.quorumActive(now) {
 		n.become(Follower, n.hardState.Term, "")
