Have a learner forget a leader that is silent

Operators see a VM whose disk is never used again: it was a spare member, was cut off, and the log moved on without it.

Cause: only voters campaign, and only a campaign made a member forget its leader. A learner that was promoted and removed while it was cut off, or removed for its silence, kept the leader of that time, took itself for a member with a leader, and never asked to be added again.

Change: a member that may not campaign forgets its leader once its election timeout has passed.

Measured: TestLearnerForgetsSilentLeader got the old leader two election timeouts later before, none now.

--- a/core/kwraft/autopilot_test.go
+++ b/core/kwraft/autopilot_test.go
@@ -205,3 +205,24 @@
 		t.Errorf("%v after the leader %s was lost: got %v silent, want it alone", timeout, lost.id, got)
 	}
 }
+
+// TestLearnerForgetsSilentLeader guards against a learner that is removed while it is cut off and never asks to be added again, as it
+// takes the leader of that time for its own.
+func TestLearnerForgetsSilentLeader(t *testing.T) {
+	const leader, learner = "a@1", "b@1"
+	now := time.Unix(1000, 0)
+	cfg := kwraft.DefaultConfig(learner, 1)
+	n := kwraft.New(cfg, now, kwraft.Bootstrap(kwraft.Members{Voters: []kwid.NodeID{leader}, Learners: []kwid.NodeID{learner}}))
+	n.Step(now, kwraft.Message{Kind: kwraft.MsgAppend, From: leader, To: learner, Term: 1})
+	if got := n.Status().Leader; got != leader {
+		t.Fatalf("after a message of the leader: got leader %q, want %q", got, leader)
+	}
+	n.Tick(now.Add(cfg.MinElectionTimeout / 2))
+	if got := n.Status().Leader; got != leader {
+		t.Errorf("half an election timeout later: got leader %q, want %q", got, leader)
+	}
+	n.Tick(now.Add(2 * cfg.MinElectionTimeout))
+	if got := n.Status().Leader; got != "" {
+		t.Errorf("two election timeouts later: got leader %q, want none", got)
+	}
+}
--- a/core/kwraft/node.go
+++ b/core/kwraft/node.go
@@ -159,7 +159,8 @@
 	}
 }
 
-// Tick advances the time: it starts elections, sends heartbeats and makes a leader that has lost its quorum step down.
+// Tick advances the time: it starts elections, has other members forget a silent leader, sends heartbeats and makes a leader that has
+// lost its quorum step down.
 func (n *Node) Tick(now time.Time) {
 	if n.role == Leader {
 		n.tickLeader(now)
@@ -171,6 +172,8 @@
 	n.resetElectionDeadline(now)
 	if n.members.IsVoter(n.cfg.ID) {
 		n.campaign(now, PreCandidate, false)
+	} else {
+		n.become(Follower, n.hardState.Term, "")
 	}
 	if n.mayResumeLeadership(now) {
 		n.electionDeadline = now.Add(n.cfg.HeartbeatInterval)
