--- a/core/kwraft/node.go
+++ b/core/kwraft/node.go
@@ -48,7 +48,7 @@
 	ledBeforeRestart Term
 	nextHeartbeat    time.Time
 	electedAt        time.Time
-	// ledUntil is when this member last led, leaderlessSince from when on it had no leader, itself included, before it was elected.
+	// ledUntil is when this member last led. leaderlessSince is when it last had a leader, itself included, before it was elected.
 	ledUntil, leaderlessSince time.Time
 	pendingSnapshot           *Snapshot
 	immediate                 []Message
