--- a/core/kwraft/simulation_test.go
+++ b/core/kwraft/simulation_test.go
@@ -5,7 +5,10 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -62,7 +65,7 @@
 	}
 }
 
-// runSchedules runs the schedules of all seeds and sums the events that they covered. With the flag -seed it replays
+// runSchedules runs the schedules of all seeds, several at once, and sums the events that they covered. With the flag -seed it replays
 // that schedule alone and returns false.
 func runSchedules(t *testing.T, count int, create func(seed uint64) *simulation) (total eventCounts, all bool) {
 	t.Helper()
@@ -72,12 +75,25 @@
 		}
 		return total, false
 	}
-	for seed := uint64(1); seed <= uint64(count); seed++ {
-		s := create(seed)
-		if err := s.run(); err != nil {
-			t.Fatalf("seed %d: %v (replay with -seed %d)", seed, err, seed)
-		}
-		total.add(s.counts)
+	var next atomic.Int64
+	var mu sync.Mutex
+	var players sync.WaitGroup
+	for range runtime.GOMAXPROCS(0) {
+		players.Go(func() {
+			for seed := next.Add(1); seed <= int64(count) && !t.Failed(); seed = next.Add(1) {
+				s := create(uint64(seed))
+				if err := s.run(); err != nil {
+					t.Errorf("seed %d: %v (replay with -seed %d)", seed, err, seed)
+				}
+				mu.Lock()
+				total.add(s.counts)
+				mu.Unlock()
+			}
+		})
+	}
+	players.Wait()
+	if t.Failed() {
+		return total, false
 	}
 	t.Logf("%d schedules: %+v", count, total)
 	return total, true
