--- a/core/kwdiscovery/directory.go
+++ b/core/kwdiscovery/directory.go
@@ -94,8 +94,8 @@
 }
 
 // Exchanges returns the addresses to exchange records with now. Members tell all their seeds, so that these can answer; a process that is
-// no member asks one address in turn, seldom if it has no log, or all seeds while it knows no member. The cost at a seed grows with the number of control processes,
-// not with that of entries or heartbeats.
+// no member asks one address in turn, seldom if it has no log, or all seeds while it knows no member. The cost at a seed grows with the
+// number of control processes, not with that of entries or heartbeats.
 func (d *Directory) Exchanges(now time.Time) []string {
 	if now.Before(d.nextExchange) {
 		return nil
