--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -20,16 +20,6 @@
 
 // send sends one request on a new channel and reads the whole answer.
 func send(f *fleet, m *machine, id, path string, wait time.Duration, header map[string]string) answer {
-	return sendWith(f, m, id, path, wait, header, func(func()) {}, func(body io.Reader) (string, error) {
-		content, err := io.ReadAll(body)
-		return string(content), err
-	})
-}
-
-// sendWith is send with a function that learns how to give the request up, and one that reads the answer.
-func sendWith(
-	f *fleet, m *machine, id, path string, wait time.Duration, header map[string]string, onSend func(cancel func()), read func(io.Reader) (string, error),
-) answer {
 	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
 	out := answer{id: id}
@@ -46,15 +36,15 @@
 		req.Header.Set(name, value)
 	}
 	f.record.printf("client sends %s: POST %s to the entry of %s", id, path, m.zone)
-	onSend(cancel)
 	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
 	resp, err := client.Do(req)
 	if err != nil {
 		out.err = err
 	} else {
 		out.status, out.stamp = resp.StatusCode, resp.Header.Get("X-Knapweedproxy-Response-Stamp")
-		out.body, out.err = read(resp.Body)
+		content, err := io.ReadAll(resp.Body)
 		_ = resp.Body.Close()
+		out.body, out.err = string(content), err
 	}
 	f.record.printf("client gets %s: status %d, stamp %q, %d bytes, error %v", id, out.status, out.stamp, len(out.body), out.err)
 	return out
--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -193,6 +193,25 @@
 	return out
 }
 
+// killAll kills all processes at the same moment, and starts them again after a while. Their disks are kept.
+func (f *fleet) killAll(down time.Duration) error {
+	for _, m := range f.machines {
+		_, _ = m.control.cmd.Process.Kill(), m.entry.cmd.Process.Kill()
+	}
+	for _, m := range f.machines {
+		<-m.control.done
+		<-m.entry.done
+	}
+	f.bootstrap = false
+	time.Sleep(down)
+	for _, m := range f.machines {
+		if err := m.start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // stop ends all processes that the fleet has started, and waits for them.
 func (f *fleet) stop() {
 	f.mu.Lock()
