Take a success for the request's own only by its ID and signature

Cause: Conn.Receive took a response without an ID for the request's own on every connection that had carried no other one, and nothing looked at the signature. By the same condition pages with 201 and 302, unsigned successes, signed ones without an ID and encoded bodies reached callers of calls of both kinds; streams refused them by their events.

Change: core/kwanswer decides from status, ID, signature and encoding to which request an answer belongs; Receive, through which calls, streams, moves and hedges read, follows it. An answer that belongs to nothing ends its attempt at once.

--- a/io/kwdirectentry/relay_test.go
+++ b/io/kwdirectentry/relay_test.go
@@ -28,7 +28,7 @@
 )
 
 // testDialect maps the request ID, the last event, the not-run promise and the notices that a server leaves, wants no requests or names a
-// limit.
+// limit. Responses are signed unless they have the header Unsigned.
 type testDialect struct{}
 
 func (testDialect) ReadRequest(h http.Header) kwupstream.RequestMeta {
@@ -48,7 +48,7 @@
 		limit = kwendpointlimit.Notice{Kind: kwendpointlimit.Limited, Rate: kwendpointlimit.Rate(perSecond)}
 	}
 	return kwupstream.ResponseMeta{
-		ID: kwid.RequestID(h.Get("Id")), NotRun: h.Get("Not-Run") != "", InFlight: -1, Leaving: h.Get("Leaving") != "",
+		ID: kwid.RequestID(h.Get("Id")), Signed: h.Get("Unsigned") == "", NotRun: h.Get("Not-Run") != "", InFlight: -1, Leaving: h.Get("Leaving") != "",
 		RetryAfter: pause, Limit: limit, FailedAddress: h.Get("Failed"),
 	}
 }
--- a/io/kwupstream/dialect.go
+++ b/io/kwupstream/dialect.go
@@ -44,6 +44,8 @@
 // ResponseMeta holds what the headers of an endpoint's response say about the request and the endpoint.
 type ResponseMeta struct {
 	ID kwid.RequestID
+	// Signed means that the response bears the signature of the endpoint that has run the request.
+	Signed bool
 	// NotRun means that the endpoint guarantees that it did not execute the request.
 	NotRun bool
 	// FailedAddress is the address of the endpoint that failed in a chain, if the response names one.
--- a/io/kwupstream/exchange.go
+++ b/io/kwupstream/exchange.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"knapweedproxy/core/kwanswer"
 	"knapweedproxy/core/kwbuffer"
 	"knapweedproxy/core/kwcode"
 	"knapweedproxy/core/kwid"
@@ -101,10 +102,9 @@
 	return err
 }
 
-// Receive reads the header of the response to a request, and discards responses to other requests. Endpoints echo the ID of a request;
-// a response without one belongs to it only on a connection that has carried no other. The caller must read
-// the response body before the connection carries another request. Leaving is set if any of the responses says so, also
-// beside an error.
+// Receive reads the header of the response to a request, and discards responses to other requests. After one that cannot be attributed to
+// a request it returns an error at once. The caller must read the response body before the connection carries another request. Leaving is
+// set if any of the responses says so, also beside an error.
 func (c *Conn) Receive(r *Request, d Dialect) (*http.Response, ResponseMeta, error) {
 	leaving := false
 	for range maxMismatchedResponses {
@@ -120,11 +120,16 @@
 		meta := d.ReadResponse(resp.StatusCode, resp.Header)
 		leaving = leaving || meta.Leaving
 		meta.Leaving = leaving
-		if meta.ID == r.ID || meta.ID == "" && !c.Reused {
+		head := kwanswer.Head{Status: resp.StatusCode, ID: meta.ID, Signed: meta.Signed, Encoded: encoded(resp.Header)}
+		switch head.Belongs(r.ID, c.Reused) {
+		case kwanswer.Own:
 			if resp.StatusCode >= http.StatusBadRequest {
 				c.refused = append(c.refused, r.ID)
 			}
 			return resp, meta, nil
+		case kwanswer.Unproven:
+			err := kwcode.New(kwcode.EngineFailed, "response with status %d, ID %q and signed %v is not known to be the endpoint's own", resp.StatusCode, meta.ID, meta.Signed)
+			return nil, ResponseMeta{Leaving: leaving}, err
 		}
 		if meta.ID == "" {
 			c.singleUse = true
@@ -141,6 +146,16 @@
 	return nil, ResponseMeta{Leaving: leaving}, err
 }
 
+// encoded reports whether a response has a body other than the plain one that callers ask for.
+func encoded(h http.Header) bool {
+	for _, encoding := range h.Values("Content-Encoding") {
+		if !strings.EqualFold(strings.TrimSpace(encoding), "identity") {
+			return true
+		}
+	}
+	return false
+}
+
 // Result is a complete unary response, or an error.
 type Result struct {
 	Response *http.Response
--- a/io/kwupstream/upstream_test.go
+++ b/io/kwupstream/upstream_test.go
@@ -15,7 +15,7 @@
 	"knapweedproxy/core/kwid"
 )
 
-// idDialect reads the request ID from the Id header and nothing else.
+// idDialect reads the request ID from the Id header; responses are signed unless they have the header Unsigned.
 type idDialect struct{}
 
 func (idDialect) ReadRequest(h http.Header) RequestMeta {
@@ -24,7 +24,7 @@
 func (idDialect) WriteRequest(http.Header, ForwardMeta)      {}
 func (idDialect) WriteRetryAfter(http.Header, time.Duration) {}
 func (idDialect) ReadResponse(_ int, h http.Header) ResponseMeta {
-	return ResponseMeta{ID: kwid.RequestID(h.Get("Id")), InFlight: -1}
+	return ResponseMeta{ID: kwid.RequestID(h.Get("Id")), Signed: h.Get("Unsigned") == "", InFlight: -1}
 }
 
 // testEndpoint is a listener that handles each accepted connection by a test's function and collects the connections.
