Take a stream of events without a length for whole only after a blank line

Cause: these streams are read like calls, for which the end of the connection is the end of a body without a length. The same happened to events without a length on routes of calls.

Change: the body of every response without a length is read through untilClose, which reports the end of events anywhere but after a blank line as a cut. The attempt fails, and the request is sent again if it may be.

--- a/io/kwdirectentry/stream.go
+++ b/io/kwdirectentry/stream.go
@@ -393,7 +393,7 @@
 	eventsBefore := q.events
 	for {
 		chunk, err := opened.next(events)
-		if errors.Is(err, io.EOF) && s.begun && (s.reads > 0 || framed(resp)) {
+		if errors.Is(err, io.EOF) && s.begun && (s.reads > 0 || kwupstream.Framed(resp)) {
 			g.finishComplete(s, chain)
 			return resultComplete
 		}
@@ -436,11 +436,6 @@
 	}
 }
 
-// framed reports whether a response tells its end by a length or by chunks, rather than by closing its connection.
-func framed(resp *http.Response) bool {
-	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-}
-
 // recordRead updates the times of the current attempt before the next read is counted.
 func (s *streamState) recordRead(now time.Time) {
 	if s.reads == 0 {
--- a/io/kwupstream/exchange.go
+++ b/io/kwupstream/exchange.go
@@ -126,6 +126,9 @@
 			if resp.StatusCode >= http.StatusBadRequest {
 				c.refused = append(c.refused, r.ID)
 			}
+			if !Framed(resp) {
+				resp.Body = &untilClose{body: resp.Body, events: isEventStream(resp)}
+			}
 			return resp, meta, nil
 		case kwanswer.Unproven:
 			err := kwcode.New(kwcode.EngineFailed, "response with status %d, ID %q and signed %v is not known to be the endpoint's own", resp.StatusCode, meta.ID, meta.Signed)
--- /dev/null
+++ b/io/kwupstream/until_close.go
@@ -0,0 +1,45 @@
+package kwupstream
+
+import (
+	"bytes"
+	"io"
+	"mime"
+	"net/http"
+)
+
+// untilClose is the body of a response that states neither a length nor chunks: it ends with the connection, which also ends when the
+// endpoint crashes.
+type untilClose struct {
+	body io.ReadCloser
+	// events means that the body is a stream of events, which cannot end within one.
+	events bool
+	// tail holds the last bytes that were read.
+	tail []byte
+}
+
+// Framed reports whether a response tells its end by a length or by chunks, rather than by closing its connection.
+func Framed(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+}
+
+// isEventStream reports whether the body of a response is a stream of events.
+func isEventStream(resp *http.Response) bool {
+	mediaType, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+	return err == nil && mediaType == "text/event-stream"
+}
+
+// Read returns io.ErrUnexpectedEOF where the body ends before it is whole.
+func (u *untilClose) Read(p []byte) (int, error) {
+	n, err := u.body.Read(p)
+	if u.events && n > 0 {
+		u.tail = append(u.tail, p[max(0, n-len(blankLineCRLF)):n]...)
+		u.tail = append(u.tail[:0], u.tail[max(0, len(u.tail)-len(blankLineCRLF)):]...)
+	}
+	if err == io.EOF && u.events && !bytes.HasSuffix(u.tail, blankLine) && !bytes.HasSuffix(u.tail, blankLineCRLF) {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+// Close closes the body.
+func (u *untilClose) Close() error { return u.body.Close() }
