Hold heartbeats of undeclared services aside

Cause: the roster took any readable heartbeat. One with a later start claims the address, its holder is marked as gone, and the holder's own heartbeats count as late from then on. One with the ID of a live server replaced its row, and one that drains had the departure of that row recorded.

Change: heartbeats of services that the declaration does not name are held aside (kwmembership/undeclared.go) and join once it does, before the declaration is confirmed. Endpoints that joined under an earlier declaration stay. Log event 438.

--- a/core/kwmembership/roster.go
+++ b/core/kwmembership/roster.go
@@ -71,13 +71,16 @@
 	byAddress map[string]kwid.EndpointID
 	byIndex   map[RosterIndex]kwid.EndpointID
 	lastIndex RosterIndex
+	// services holds the declared services, nil if they are not known. undeclared holds the endpoints of others.
+	services   map[kwid.ServiceName]bool
+	undeclared map[kwid.EndpointID]undeclaredEndpoint
 }
 
 // NewRoster returns an empty roster.
 func NewRoster(cfg RosterConfig) *Roster {
 	return &Roster{
 		cfg: cfg, rows: make(map[kwid.EndpointID]*RosterRow), byAddress: make(map[string]kwid.EndpointID),
-		byIndex: make(map[RosterIndex]kwid.EndpointID),
+		byIndex: make(map[RosterIndex]kwid.EndpointID), undeclared: make(map[kwid.EndpointID]undeclaredEndpoint),
 	}
 }
 
@@ -114,10 +117,16 @@
 	// Late means that the heartbeat is ignored: it is older than one already received, or comes from an earlier
 	// process of the endpoint or at its address.
 	Late HeartbeatResult = "late"
+	// Held means that the heartbeat is kept aside until its service is declared, and HeldAgain that an earlier one is already.
+	Held      HeartbeatResult = "held"
+	HeldAgain HeartbeatResult = "held-again"
 )
 
 // Announce processes a heartbeat.
 func (r *Roster) Announce(now time.Time, a Announcement) HeartbeatResult {
+	if !r.declared(a) {
+		return r.hold(now, a)
+	}
 	old := r.rows[a.ID]
 	if old != nil && outdated(old, a) {
 		return Late
@@ -296,6 +305,9 @@
 // Deregister marks an endpoint as gone. A startedMillis of 0 stands for the process that is currently known. It reports
 // whether the roster changed.
 func (r *Roster) Deregister(now time.Time, id kwid.EndpointID, startedMillis StartMillis) bool {
+	if held, ok := r.undeclared[id]; ok && (startedMillis == 0 || startedMillis >= held.announcement.StartedMillis) {
+		delete(r.undeclared, id)
+	}
 	row, ok := r.rows[id]
 	if !ok {
 		row = &RosterRow{Announcement: Announcement{ID: id, StartedMillis: startedMillis}, lastHeartbeat: now}
@@ -313,8 +325,9 @@
 }
 
 // Expire marks endpoints whose lease has expired as lost and returns them. It also deletes the rows of lost and gone
-// endpoints after the retention time.
+// endpoints after the retention time, and those of undeclared services after their lease.
 func (r *Roster) Expire(now time.Time) []RosterRow {
+	r.expireUndeclared(now)
 	var lost []RosterRow
 	for id, row := range r.rows {
 		silence := now.Sub(row.lastHeartbeat)
--- a/io/kwdirectcontrol/handlers.go
+++ b/io/kwdirectcontrol/handlers.go
@@ -98,23 +98,27 @@
 func (s *Server) announce(ctx context.Context, a kwmembership.Announcement) error {
 	result := kwmembership.Renewed
 	err := s.runAsLeader(ctx, func(now time.Time, t *kwreconcile.Tables) {
+		s.placer.syncServices(t)
 		result = t.Roster.Announce(now, a)
 		row, _ := t.Roster.Row(a.ID)
 		// The endpoint may have said in an answer, but not in its heartbeat, that it leaves.
 		a.Leaving = a.Leaving || row.ReportedLeaving && row.Announcement.Process() == a.Process()
 	})
-	if err == nil && a.Leaving && result != kwmembership.Late {
+	inRoster := result == kwmembership.Accepted || result == kwmembership.Renewed
+	if err == nil && a.Leaving && inRoster {
 		err = s.recordDeparture(ctx, a.ID)
 	}
-	if err != nil || result == kwmembership.Renewed {
+	if err != nil || result == kwmembership.Renewed || result == kwmembership.HeldAgain {
 		return err
 	}
 	id := kwevent.EndpointJoined
-	if a.Leaving {
-		id = kwevent.EndpointLeaving
-	}
-	if result == kwmembership.Late {
+	switch {
+	case result == kwmembership.Late:
 		id = kwevent.HeartbeatLate
+	case result == kwmembership.Held:
+		id = kwevent.HeartbeatHeld
+	case a.Leaving:
+		id = kwevent.EndpointLeaving
 	}
 	s.deps.Events.Emit(id, "", kwevent.F("endpoint", a.ID), kwevent.F("address", a.Address), kwevent.F("service", a.Service),
 		kwevent.F("zone", a.Zone), kwevent.F("accelerator", a.Accelerator), kwevent.F("sequence", a.Sequence),
@@ -211,6 +215,11 @@
 		s.deps.Events.Emit(kwevent.DeclarationFailed, "", kwevent.F("number", req.Number), kwevent.F("error", reply.Err.Error()))
 		return reply.Err
 	}
+	// Servers of services that are new join before the operator gets the confirmation. If this process has lost the leadership, the next
+	// leader sees to that.
+	if err := s.runAsLeader(ctx, func(_ time.Time, t *kwreconcile.Tables) { s.placer.syncServices(t) }); err != nil && !kwcode.Is(err, kwcode.NotLeader) {
+		return err
+	}
 	s.deps.Events.Emit(kwevent.DeclarationAccepted, "", kwevent.F("number", req.Number), kwevent.F("in-force", reply.Number),
 		kwevent.F("bytes", len(req.Content)))
 	return nil
--- a/io/kwdirectcontrol/placer.go
+++ b/io/kwdirectcontrol/placer.go
@@ -61,10 +61,13 @@
 	leadingSince      time.Time
 	declarationNumber kwdeclaration.Number
 	index             *kwdeclaration.Index
-	nextRun           time.Time
-	lastJoin          time.Time
-	knownRows         int
-	orderStates       map[kwid.EndpointID]*orderState
+	// syncedRoster is the roster that was last told the services of a declaration, and syncedNumber the number of that.
+	syncedRoster *kwmembership.Roster
+	syncedNumber kwdeclaration.Number
+	nextRun      time.Time
+	lastJoin     time.Time
+	knownRows    int
+	orderStates  map[kwid.EndpointID]*orderState
 	// departedAt is when this leader first saw that each server which is leaving, lost or gone is.
 	departedAt map[kwid.EndpointID]time.Time
 	// planned holds the input of the last plan of each service; an unchanged fleet is not planned again.
@@ -103,6 +106,9 @@
 // Run starts to compute plans in the background and sends the orders of finished ones. It waits neither for a plan,
 // which takes long for a large fleet, nor for an engine.
 func (p *placer) Run(now time.Time, t *kwreconcile.Tables) {
+	if t.Leading {
+		p.syncServices(t)
+	}
 	if !t.Leading || now.Before(t.GatherUntil) || now.Before(p.nextRun) && !p.hasFinishedPlans() {
 		return
 	}
@@ -117,7 +123,6 @@
 		p.lastJoin, p.leadingSince = now, now
 		p.knownRows = 0
 	}
-	p.updateDeclaration(t)
 	p.processReplies(now)
 	if p.index == nil {
 		return
@@ -134,6 +139,22 @@
 	}
 }
 
+// syncServices tells the roster which services the declaration in force names, whenever either is new.
+func (p *placer) syncServices(t *kwreconcile.Tables) {
+	p.updateDeclaration(t)
+	if p.syncedRoster == t.Roster && p.syncedNumber == p.declarationNumber {
+		return
+	}
+	p.syncedRoster, p.syncedNumber = t.Roster, p.declarationNumber
+	services := make(map[kwid.ServiceName]bool)
+	if p.index != nil {
+		for _, s := range p.index.Declaration.Services {
+			services[s.Name] = true
+		}
+	}
+	t.Roster.SetServices(services)
+}
+
 // updateDeclaration decodes the declaration in force whenever its number changes.
 func (p *placer) updateDeclaration(t *kwreconcile.Tables) {
 	d := t.State.Declared()
--- a/io/kwdirectcontrol/placer_test.go
+++ b/io/kwdirectcontrol/placer_test.go
@@ -350,3 +350,31 @@
 		t.Errorf("got %d plans, %d under way, want another one that is done", plans, len(p.placer.planning))
 	}
 }
+
+// TestForeignHeartbeatBesideNewLeaders guards against a heartbeat for a service that is not declared, which takes the address of a sound
+// server: the roster knows the declared services from the first heartbeat that a leader processes, and learns of new ones at once.
+func TestForeignHeartbeatBesideNewLeaders(t *testing.T) {
+	p := newPlacerHarness(t)
+	foreign := kwmembership.Announcement{ID: "t1", Service: "other", Address: "x:1", Zone: "a", Sequence: 1, StartedMillis: 99}
+	for leader := range 3 {
+		p.placer.syncServices(p.tables)
+		p.heartbeat("e1", "x:1", uint64(2*leader+1), kwid.LayerRange{})
+		if got := p.tables.Roster.Announce(p.now, foreign); got != kwmembership.Held {
+			t.Errorf("leader %d, foreign heartbeat: got %q, want %q", leader, got, kwmembership.Held)
+		}
+		p.heartbeat("e1", "x:1", uint64(2*leader+2), kwid.LayerRange{})
+		if row, _ := p.tables.Roster.Row("e1"); row.State != kwmembership.Live {
+			t.Errorf("leader %d: got state %q, want %q", leader, row.State, kwmembership.Live)
+		}
+		live := []kwmembership.Announcement{}
+		for _, row := range p.tables.Roster.Since(0) {
+			live = append(live, row.Announcement)
+		}
+		if len(live) != 1 {
+			t.Fatalf("leader %d: got %d endpoints in the roster, want 1", leader, len(live))
+		}
+		p.tables.Roster = kwmembership.NewRoster(kwmembership.RosterConfig{Lease: 4 * time.Second, Retention: time.Minute})
+		p.tables.Roster.RestoreLive(p.now, live)
+		p.tables.Epoch++
+	}
+}
--- a/io/kwevent/catalogue.go
+++ b/io/kwevent/catalogue.go
@@ -90,6 +90,7 @@
 	JoinFailed          ID = 435
 	RedundancyChanged   ID = 436
 	LeaderFound         ID = 437
+	HeartbeatHeld       ID = 438
 	PeerRefused         ID = 501
 	KeyExpires          ID = 502
 )
@@ -194,6 +195,7 @@
 	{JoinFailed, "join-failed", levelInfo, "A control process with a disk is not a member of the replicated log and could not ask its leader to join."},
 	{RedundancyChanged, "redundancy-changed", levelInfo, "The leader found that more or fewer voters answer it than before, or that the log has another number of voters."},
 	{LeaderFound, "leader-found", levelInfo, "A control process learned from another one, or from the replicated log, which process leads."},
+	{HeartbeatHeld, "heartbeat-held", levelInfo, "A heartbeat of an endpoint whose service is not declared is kept aside, and takes no ID or address."},
 	{PeerRefused, "peer-refused", levelInfo, "A connection or frame from a peer was refused."},
 	{KeyExpires, "key-expires", levelInfo, "The process's certificate expires soon."},
 }
