Pass on no status that promises more than the endpoint has

Cause: handleErrorResponse kept every response without the promise as the one to pass on; calls had a rule of their own for such statuses. Both passed on failures that name no request.

Change: core/kwanswer decides what an answer tells the caller, for streams and calls alike. A misleading answer ends its attempt as one that may have run, and its caller gets a 502 unless another attempt brings an answer.

--- a/core/kwanswer/head_test.go
+++ b/core/kwanswer/head_test.go
@@ -19,6 +19,7 @@
 		{"success without signature, used connection", Head{Status: 200, ID: "a"}, true, Unproven},
 		{"success of another request", Head{Status: 200, ID: "b", Signed: true}, false, Foreign},
 		{"encoded success", Head{Status: 200, ID: "a", Signed: true, Encoded: true}, false, Unproven},
+		{"success that has not run", Head{Status: 200, ID: "a", Signed: true, NotRun: true}, false, Unproven},
 		{"redirect of another program", Head{Status: 302}, false, Unproven},
 		{"redirect", Head{Status: 302, ID: "a"}, false, Own},
 		{"refusal", Head{Status: 503, ID: "a"}, true, Own},
@@ -32,3 +33,37 @@
 		}
 	}
 }
+
+// TestOutcome guards against a status that promises more than the endpoint has: a request that may run once has run, and its caller repeats it.
+func TestOutcome(t *testing.T) {
+	for _, status := range []int{408, 421, 429, 503} {
+		for _, c := range []struct {
+			head       Head
+			repeatable bool
+			want       Outcome
+		}{
+			{Head{Status: status, ID: "a"}, false, Misleading},
+			{Head{Status: status, ID: "a", Signed: true}, false, Misleading},
+			{Head{Status: status, ID: "a", NotRun: true}, false, Refused},
+			{Head{Status: status, NotRun: true}, false, Refused},
+			{Head{Status: status, ID: "a", NotRun: true}, true, Refused},
+			{Head{Status: status}, true, Misleading},
+		} {
+			if got := c.head.Outcome(c.repeatable); got != c.want {
+				t.Errorf("%+v, repeatable %v: got %d, want %d", c.head, c.repeatable, got, c.want)
+			}
+		}
+	}
+	for status, want := range map[int]Outcome{200: Answered, 204: Answered, 302: Answered, 404: Answered, 500: Failed, 502: Failed, 504: Failed} {
+		for _, repeatable := range []bool{false, true} {
+			if got := (Head{Status: status, ID: "a", Signed: true}).Outcome(repeatable); got != want {
+				t.Errorf("status %d, repeatable %v: got %d, want %d", status, repeatable, got, want)
+			}
+		}
+	}
+	for status, want := range map[int]Outcome{408: Answered, 429: Answered, 503: Failed} {
+		if got := (Head{Status: status, ID: "a"}).Outcome(true); got != want {
+			t.Errorf("status %d, repeatable: got %d, want %d", status, got, want)
+		}
+	}
+}
--- a/io/kwdirectentry/plain_stream_test.go
+++ b/io/kwdirectentry/plain_stream_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -12,25 +13,26 @@
 	"knapweedproxy/core/kwdeclaration"
 )
 
-// addPlainStreams adds streaming routes to the service without an engine: one whose streams may be resumed, and one whose streams may not.
-func addPlainStreams(g *Gateway) {
+// addRoute adds a route like the one of a prefix to the declaration of a gateway.
+func addRoute(g *Gateway, like, prefix string, change func(*kwdeclaration.Route)) {
 	v := *g.view.Load()
 	d := *v.index.Declaration
-	for _, resumable := range []bool{true, false} {
-		route := *v.index.Route("h", "/alerts/")
-		route.Kind, route.Resumable = kwdeclaration.Streaming, resumable
-		route.Name, route.Prefix = "once", "/once/"
-		if resumable {
-			route.Name, route.Prefix = "resumed", "/resumed/"
-		}
-		d.Routes = append(d.Routes, route)
-	}
+	route := *v.index.Route("h", like)
+	route.Name, route.Prefix = prefix, prefix
+	change(&route)
+	d.Routes = append(slices.Clone(d.Routes), route)
 	v.index = kwdeclaration.NewIndex(&d)
 	v.indexEndpoints()
 	g.view.Store(&v)
 	g.scheduler.applyView(&v, nil)
 }
 
+// addPlainStreams adds streaming routes to the service without an engine: one whose streams may be resumed, and one whose streams may not.
+func addPlainStreams(g *Gateway) {
+	addRoute(g, "/alerts/", "/resumed/", func(r *kwdeclaration.Route) { r.Kind, r.Resumable = kwdeclaration.Streaming, true })
+	addRoute(g, "/alerts/", "/once/", func(r *kwdeclaration.Route) { r.Kind, r.Resumable = kwdeclaration.Streaming, false })
+}
+
 // TestStreamsCutWithinAnEventAreNotWhole guards against a stream without a length that a crash cuts within an event, of a service without
 // an engine, which callers got as complete.
 func TestStreamsCutWithinAnEventAreNotWhole(t *testing.T) {
--- a/io/kwdirectentry/stream_failure.go
+++ b/io/kwdirectentry/stream_failure.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"knapweedproxy/core/kwanswer"
 	"knapweedproxy/core/kwchainsearch"
 	"knapweedproxy/core/kwcode"
 	"knapweedproxy/core/kwid"
@@ -51,10 +52,17 @@
 	if err != nil {
 		return g.handleBrokenStream(ctx, s, chain, err), false
 	}
-	if !meta.NotRun {
+	first := chain.First().Endpoint
+	switch meta.Head(resp).Outcome(s.q.route.Retryable()) {
+	case kwanswer.Misleading:
+		s.attempts.mayHaveRun++
+		s.attempts.lastErr = misleadingError(first, resp.StatusCode)
+		g.deps.Events.Emit(kwevent.AttemptFailed, s.q.meta.ID, kwevent.F("chain", formatChain(chain)), kwevent.F("error", s.attempts.lastErr.Error()))
+		return resultBroken, true
+	case kwanswer.Answered, kwanswer.Failed:
 		s.attempts.mayHaveRun++
 		s.attempts.response = &kwupstream.Result{Response: resp, Body: body}
-		s.attempts.lastErr = kwcode.New(kwcode.StreamCut, "endpoint %s responded with status %d", chain.First().Endpoint, resp.StatusCode)
+		s.attempts.lastErr = kwcode.New(kwcode.StreamCut, "endpoint %s responded with status %d", first, resp.StatusCode)
 		return resultBroken, true
 	}
 	s.attempts.notRun++
--- a/io/kwdirectentry/unary.go
+++ b/io/kwdirectentry/unary.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"knapweedproxy/core/kwanswer"
 	"knapweedproxy/core/kwcode"
 	"knapweedproxy/core/kwdeclaration"
 	"knapweedproxy/core/kwid"
@@ -277,39 +278,26 @@
 
 // recordAttempt records the outcome of an attempt; it returns true if the request has its final response.
 func (g *Gateway) recordAttempt(q *request, attempts *attemptState, endpoint kwmembership.Announcement, res kwupstream.Result) bool {
-	if res.Err == nil && answeredInFull(res.Response.StatusCode, res.Meta.NotRun) {
+	if res.Err != nil {
+		g.recordBrokenAttempt(q, attempts, endpoint, res)
+		return false
+	}
+	status := res.Response.StatusCode
+	if answeredInFull(status, res.Meta.NotRun) {
 		g.partGuard.RecordAnswered(time.Now(), endpoint.Process(), q.digest)
 	}
-	switch {
-	case res.Err != nil:
-		attempts.excludeFailed(time.Now(), endpoint.ID, res.Err)
-		if res.Sent {
-			attempts.mayHaveRun++
-			if connectionDropped(res.Err) {
-				g.checkForCrash(q, endpoint.Process(), endpoint.Address, q.guardedParts())
-			} else {
-				g.partGuard.RecordAbandoned(time.Now(), endpoint.Process(), q.digest)
-			}
-		} else {
-			g.noteRefusal(endpoint.ID, res.Err)
-		}
-		attempts.lastErr = kwcode.New(kwcode.OutcomeUnknown, "endpoint %s: %v", endpoint.ID, res.Err)
-		if !q.stopped() {
-			silent := q.remaining() <= 0 || errors.Is(res.Err, kwupstream.ErrNoConnection)
-			g.eject(q.meta.ID, endpoint.ID, endpoint.Address, silent, res.Err.Error())
-		}
-		return false
-	case res.Meta.NotRun:
+	switch res.Meta.Head(res.Response).Outcome(q.route.Retryable()) {
+	case kwanswer.Refused:
 		attempts.notRun++
-		attempts.lastErr = kwcode.New(kwcode.NoEndpoint, "endpoint %s responded with status %d, not run", endpoint.ID, res.Response.StatusCode)
+		attempts.lastErr = kwcode.New(kwcode.NoEndpoint, "endpoint %s responded with status %d, not run", endpoint.ID, status)
 		g.logFailedAttempt(q, endpoint, attempts.lastErr)
 		return false
-	case !q.route.Retryable() && statusImpliesNotRun(res.Response.StatusCode):
+	case kwanswer.Misleading:
 		attempts.mayHaveRun++
-		attempts.lastErr = kwcode.New(kwcode.OutcomeUnknown, "endpoint %s responded with status %d without a promise that the request has not run", endpoint.ID, res.Response.StatusCode)
+		attempts.lastErr = misleadingError(endpoint.ID, status)
 		g.logFailedAttempt(q, endpoint, attempts.lastErr)
 		return false
-	case res.Response.StatusCode >= http.StatusInternalServerError:
+	case kwanswer.Failed:
 		attempts.mayHaveRun++
 		attempts.response = &res
 		return false
@@ -317,19 +305,35 @@
 	attempts.response = &res
 	attempts.mayHaveRun++
 	g.scheduler.ejector.RecordSuccess(endpoint.ID)
-	if res.Response.StatusCode == http.StatusOK {
+	if status == http.StatusOK {
 		g.recordSound(q)
 	}
 	return true
 }
 
-// statusImpliesNotRun reports whether callers read a status as a promise that the request has not run.
-func statusImpliesNotRun(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return true
+// recordBrokenAttempt records an attempt that has brought no response.
+func (g *Gateway) recordBrokenAttempt(q *request, attempts *attemptState, endpoint kwmembership.Announcement, res kwupstream.Result) {
+	attempts.excludeFailed(time.Now(), endpoint.ID, res.Err)
+	if res.Sent {
+		attempts.mayHaveRun++
+		if connectionDropped(res.Err) {
+			g.checkForCrash(q, endpoint.Process(), endpoint.Address, q.guardedParts())
+		} else {
+			g.partGuard.RecordAbandoned(time.Now(), endpoint.Process(), q.digest)
+		}
+	} else {
+		g.noteRefusal(endpoint.ID, res.Err)
 	}
-	return false
+	attempts.lastErr = kwcode.New(kwcode.OutcomeUnknown, "endpoint %s: %v", endpoint.ID, res.Err)
+	if !q.stopped() {
+		silent := q.remaining() <= 0 || errors.Is(res.Err, kwupstream.ErrNoConnection)
+		g.eject(q.meta.ID, endpoint.ID, endpoint.Address, silent, res.Err.Error())
+	}
+}
+
+// misleadingError is the error of an attempt whose response is not passed on, since callers would take it for more than the endpoint has said.
+func misleadingError(id kwid.EndpointID, status int) *kwcode.Error {
+	return kwcode.New(kwcode.OutcomeUnknown, "endpoint %s responded with status %d, without its promise that the request has not run or without its ID", id, status)
 }
 
 func (g *Gateway) logFailedAttempt(q *request, endpoint kwmembership.Announcement, err *kwcode.Error) {
--- a/io/kwupstream/exchange.go
+++ b/io/kwupstream/exchange.go
@@ -120,7 +120,7 @@
 		meta := d.ReadResponse(resp.StatusCode, resp.Header)
 		leaving = leaving || meta.Leaving
 		meta.Leaving = leaving
-		head := kwanswer.Head{Status: resp.StatusCode, ID: meta.ID, Signed: meta.Signed, Encoded: encoded(resp.Header)}
+		head := meta.Head(resp)
 		switch head.Belongs(r.ID, c.Reused) {
 		case kwanswer.Own:
 			if resp.StatusCode >= http.StatusBadRequest {
@@ -149,6 +149,11 @@
 	return nil, ResponseMeta{Leaving: leaving}, err
 }
 
+// Head returns what core/kwanswer decides on.
+func (m ResponseMeta) Head(resp *http.Response) kwanswer.Head {
+	return kwanswer.Head{Status: resp.StatusCode, ID: m.ID, Signed: m.Signed, NotRun: m.NotRun, Encoded: encoded(resp.Header)}
+}
+
 // encoded reports whether a response has a body other than the plain one that callers ask for.
 func encoded(h http.Header) bool {
 	for _, encoding := range h.Values("Content-Encoding") {
