Take the end of a connection for that of a body only once the request is written

Cause: a large request is written in the background, and a socket reports a reset once. When that write gets the report, the read sees the plain end of the connection; the error of the write was dropped. Agents had the same fault through the library's client.

Change: a connection keeps the end of the write and its error; the end of a body without a length, events included, counts only once the request has been written in full, which the reader awaits for 200 ms. Agents ask their transport.

--- a/io/kwagent/calls.go
+++ b/io/kwagent/calls.go
@@ -20,6 +20,7 @@
 	"knapweedproxy/io/kwagentproto"
 	"knapweedproxy/io/kwcontrol"
 	"knapweedproxy/io/kwevent"
+	"knapweedproxy/io/kwupstream"
 )
 
 // headerRequestID carries the request ID to the service. If the service echoes it, a reply that arrives for another
@@ -36,6 +37,8 @@
 	// mismatchedReplyTimeout bounds a lookup's wait for a response that went to another call; the lookup can be
 	// repeated.
 	mismatchedReplyTimeout = 500 * time.Millisecond
+	// earlyResponseTimeout bounds the wait for the end of the write after a response that ended with its connection.
+	earlyResponseTimeout = 200 * time.Millisecond
 )
 
 // newTransport returns a transport for lookups or, if forWrites is true, for writes. A write gets a connection of its
@@ -214,7 +217,23 @@
 // roundTrip makes one HTTP exchange. The second result is true if any part of the request may have reached the service.
 func (r *Role) roundTrip(ctx context.Context, transport *http.Transport, req kwagentproto.Call) (kwstatemachine.Response, bool, error) {
 	var reached atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { reached.Store(true) }}
+	written := make(chan error, 1)
+	trace := &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) {
+			reached.Store(true)
+			// The transport may write a lookup again, on another connection.
+			select {
+			case <-written:
+			default:
+			}
+		},
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			select {
+			case written <- info.Err:
+			default:
+			}
+		},
+	}
 	url := r.cfg.ServiceURL + req.Path
 	if req.Query != "" {
 		url += "?" + req.Query
@@ -239,6 +258,9 @@
 		return deliveredResponse(matched, reached.Load(), kwcode.New(kwcode.PeerUnreachable, "%v", err))
 	}
 	response, err := readResponse(resp)
+	if err == nil && !kwupstream.Framed(resp) {
+		err = awaitWrite(written)
+	}
 	if err != nil {
 		return deliveredResponse(matched, true, err)
 	}
@@ -250,6 +272,22 @@
 	return r.matchResponse(ctx, id, resp.Header.Get(headerRequestID), response, matched)
 }
 
+// awaitWrite returns an error unless the whole request is written. A response without a length ends with its connection, which also ends when
+// the service resets it, and the write may have got the report of that.
+func awaitWrite(written <-chan error) error {
+	timeout := time.NewTimer(earlyResponseTimeout)
+	defer timeout.Stop()
+	select {
+	case err := <-written:
+		if err == nil {
+			return nil
+		}
+		return kwcode.New(kwcode.OutcomeUnknown, "the service closed its connection before the request was written: %v", err)
+	case <-timeout.C:
+		return kwcode.New(kwcode.OutcomeUnknown, "the service closed its connection before the request was written")
+	}
+}
+
 // deliveredResponse returns the response that already arrived in answer to another call, else the given error.
 func deliveredResponse(matched <-chan kwstatemachine.Response, reached bool, err error) (kwstatemachine.Response, bool, error) {
 	select {
--- a/io/kwupstream/conn.go
+++ b/io/kwupstream/conn.go
@@ -53,6 +53,8 @@
 	address string
 	// Reused reports whether the connection has carried a request before.
 	Reused bool
+	// upload is the write of a large request in the background, nil if the request was written before Send returned.
+	upload *upload
 	// singleUse means that the connection must not carry another request.
 	singleUse bool
 	// refused holds the requests that were answered with a failure. A copy of that would answer a second attempt with the same ID.
--- a/io/kwupstream/exchange.go
+++ b/io/kwupstream/exchange.go
@@ -52,18 +52,29 @@
 const backgroundBodyBytes = 16 << 10
 
 // earlyResponseTimeout bounds the wait for the response of an endpoint that closed its connection before the request was
-// written.
+// written, and for the end of the write after such a response has ended.
 const earlyResponseTimeout = 200 * time.Millisecond
 
+// upload is the write of a large request in the background.
+type upload struct {
+	// ended is closed when the write has ended, with err.
+	ended chan struct{}
+	err   error
+}
+
 // Send writes the whole request; after an error the endpoint may still have read it. A large body is written in the
 // background: a write error then surfaces when the response is read, and the connection is not reused.
 func (c *Conn) Send(r *Request) error {
+	c.upload = nil
 	if len(r.Body) < backgroundBodyBytes {
 		return c.write(r)
 	}
 	c.singleUse = true
+	u := &upload{ended: make(chan struct{})}
+	c.upload = u
 	go func() {
-		if c.write(r) != nil {
+		defer close(u.ended)
+		if u.err = c.write(r); u.err != nil {
 			// A response that arrived before the write failed can still be read.
 			c.SetReadDeadline(time.Now().Add(earlyResponseTimeout))
 		}
@@ -71,6 +82,22 @@
 	return nil
 }
 
+// awaitUpload returns an error unless the whole request is written, now or within earlyResponseTimeout. A socket reports a reset once: if the
+// write has got the report, reads see only the end of the connection.
+func (c *Conn) awaitUpload() error {
+	if c.upload == nil {
+		return nil
+	}
+	timeout := time.NewTimer(earlyResponseTimeout)
+	defer timeout.Stop()
+	select {
+	case <-c.upload.ended:
+		return c.upload.err
+	case <-timeout.C:
+		return io.ErrUnexpectedEOF
+	}
+}
+
 func (c *Conn) write(r *Request) error {
 	var b bytes.Buffer
 	b.Grow(1024 + min(len(r.Body), backgroundBodyBytes))
@@ -127,7 +154,7 @@
 				c.refused = append(c.refused, r.ID)
 			}
 			if !Framed(resp) {
-				resp.Body = &untilClose{body: resp.Body, events: isEventStream(resp)}
+				resp.Body = &untilClose{conn: c, body: resp.Body, events: isEventStream(resp)}
 			}
 			return resp, meta, nil
 		case kwanswer.Unproven:
--- a/io/kwupstream/until_close.go
+++ b/io/kwupstream/until_close.go
@@ -8,8 +8,9 @@
 )
 
 // untilClose is the body of a response that states neither a length nor chunks: it ends with the connection, which also ends when the
-// endpoint crashes.
+// endpoint crashes or resets it.
 type untilClose struct {
+	conn *Conn
 	body io.ReadCloser
 	// events means that the body is a stream of events, which cannot end within one.
 	events bool
@@ -28,17 +29,24 @@
 	return err == nil && mediaType == "text/event-stream"
 }
 
-// Read returns io.ErrUnexpectedEOF where the body ends before it is whole.
+// Read returns an error other than io.EOF where the connection ends before the body is known to be whole: the request was not written in
+// full, or the end is within an event.
 func (u *untilClose) Read(p []byte) (int, error) {
 	n, err := u.body.Read(p)
 	if u.events && n > 0 {
 		u.tail = append(u.tail, p[max(0, n-len(blankLineCRLF)):n]...)
 		u.tail = append(u.tail[:0], u.tail[max(0, len(u.tail)-len(blankLineCRLF)):]...)
 	}
-	if err == io.EOF && u.events && !bytes.HasSuffix(u.tail, blankLine) && !bytes.HasSuffix(u.tail, blankLineCRLF) {
-		err = io.ErrUnexpectedEOF
+	if err != io.EOF {
+		return n, err
 	}
-	return n, err
+	if u.events && !bytes.HasSuffix(u.tail, blankLine) && !bytes.HasSuffix(u.tail, blankLineCRLF) {
+		return n, io.ErrUnexpectedEOF
+	}
+	if err := u.conn.awaitUpload(); err != nil {
+		return n, err
+	}
+	return n, io.EOF
 }
 
 // Close closes the body.
