Refuse responses whose head is malformed

Cause: the library's reader takes any number of three characters as a status, and WriteHeader panics below 100. A name with a blank before its colon is no header, so that a length or chunks behind it frame nothing.

Change: the bytes of each head are kept while it is read, and checked before it counts: status, tokens, values, no folded lines, one frame. Clients of the library check what it has read. Two different IDs name no request.

--- a/io/kwagent/calls.go
+++ b/io/kwagent/calls.go
@@ -324,6 +324,9 @@
 
 func readResponse(resp *http.Response) (kwstatemachine.Response, error) {
 	defer func() { _ = resp.Body.Close() }()
+	if err := kwupstream.CheckResponse(resp); err != nil {
+		return kwstatemachine.Response{}, kwcode.New(kwcode.OutcomeUnknown, "%v", err)
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	if err != nil {
 		return kwstatemachine.Response{}, kwcode.New(kwcode.OutcomeUnknown, "%v", err)
--- a/io/kwupstream/exchange.go
+++ b/io/kwupstream/exchange.go
@@ -135,9 +135,7 @@
 func (c *Conn) Receive(r *Request, d Dialect) (*http.Response, ResponseMeta, error) {
 	leaving := false
 	for range maxMismatchedResponses {
-		c.limit.begin(r.Buffers)
-		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
-		c.limit.end()
+		resp, err := c.readHead(r)
 		if err != nil {
 			return nil, ResponseMeta{Leaving: leaving}, err
 		}
@@ -176,6 +174,24 @@
 	return nil, ResponseMeta{Leaving: leaving}, err
 }
 
+// readHead reads the head of a response, and returns an error unless it is well formed.
+func (c *Conn) readHead(r *Request) (*http.Response, error) {
+	buffered, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	c.limit.begin(buffered, r.Buffers)
+	resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+	head := c.limit.end(c.reader.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	if err := checkHead(head); err != nil {
+		return nil, err
+	}
+	return resp, nil
+}
+
 // Head returns what core/kwanswer decides on.
 func (m ResponseMeta) Head(resp *http.Response) kwanswer.Head {
 	return kwanswer.Head{Status: resp.StatusCode, ID: m.ID, Signed: m.Signed, NotRun: m.NotRun, Encoded: encoded(resp.Header)}
--- a/io/kwupstream/foreign_answer_test.go
+++ b/io/kwupstream/foreign_answer_test.go
@@ -100,8 +100,8 @@
 	}
 }
 
-// FuzzForeignAnswers has an endpoint write answers, copies of earlier ones, answers without an ID, interim answers and rubbish in any order
-// and in pieces of any size. No caller may get an answer that was not made for its request.
+// FuzzForeignAnswers has an endpoint write answers, copies of earlier ones, answers without an ID, interim answers, odd heads and rubbish in any
+// order and in pieces of any size. No caller may get an answer that was not made for its request.
 func FuzzForeignAnswers(f *testing.F) {
 	for seed := range uint64(64) {
 		f.Add(seed)
@@ -140,7 +140,7 @@
 	})
 }
 
-// answerOddly answers requests, each in full, with foreign bytes before or after any answer but the first.
+// answerOddly answers requests, each in full, with foreign bytes before or after any answer; before the first one, these are no refusals.
 func answerOddly(rng *rand.Rand, conn net.Conn, r *bufio.Reader) {
 	var earlier []string
 	for n := 0; ; n++ {
@@ -150,19 +150,24 @@
 		}
 		id := req.Header.Get("Id")
 		var out strings.Builder
-		odd := func() {
+		odd := func(first bool) {
 			for range rng.IntN(3) {
-				kinds := append([]string{refusalWithoutID, successWithoutID, "HTTP/1.1 103 Early Hints\r\n\r\n", response("foreign", "x")}, earlier...)
+				page := oddHeads[rng.IntN(len(oddHeads))]
+				kinds := []string{successWithoutID, "HTTP/1.1 103 Early Hints\r\n\r\n", response("foreign", "x")}
+				if strings.Contains(page.head, " 200 ") {
+					kinds = append(kinds, page.head+"\r\n\r\n"+page.body)
+				}
+				if !first {
+					kinds = append(append(kinds, refusalWithoutID), earlier...)
+				}
 				out.WriteString(kinds[rng.IntN(len(kinds))])
 			}
 		}
-		if n > 0 {
-			odd()
-		}
+		odd(n == 0)
 		answer := response(id, "body of "+id)
 		out.WriteString(answer)
 		if rng.IntN(2) == 0 {
-			odd()
+			odd(false)
 		}
 		earlier = append(earlier, answer, refusal(id))
 		for data := out.String(); len(data) > 0; {
--- a/io/kwupstream/fuzz_test.go
+++ b/io/kwupstream/fuzz_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 )
@@ -32,8 +33,9 @@
 	return &Conn{raw: raw, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes)}, raw
 }
 
-// FuzzAnswer reads heads, bodies and events from arbitrary bytes. No answer belongs to another request, no head exceeds its bound, and
-// the events that are passed on are the beginning of the body, cut between events.
+// FuzzAnswer reads heads, bodies and events from arbitrary bytes. No answer belongs to another request, no success lacks its ID and signature, no
+// head exceeds its bound, each can be passed on by the library's server, and the events that are passed on are the beginning of the body, cut
+// between events.
 func FuzzAnswer(f *testing.F) {
 	for _, seed := range []string{
 		"HTTP/1.1 200 OK\r\nId: r\r\nContent-Length: 2\r\n\r\nok",
@@ -45,6 +47,11 @@
 		"HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 1\r\n\r\nxHTTP/1.1 200 OK\r\nId: r\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nxx",
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\n",
+		"HTTP/1.1 000 Trouble\r\nId: r\r\nContent-Length: 1\r\n\r\nx",
+		"HTTP/1.1 200 OK\r\nId: r\r\nContent-Length : 1\r\n\r\nxx",
+		"HTTP/1.1 200 OK\r\nId: r\r\nX Y: z\r\nTransfer-Encoding: chunked\r\nContent-Length: 1\r\n\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nUnsigned: 1\r\nId: r\r\nContent-Length: 1\r\n\r\nx",
+		"HTTP/1.1 200 OK\r\nId: r\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: x\n\nid: 2\nda",
 		"\x00\x01\x02", "HTTP/1.1 200", "",
 	} {
 		f.Add([]byte(seed), false)
@@ -61,13 +68,24 @@
 		if meta.ID != "" && meta.ID != r.ID {
 			t.Fatalf("got an answer to request %q, want %q", meta.ID, r.ID)
 		}
+		if success := resp.StatusCode < http.StatusBadRequest; success && (meta.ID != r.ID || !meta.Signed) {
+			t.Fatalf("got status %d with ID %q and signed %v, want both", resp.StatusCode, meta.ID, meta.Signed)
+		}
+		if err := CheckResponse(resp); err != nil {
+			t.Fatalf("got an answer that cannot be passed on: %v", err)
+		}
+		httptest.NewRecorder().WriteHeader(resp.StatusCode)
 		if head := raw.read - c.reader.Buffered(); head > maxMismatchedResponses*(maxHeadBytes+maxMismatchedBodyBytes) {
 			t.Fatalf("got %d bytes read before the body, want a bound", head)
 		}
 		if !stream {
-			if body, err := ReadBody(resp, limit, nil); err == nil && len(body) > limit {
+			body, err := ReadBody(resp, limit, nil)
+			if err == nil && len(body) > limit {
 				t.Fatalf("got a body of %d bytes, want at most %d", len(body), limit)
 			}
+			if err == nil && !Framed(resp) && isEventStream(resp) && !bytes.HasSuffix(body, blankLine) && !bytes.HasSuffix(body, blankLineCRLF) {
+				t.Fatalf("got events that end with %q as whole, want a blank line", body[max(0, len(body)-4):])
+			}
 			return
 		}
 		events, passed := NewEventReader(resp.Body, "", nil), 0
