Name the endpoint in orders and reports

Cause: orders and reports named an address only.

Entries name it when they ask for stalled requests.

--- a/io/kwdirectcontrol/config.go
+++ b/io/kwdirectcontrol/config.go
@@ -117,13 +117,14 @@
 	Leaving bool
 }
 
-// EngineClient sends orders to the engines of model servers.
+// EngineClient sends orders to the engines of model servers. Another endpoint may have got the address of one since: it refuses the calls, which
+// name the endpoint that they are for.
 type EngineClient interface {
 	// Place orders an engine to hold a range of layers. The engine rejects the order with OrderConflict unless it has
 	// accepted exactly orderCount orders so far. After an error the order may still be executed, and Leaving may be set.
-	Place(ctx context.Context, address string, layers kwid.LayerRange, orderCount uint64) (OrderReply, error)
+	Place(ctx context.Context, endpoint kwid.EndpointID, address string, layers kwid.LayerRange, orderCount uint64) (OrderReply, error)
 	// State returns the number of orders that an engine has accepted and what it is doing. After an error Leaving may be set.
-	State(ctx context.Context, address string) (EngineState, error)
+	State(ctx context.Context, endpoint kwid.EndpointID, address string) (EngineState, error)
 }
 
 // Deps holds the dependencies that the process provides.
--- a/io/kwdirectcontrol/orders.go
+++ b/io/kwdirectcontrol/orders.go
@@ -76,12 +76,12 @@
 		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
 		defer cancel()
 		reply := orderReply{epoch: epoch, id: a.ID, startedMillis: a.StartedMillis, target: target}
-		placed, err := p.cfg.Engines.Place(ctx, a.Address, target, orderCount)
+		placed, err := p.cfg.Engines.Place(ctx, a.ID, a.Address, target, orderCount)
 		leaving := placed.Leaving
 		reply.result, reply.err = placed.Result, err
 		if reply.err == nil && reply.result == OrderConflict {
 			var state EngineState
-			if state, reply.err = p.cfg.Engines.State(ctx, a.Address); reply.err == nil {
+			if state, reply.err = p.cfg.Engines.State(ctx, a.ID, a.Address); reply.err == nil {
 				reply.state = &state
 			}
 			leaving = leaving || state.Leaving
--- a/io/kwdirectcontrol/placer_test.go
+++ b/io/kwdirectcontrol/placer_test.go
@@ -40,8 +40,9 @@
 
 // placeCall is a call of EngineClient.Place.
 type placeCall struct {
-	address string
-	layers  kwid.LayerRange
+	endpoint kwid.EndpointID
+	address  string
+	layers   kwid.LayerRange
 }
 
 // testEngines records orders and accepts all of them.
@@ -52,14 +53,14 @@
 	leaving bool
 }
 
-func (e *testEngines) Place(_ context.Context, address string, layers kwid.LayerRange, _ uint64) (OrderReply, error) {
+func (e *testEngines) Place(_ context.Context, endpoint kwid.EndpointID, address string, layers kwid.LayerRange, _ uint64) (OrderReply, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.orders = append(e.orders, placeCall{address, layers})
+	e.orders = append(e.orders, placeCall{endpoint, address, layers})
 	return OrderReply{Result: OrderBegun, Leaving: e.leaving}, nil
 }
 
-func (e *testEngines) State(context.Context, string) (EngineState, error) { return EngineState{}, nil }
+func (e *testEngines) State(context.Context, kwid.EndpointID, string) (EngineState, error) { return EngineState{}, nil }
 
 // placerHarness runs a placer on a fake clock. Its background functions are queued until the test runs them.
 type placerHarness struct {
--- a/io/kwdirectentry/config.go
+++ b/io/kwdirectentry/config.go
@@ -138,10 +138,10 @@
 	Leaving bool
 }
 
-// StallReader asks the first endpoint of a chain which of its requests are stalled, and by which endpoints. Leaving may be set
-// beside an error.
+// StallReader asks the first endpoint of a chain which of its requests are stalled, and by which endpoints. Another endpoint that has got its
+// address since refuses the call. Leaving may be set beside an error.
 type StallReader interface {
-	StalledRequests(ctx context.Context, address string) (StallReport, error)
+	StalledRequests(ctx context.Context, endpoint kwid.EndpointID, address string) (StallReport, error)
 }
 
 // Deps holds the dependencies that the process provides.
--- a/io/kwdirectentry/fault_detection.go
+++ b/io/kwdirectentry/fault_detection.go
@@ -25,7 +25,7 @@
 	g.goBackground(func() {
 		ctx, cancel := context.WithTimeout(g.ctx, stallQueryTimeout)
 		defer cancel()
-		report, err := g.deps.Stalls.StalledRequests(ctx, first.Address)
+		report, err := g.deps.Stalls.StalledRequests(ctx, first.Endpoint, first.Address)
 		if report.Leaving {
 			g.recordLeaving("", process)
 		}
--- a/io/kwdirectentry/relay_test.go
+++ b/io/kwdirectentry/relay_test.go
@@ -56,7 +56,7 @@
 // noStalls reports no stalled requests.
 type noStalls struct{}
 
-func (noStalls) StalledRequests(context.Context, string) (StallReport, error) {
+func (noStalls) StalledRequests(context.Context, kwid.EndpointID, string) (StallReport, error) {
 	return StallReport{}, nil
 }
 
--- a/io/kwdirectentry/silence_test.go
+++ b/io/kwdirectentry/silence_test.go
@@ -49,7 +49,7 @@
 }
 
 // StalledRequests gets no answer while the servers are silent.
-func (s *silence) StalledRequests(ctx context.Context, _ string) (StallReport, error) {
+func (s *silence) StalledRequests(ctx context.Context, _ kwid.EndpointID, _ string) (StallReport, error) {
 	select {
 	case <-s.ended:
 		return StallReport{}, nil
