--- a/io/kwdirectcontrol/placer_test.go
+++ b/io/kwdirectcontrol/placer_test.go
@@ -60,7 +60,9 @@
 	return OrderReply{Result: OrderBegun, Leaving: e.leaving}, nil
 }
 
-func (e *testEngines) State(context.Context, kwid.EndpointID, string) (EngineState, error) { return EngineState{}, nil }
+func (e *testEngines) State(context.Context, kwid.EndpointID, string) (EngineState, error) {
+	return EngineState{}, nil
+}
 
 // placerHarness runs a placer on a fake clock. Its background functions are queued until the test runs them.
 type placerHarness struct {
