Pass on streams of services without an engine as they come

Streams of a streaming route to a service without an engine were kept back until they had ended.

Cause: serveStream hands them to the path of calls, which reads a response in one piece.

Change: an attempt that is answered with 200 and text/event-stream ends its race at the first events; they and all that follow are relayed as they come. A stream that breaks off goes on at another server after its last event if its route allows that, and is cut off in sight of its caller otherwise. Calls, and streams that are answered in another form, are read as before.

--- a/io/kwdirectentry/unary.go
+++ b/io/kwdirectentry/unary.go
@@ -1,6 +1,7 @@
 package kwdirectentry
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
@@ -35,7 +36,7 @@
 	response *kwupstream.Result
 }
 
-// serveUnary serves a request with a single response.
+// serveUnary serves a request to a service without an engine, which is answered with a single response or with a stream of events.
 func (g *Gateway) serveUnary(ctx context.Context, q *request) {
 	u := &unaryState{
 		q: q, attempts: attemptState{exclude: make(endpointSet)},
@@ -45,13 +46,31 @@
 		u.hedge = &callHedge{}
 		defer g.endCallHedge(u)
 	}
+	for {
+		g.attemptUnary(ctx, u)
+		g.endCallHedge(u)
+		if u.stream == nil || g.relayPlain(ctx, u) || !q.route.Retryable() || q.mayCrashAgain() {
+			break
+		}
+	}
+	if u.begun {
+		g.finishPlainStream(u)
+		return
+	}
+	g.finishUnary(ctx, q, &u.attempts)
+}
+
+// attemptUnary makes attempts until one has brought the response or the first events of a stream, or there is none to make. The others are
+// ended.
+func (g *Gateway) attemptUnary(ctx context.Context, u *unaryState) {
 	attemptsCtx, endAttempts := context.WithCancel(ctx)
 	defer endAttempts()
 	for g.startUnary(attemptsCtx, u) && !g.awaitUnary(attemptsCtx, u) {
 	}
-	endAttempts()
-	g.endCallHedge(u)
-	g.finishUnary(ctx, q, &u.attempts)
+	if u.stream != nil && !u.stream.take(ctx) {
+		u.stream, u.attempts.response = nil, nil
+		u.attempts.lastErr = kwcode.New(kwcode.StreamCut, "endpoint %s: %v", u.answeredBy, context.Cause(ctx))
+	}
 }
 
 // liveEndpoints returns the live endpoints of the request's service in the present view, since those of its arrival may have left.
@@ -72,12 +91,19 @@
 	hedge *callHedge
 	// answeredBy is the endpoint of the attempt that has brought the final response.
 	answeredBy kwid.EndpointID
+	// stream is the attempt whose events are relayed, nil if the response comes in one piece. begun means that the caller has received events,
+	// the last one with lastEventID, and complete that it has received all.
+	stream          *plainStream
+	begun, complete bool
+	lastEventID     string
 }
 
 // unaryResult is the result of an attempt at an endpoint.
 type unaryResult struct {
 	endpoint kwmembership.Announcement
 	kwupstream.Result
+	// stream is set if the response is a stream of events, of which the first have come.
+	stream *plainStream
 }
 
 // unsent reports whether no server has received the request.
@@ -180,21 +206,36 @@
 	// An at-most-once request needs a new connection: if the endpoint has closed a reused one unnoticed, it is unknown
 	// whether the request was read.
 	fresh := !q.route.Retryable()
-	upstreamReq := q.upstreamRequest(g.deps.Dialect, kwupstream.ForwardMeta{Endpoint: endpoint.ID})
+	upstreamReq := q.upstreamRequest(g.deps.Dialect, kwupstream.ForwardMeta{Endpoint: endpoint.ID, LastEventID: u.lastEventID})
 	call := g.calls.Begin(time.Now(), q.service)
+	// end records the end of the attempt; answered is whether it has brought an answer to its end.
+	end := func(answered bool, reportedInFlight int) {
+		g.calls.End(time.Now(), call, answered)
+		g.scheduler.finishUnary(endpoint.ID, reportedInFlight)
+	}
+	streaming := q.route.Kind == kwdeclaration.Streaming
+	lastEventID := cmp.Or(u.lastEventID, q.meta.LastEventID)
 	g.goBackground(func() {
-		res := g.upstreamPool.Exchange(ctx, endpoint.Address, fresh, upstreamReq, g.deps.Dialect, maxResponseBytes)
-		g.calls.End(time.Now(), call, res.Err == nil && !res.Meta.NotRun)
+		opened := g.upstreamPool.Open(ctx, endpoint.Address, fresh, upstreamReq, g.deps.Dialect)
+		var res unaryResult
+		if streaming && relayable(opened.Result) {
+			res = openPlainStream(ctx, opened, lastEventID, q.buffers, end)
+		} else {
+			res.Result = opened.ReadAll(upstreamReq, maxResponseBytes)
+		}
+		res.endpoint = endpoint
 		g.recordNotices(upstreamReq.ID, endpoint.Process(), endpoint.Address, res.Meta)
 		if !res.Sent {
 			g.scheduler.limits.Return(time.Now(), endpoint.Process())
 		}
-		reportedInFlight := -1
-		if res.Err == nil {
-			reportedInFlight = res.Meta.InFlight
+		if res.stream == nil {
+			reportedInFlight := -1
+			if res.Err == nil {
+				reportedInFlight = res.Meta.InFlight
+			}
+			end(res.Err == nil && !res.Meta.NotRun, reportedInFlight)
 		}
-		g.scheduler.finishUnary(endpoint.ID, reportedInFlight)
-		u.results <- unaryResult{endpoint, res}
+		u.results <- res
 	})
 }
 
@@ -241,7 +282,7 @@
 			g.abortCallerGone(q)
 		}
 		if g.recordAttempt(q, &u.attempts, res.endpoint, res.Result) {
-			q.endpoint, u.answeredBy = res.endpoint.ID, res.endpoint.ID
+			q.endpoint, u.answeredBy, u.stream = res.endpoint.ID, res.endpoint.ID, res.stream
 			return true
 		}
 		if u.inProgress == 0 {
--- a/io/kwupstream/exchange.go
+++ b/io/kwupstream/exchange.go
@@ -152,7 +152,7 @@
 				c.refused = append(c.refused, r.ID)
 			}
 			if !Framed(resp) {
-				resp.Body = &untilClose{conn: c, body: resp.Body, events: isEventStream(resp)}
+				resp.Body = &untilClose{conn: c, body: resp.Body, events: IsEventStream(resp)}
 			}
 			return resp, meta, nil
 		case kwanswer.Unproven:
@@ -217,36 +217,70 @@
 	Err  error
 }
 
-// Exchange sends a request and reads the whole response, of at most limit body bytes. The connection is closed when the
-// context ends.
-func (p *Pool) Exchange(ctx context.Context, address string, fresh bool, r *Request, d Dialect, limit int64) Result {
+// Opened is a request whose response is being read.
+type Opened struct {
+	Conn *Conn
+	// Result holds the head of the response, or the error; it has no body yet.
+	Result Result
+	pool   *Pool
+	// detach keeps the end of the context from closing the connection; it returns false if it has closed it.
+	detach func() bool
+}
+
+// Open sends a request and reads the head of the response. The connection is closed when the context ends or after an error; otherwise the
+// caller ends its use: by ReadAll or Whole, or by Detach and then Release or Close.
+func (p *Pool) Open(ctx context.Context, address string, fresh bool, r *Request, d Dialect) Opened {
 	c, err := p.Get(ctx, address, r.ID, fresh)
 	if err != nil {
-		return Result{Err: err}
+		return Opened{Result: Result{Err: err}}
 	}
-	stop := context.AfterFunc(ctx, c.Close)
-	defer stop()
-	result := Result{Sent: true}
-	if result.Err = c.Send(r); result.Err != nil {
+	o := Opened{Conn: c, Result: Result{Sent: true}, pool: p, detach: context.AfterFunc(ctx, c.Close)}
+	if o.Result.Err = c.Send(r); o.Result.Err == nil {
+		o.Result.Response, o.Result.Meta, o.Result.Err = c.Receive(r, d)
+	}
+	if o.Result.Err != nil {
+		o.Detach()
 		c.Close()
-		return result
 	}
-	result.Response, result.Meta, result.Err = c.Receive(r, d)
-	if result.Err == nil {
-		result.Body, result.Err = ReadBody(result.Response, limit, r.Buffers)
+	return o
+}
+
+// Detach keeps the end of the context from closing the connection, and returns false if it has closed it.
+func (o Opened) Detach() bool { return o.detach() }
+
+// Release returns the connection to the pool after Detach, once the body has been read to its end.
+func (o Opened) Release() { o.pool.Put(o.Conn, o.Result.Response) }
+
+// Whole ends the use of the connection once the body has been read to its end.
+func (o Opened) Whole() {
+	if !o.Detach() {
+		o.Conn.Close()
+		return
 	}
+	o.Release()
+}
+
+// ReadAll reads the body, of at most limit bytes, and ends the use of the connection.
+func (o Opened) ReadAll(r *Request, limit int64) Result {
+	result := o.Result
 	if result.Err != nil {
-		c.Close()
 		return result
 	}
-	if !stop() {
-		c.Close()
+	if result.Body, result.Err = ReadBody(result.Response, limit, r.Buffers); result.Err != nil {
+		o.Detach()
+		o.Conn.Close()
 		return result
 	}
-	p.Put(c, result.Response)
+	o.Whole()
 	return result
 }
 
+// Exchange sends a request and reads the whole response, of at most limit body bytes. The connection is closed when the
+// context ends.
+func (p *Pool) Exchange(ctx context.Context, address string, fresh bool, r *Request, d Dialect, limit int64) Result {
+	return p.Open(ctx, address, fresh, r, d).ReadAll(r, limit)
+}
+
 // ReadBody reads a whole response body of at most limit bytes into memory of the account; a connection reset is an error, not the end of
 // the body.
 func ReadBody(resp *http.Response, limit int64, buffers *kwbuffer.Account) ([]byte, error) {
--- a/io/kwupstream/until_close.go
+++ b/io/kwupstream/until_close.go
@@ -23,8 +23,8 @@
 	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 }
 
-// isEventStream reports whether the body of a response is a stream of events.
-func isEventStream(resp *http.Response) bool {
+// IsEventStream reports whether the body of a response is a stream of events.
+func IsEventStream(resp *http.Response) bool {
 	mediaType, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
 	return err == nil && mediaType == "text/event-stream"
 }
