Avoid a model server that answers streams with something else

Cause: only dropped connections counted against the first server of a chain; an answer that belongs to nothing, and bytes that the reader of responses refuses, did not.

Change: both count as failures in a row, as resets do, and what the library cannot parse is an odd head too.

--- a/io/kwdirectentry/foreign_page_test.go
+++ b/io/kwdirectentry/foreign_page_test.go
@@ -71,3 +71,40 @@
 	g.view.Store(&v)
 	g.scheduler.applyView(&v, nil)
 }
+
+// TestModelServerThatSendsPagesIsAvoided guards against a model server that answers every stream with a page and goes on to get its share of
+// streams, each of which spends an attempt and the retry budget.
+func TestModelServerThatSendsPagesIsAvoided(t *testing.T) {
+	const event, streams, most = "id: 1\ndata: x\n\n", 40, 10
+	for name, answer := range map[string]string{
+		"page":      "HTTP/1.1 200 OK\r\nUnsigned: 1\r\nContent-Length: 4\r\n\r\npage",
+		"odd head":  "HTTP/1.1 000 Trouble\r\nId: %s\r\nContent-Length: 4\r\n\r\npage",
+		"rubbish":   "<p>page</p>\r\n\r\n",
+		"no events": "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 12\r\n\r\n<p>page</p>\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var faulty atomic.Int64
+			g := newTestGateway(t, "127.0.0.1:1", "127.0.0.1:1")
+			setServers(g, []string{
+				serveRaw(t, func(w io.Writer, id string) bool {
+					faulty.Add(1)
+					_, _ = io.WriteString(w, strings.ReplaceAll(answer, "%s", id))
+					return false
+				}),
+				serveRaw(t, func(w io.Writer, id string) bool {
+					_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(event), event)
+					return true
+				}),
+			}, nil)
+			for i := range streams {
+				if status, body := post(t, &http.Client{Timeout: 5 * time.Second}, g, "/notes/x", fmt.Sprint("q", i)); status != http.StatusOK || body != event {
+					t.Errorf("stream %d: got %d %q, want the events of the sound server", i, status, body)
+				}
+			}
+			if got := faulty.Load(); got > most {
+				t.Errorf("got %d of %d streams at the faulty server, want at most %d", got, streams, most)
+			}
+		})
+	}
+}
--- a/io/kwdirectentry/stream_failure.go
+++ b/io/kwdirectentry/stream_failure.go
@@ -107,7 +107,9 @@
 		g.eject(s.q.meta.ID, first.Endpoint, first.Address, false, err.Error())
 	case connectionDropped(err):
 		g.checkStreamForCrash(s, chain.First().Endpoint, chain.First().Address)
-		g.recordStreamReset(s.q, chain.First(), err)
+		g.recordStreamFailure(s.q, chain.First(), "resets streams", err)
+	case noAnswer(err):
+		g.recordStreamFailure(s.q, chain.First(), "answers streams with something else", err)
 	}
 	if ctx.Err() == nil {
 		g.deps.Events.Emit(kwevent.AttemptFailed, s.q.meta.ID, kwevent.F("chain", formatChain(chain)), kwevent.F("error", err.Error()),
@@ -123,17 +125,22 @@
 	return kwcode.Is(err, kwcode.FrameTooLarge) || kwcode.Is(err, kwcode.BuffersFull)
 }
 
+// noAnswer reports whether the first endpoint of a chain has sent something that is no answer to the request, or no events.
+func noAnswer(err error) bool {
+	return kwcode.Is(err, kwcode.EngineFailed) || errors.Is(err, kwupstream.ErrNotEvents)
+}
+
 // connectionDropped reports whether the first endpoint of a chain closed the connection, rather than being silent for
 // too long.
 func connectionDropped(err error) bool {
 	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
 }
 
-// recordStreamReset records that the first endpoint of a chain broke off a stream. Stall reports and probes do not show
-// an endpoint that breaks off all its streams, so it is found only here.
-func (g *Gateway) recordStreamReset(q *request, first kwchainsearch.Stage, err error) {
+// recordStreamFailure records that the first endpoint of a chain failed a stream. Stall reports and probes do not show an endpoint that fails all
+// its streams, so it is found only here.
+func (g *Gateway) recordStreamFailure(q *request, first kwchainsearch.Stage, cause string, err error) {
 	if g.scheduler.ejector.RecordTransientFailure(time.Now(), first.Endpoint) {
-		g.logEjection(q.meta.ID, first.Endpoint, first.Address, "resets streams", kwevent.F("error", err.Error()))
+		g.logEjection(q.meta.ID, first.Endpoint, first.Address, cause, kwevent.F("error", err.Error()))
 	}
 }
 
--- a/io/kwupstream/exchange.go
+++ b/io/kwupstream/exchange.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -183,8 +185,14 @@
 	c.limit.begin(buffered, r.Buffers)
 	resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 	head := c.limit.end(c.reader.Buffered())
-	if err != nil {
+	var netErr net.Error
+	var coded *kwcode.Error
+	switch {
+	case err == nil:
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &netErr), errors.As(err, &coded):
 		return nil, err
+	default:
+		return nil, oddHead("%v", err)
 	}
 	if err := checkHead(head); err != nil {
 		return nil, err
