--- a/io/kwdirectentry/late_streams_test.go
+++ b/io/kwdirectentry/late_streams_test.go
@@ -15,24 +15,27 @@
 // end.
 func TestLateStreamsOfAStopAreNotCut(t *testing.T) {
 	const callers, events, usual, drainTimeout = 24, 30, 600 * time.Millisecond, 4 * time.Second
+	const modelPath, plainPath = "/notes/x", "/once/x"
+	aFifthIsSlow := func(n int64, _ int) time.Duration {
+		if n%5 == 0 {
+			return 2 * usual / events
+		}
+		return 0
+	}
 	cases := []struct {
-		name string
+		name, path string
 		// pause returns the pause before event i of the nth stream, beyond what is usual.
 		pause func(n int64, i int) time.Duration
 	}{
-		{"a fifth is three times as long", func(n int64, _ int) time.Duration {
-			if n%5 == 0 {
-				return 2 * usual / events
-			}
-			return 0
-		}},
-		{"one in forty has silences", func(n int64, i int) time.Duration {
+		{"a fifth is three times as long", modelPath, aFifthIsSlow},
+		{"a fifth is three times as long, service without an engine", plainPath, aFifthIsSlow},
+		{"one in forty has silences", modelPath, func(n int64, i int) time.Duration {
 			if n%40 == 0 && i%10 == 5 {
 				return 800 * time.Millisecond
 			}
 			return 0
 		}},
-		{"all alike", func(int64, int) time.Duration { return 0 }},
+		{"all alike", modelPath, func(int64, int) time.Duration { return 0 }},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -53,6 +56,7 @@
 			})
 			g := newTestGateway(t, server, server)
 			g.cfg.DrainTimeout = drainTimeout
+			addPlainStreams(g)
 			stopped := make(chan struct{})
 			var served, rejected atomic.Int64
 			var sent sync.WaitGroup
@@ -66,7 +70,7 @@
 						default:
 						}
 						id := fmt.Sprintf("%d-%d", caller, i)
-						status, body := post(t, client, g, "/notes/x", id)
+						status, body := post(t, client, g, c.path, id)
 						_, passedOn := arrived.Load(id)
 						switch {
 						case status == http.StatusOK && strings.Count(body, "id:") == events:
