--- a/io/kwagent/calls.go
+++ b/io/kwagent/calls.go
@@ -334,6 +334,9 @@
 	if len(body) > maxResponseBytes {
 		return kwstatemachine.Response{}, kwcode.New(kwcode.OutcomeUnknown, "the response is larger than %d bytes", maxResponseBytes)
 	}
+	if kwupstream.CutWithinEvent(resp, body) {
+		return kwstatemachine.Response{}, kwcode.New(kwcode.OutcomeUnknown, "the service broke off its stream within an event")
+	}
 	out := kwstatemachine.Response{Status: resp.StatusCode, Body: body}
 	for name, values := range resp.Header {
 		if isHopByHop(name) {
--- a/io/kwupstream/fuzz_test.go
+++ b/io/kwupstream/fuzz_test.go
@@ -83,7 +83,7 @@
 			if err == nil && len(body) > limit {
 				t.Fatalf("got a body of %d bytes, want at most %d", len(body), limit)
 			}
-			if err == nil && !Framed(resp) && IsEventStream(resp) && !bytes.HasSuffix(body, blankLine) && !bytes.HasSuffix(body, blankLineCRLF) {
+			if err == nil && CutWithinEvent(resp, body) {
 				t.Fatalf("got events that end with %q as whole, want a blank line", body[max(0, len(body)-4):])
 			}
 			return
--- a/io/kwupstream/until_close.go
+++ b/io/kwupstream/until_close.go
@@ -29,6 +29,14 @@
 	return err == nil && mediaType == "text/event-stream"
 }
 
+// endsEvent reports whether some bytes of a stream of events end with one.
+func endsEvent(b []byte) bool { return bytes.HasSuffix(b, blankLine) || bytes.HasSuffix(b, blankLineCRLF) }
+
+// CutWithinEvent reports whether a body that has ended with its connection is a stream of events that breaks off within one.
+func CutWithinEvent(resp *http.Response, body []byte) bool {
+	return !Framed(resp) && IsEventStream(resp) && !endsEvent(body)
+}
+
 // Read returns an error other than io.EOF where the connection ends before the body is known to be whole: the request was not written in
 // full, or the end is within an event.
 func (u *untilClose) Read(p []byte) (int, error) {
@@ -40,7 +48,7 @@
 	if err != io.EOF {
 		return n, err
 	}
-	if u.events && !bytes.HasSuffix(u.tail, blankLine) && !bytes.HasSuffix(u.tail, blankLineCRLF) {
+	if u.events && !endsEvent(u.tail) {
 		return n, io.ErrUnexpectedEOF
 	}
 	if err := u.conn.awaitUpload(); err != nil {
