--- a/io/kwupstream/until_close.go
+++ b/io/kwupstream/until_close.go
@@ -30,7 +30,9 @@
 }
 
 // endsEvent reports whether some bytes of a stream of events end with one.
-func endsEvent(b []byte) bool { return bytes.HasSuffix(b, blankLine) || bytes.HasSuffix(b, blankLineCRLF) }
+func endsEvent(b []byte) bool {
+	return bytes.HasSuffix(b, blankLine) || bytes.HasSuffix(b, blankLineCRLF)
+}
 
 // CutWithinEvent reports whether a body that has ended with its connection is a stream of events that breaks off within one.
 func CutWithinEvent(resp *http.Response, body []byte) bool {
