Take the answer to a HEAD request for whole

An answer to HEAD without a length has no body; with the content type of events it counted as a stream that is cut before its first event, since "Take a stream of events without a length for whole only after a blank line".

Measured: TestHeadOfStreamIsWhole failed before and passes now.

--- a/io/kwupstream/head_check_test.go
+++ b/io/kwupstream/head_check_test.go
@@ -108,3 +108,15 @@
 		}
 	}
 }
+
+// TestHeadOfStreamIsWhole checks that a response which can have no body is no stream that is cut before its first event.
+func TestHeadOfStreamIsWhole(t *testing.T) {
+	conn, _ := newRecordedConn([]byte("HTTP/1.1 200 OK\r\nId: r\r\nContent-Type: text/event-stream\r\n\r\n"))
+	resp, _, err := conn.Receive(&Request{ID: "r", Method: http.MethodHead, Header: http.Header{}}, idDialect{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if body, err := ReadBody(resp, 1, nil); len(body) != 0 || err != nil {
+		t.Errorf("got %q (%v), want no body and no error", body, err)
+	}
+}
--- a/io/kwupstream/until_close.go
+++ b/io/kwupstream/until_close.go
@@ -18,9 +18,9 @@
 	tail []byte
 }
 
-// Framed reports whether a response tells its end by a length or by chunks, rather than by closing its connection.
+// Framed reports whether a response tells its end by a length or by chunks, or can have no body, rather than by closing its connection.
 func Framed(resp *http.Response) bool {
-	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Body == http.NoBody
 }
 
 // IsEventStream reports whether the body of a response is a stream of events.
