--- a/io/kwdirectentry/plain_stream.go
+++ b/io/kwdirectentry/plain_stream.go
@@ -35,8 +35,10 @@
 }
 
 // openPlainStream awaits the first events of a stream. One that ends before them, by its length or chunks, is a whole response without a body.
-func openPlainStream(ctx context.Context, opened kwupstream.Opened, lastEventID string, buffers *kwbuffer.Account, end func(bool, int)) unaryResult {
-	s := &plainStream{opened: opened, events: kwupstream.NewEventReader(opened.Result.Response.Body, lastEventID, buffers), end: end}
+func openPlainStream(
+	ctx context.Context, endpoint kwmembership.Announcement, opened kwupstream.Opened, lastEventID string, buffers *kwbuffer.Account, end func(bool, int),
+) unaryResult {
+	s := &plainStream{endpoint: endpoint, opened: opened, events: kwupstream.NewEventReader(opened.Result.Response.Body, lastEventID, buffers), end: end}
 	res := unaryResult{Result: opened.Result}
 	var err error
 	switch s.first, err = s.events.Next(); {
--- a/io/kwdirectentry/plain_stream_test.go
+++ b/io/kwdirectentry/plain_stream_test.go
@@ -175,6 +175,10 @@
 		if status != http.StatusOK || body != c.body || sent.Load() != 2 {
 			t.Errorf("%s: got %d %q after %d sends, want 200 %q after 2", c.name, status, body, sent.Load(), c.body)
 		}
+		now := time.Now()
+		if first, second := g.scheduler.ejector.Ejected(now, "r"), g.scheduler.ejector.Ejected(now, "r2"); !first && !second {
+			t.Errorf("%s: neither server is ejected, want the one that broke off", c.name)
+		}
 		server.Close()
 	}
 }
--- a/io/kwdirectentry/unary.go
+++ b/io/kwdirectentry/unary.go
@@ -219,7 +219,7 @@
 		opened := g.upstreamPool.Open(ctx, endpoint.Address, fresh, upstreamReq, g.deps.Dialect)
 		var res unaryResult
 		if streaming && relayable(opened.Result) {
-			res = openPlainStream(ctx, opened, lastEventID, q.buffers, end)
+			res = openPlainStream(ctx, endpoint, opened, lastEventID, q.buffers, end)
 		} else {
 			res.Result = opened.ReadAll(upstreamReq, maxResponseBytes)
 		}
