Let a panic fail one request and not the entry

An answer on which the entry panics ended the caller's connection without an answer or, where the attempt runs beside its handler (calls, and streams of services without an engine), the process with all its requests. Status 000 was the only known one (report of the users).

Log event 231, counter requests.panicked.

Measured: TestPanicFailsOneRequest ended the test process before; passes now with the race detector.

--- a/io/kwdirectentry/metrics.go
+++ b/io/kwdirectentry/metrics.go
@@ -37,6 +37,8 @@
 	limitWaits   metrics.Counter
 	returned     metrics.Counter
 	limitRefused metrics.Counter
+	// panicked counts the requests whose handling panicked.
+	panicked metrics.Counter
 }
 
 func newGatewayMetrics(r metrics.Registry) gatewayMetrics {
@@ -68,5 +70,6 @@
 		limitWaits:   metrics.GetOrRegisterCounter("requests.limit-waits", r),
 		returned:     metrics.GetOrRegisterCounter("requests.returned", r),
 		limitRefused: metrics.GetOrRegisterCounter("requests.limit-refused", r),
+		panicked:     metrics.GetOrRegisterCounter("requests.panicked", r),
 	}
 }
--- a/io/kwdirectentry/plain_stream.go
+++ b/io/kwdirectentry/plain_stream.go
@@ -117,7 +117,7 @@
 			q.firstEvent = time.Since(q.arrived)
 			g.metrics.firstEvent.Update(q.firstEvent)
 			copyHeaders(q.w, s.opened.Result.Response.Header)
-			q.w.WriteHeader(http.StatusOK)
+			q.writeHead(http.StatusOK)
 		}
 		if _, err := q.w.Write(chunk); err != nil {
 			g.abortUndelivered(q)
--- a/io/kwdirectentry/request.go
+++ b/io/kwdirectentry/request.go
@@ -4,9 +4,12 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"hash/fnv"
+	"maps"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"strings"
 	"time"
 
@@ -75,6 +78,14 @@
 	expected time.Duration
 	// events is how many events the caller has received.
 	events int
+	// headSent means that the head of the answer has been written.
+	headSent bool
+}
+
+// writeHead writes the head of the answer.
+func (q *request) writeHead(status int) {
+	q.w.WriteHeader(status)
+	q.headSent = true
 }
 
 // urgency is what the caller has to gain from being served soon.
@@ -143,6 +154,7 @@
 	defer stopEnd()
 	r = r.WithContext(ctx)
 	q := &request{w: w, r: r, arrived: time.Now(), view: g.view.Load()}
+	defer g.answerPanic(q)
 	q.meta = g.deps.Dialect.ReadRequest(r.Header)
 	if g.stopping.Load() {
 		w.Header().Set("Connection", "close")
@@ -177,6 +189,30 @@
 	g.serveUnary(ctx, q)
 }
 
+// answerPanic answers a request whose handler panics; http.ErrAbortHandler, with which handlers end connections, is passed on. The request may
+// have run, and nothing of an endpoint's answer may go with the failure.
+func (g *Gateway) answerPanic(q *request) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if cause == http.ErrAbortHandler {
+		panic(cause)
+	}
+	g.recordPanic(q.meta.ID, cause)
+	if q.headSent {
+		panic(http.ErrAbortHandler)
+	}
+	maps.DeleteFunc(q.w.Header(), func(name string, _ []string) bool { return name != "Connection" })
+	g.fail(q, kwcode.New(kwcode.OutcomeUnknown, "the entry failed on the request"))
+}
+
+// recordPanic counts and logs a panic that fails one request alone.
+func (g *Gateway) recordPanic(id kwid.RequestID, cause any) {
+	g.metrics.panicked.Inc(1)
+	g.deps.Events.Emit(kwevent.RequestPanicked, id, kwevent.F("error", fmt.Sprint(cause)), kwevent.F("stack", string(debug.Stack())))
+}
+
 // resolveRoute looks up the route, workspace, deadline and service of a request in the declaration, before the body is
 // read. It waits for a valid view if there is none.
 func (g *Gateway) resolveRoute(q *request) *kwcode.Error {
@@ -297,7 +333,7 @@
 		g.deps.Dialect.WriteRetryAfter(q.w.Header(), err.RetryAfter)
 	}
 	q.w.Header().Set("Content-Type", "application/json")
-	q.w.WriteHeader(info.Status)
+	q.writeHead(info.Status)
 	// Encode fails only if the caller has disconnected, and then there is nobody to report it to.
 	_ = json.NewEncoder(q.w).Encode(errorBody{Code: int(err.Code), Name: info.Name, Outcome: string(info.Outcome), Detail: err.Detail})
 }
--- a/io/kwdirectentry/stream.go
+++ b/io/kwdirectentry/stream.go
@@ -410,7 +410,7 @@
 			q.firstEvent = time.Since(q.arrived)
 			g.metrics.firstEvent.Update(q.firstEvent)
 			copyHeaders(q.w, resp.Header)
-			q.w.WriteHeader(http.StatusOK)
+			q.writeHead(http.StatusOK)
 		}
 		if _, err := q.w.Write(chunk); err != nil {
 			g.abortUndelivered(q)
--- a/io/kwdirectentry/unary.go
+++ b/io/kwdirectentry/unary.go
@@ -216,13 +216,14 @@
 	streaming := q.route.Kind == kwdeclaration.Streaming
 	lastEventID := cmp.Or(u.lastEventID, q.meta.LastEventID)
 	g.goBackground(func() {
-		opened := g.upstreamPool.Open(ctx, endpoint.Address, fresh, upstreamReq, g.deps.Dialect)
-		var res unaryResult
-		if streaming && relayable(opened.Result) {
-			res = openPlainStream(ctx, endpoint, opened, lastEventID, q.buffers, end)
-		} else {
+		res := g.safely(upstreamReq.ID, func() (res unaryResult) {
+			opened := g.upstreamPool.Open(ctx, endpoint.Address, fresh, upstreamReq, g.deps.Dialect)
+			if streaming && relayable(opened.Result) {
+				return openPlainStream(ctx, endpoint, opened, lastEventID, q.buffers, end)
+			}
 			res.Result = opened.ReadAll(upstreamReq, maxResponseBytes)
-		}
+			return res
+		})
 		res.endpoint = endpoint
 		g.recordNotices(upstreamReq.ID, endpoint.Process(), endpoint.Address, res.Meta)
 		if !res.Sent {
@@ -239,6 +240,17 @@
 	})
 }
 
+// safely makes an attempt that runs outside the handler of its request; a panic fails the attempt and not the process.
+func (g *Gateway) safely(id kwid.RequestID, attempt func() unaryResult) (res unaryResult) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			g.recordPanic(id, cause)
+			res = unaryResult{Result: kwupstream.Result{Sent: true, Err: kwcode.New(kwcode.OutcomeUnknown, "the attempt panicked: %v", cause)}}
+		}
+	}()
+	return attempt()
+}
+
 // awaitUnary waits for the results of the attempts in progress. It reports true if the request has its final response or is over,
 // and false if another attempt is due: after a failed one, or beside one whose endpoint has been silent for long (hedged request).
 func (g *Gateway) awaitUnary(ctx context.Context, u *unaryState) bool {
@@ -445,7 +457,7 @@
 func (g *Gateway) writeResponse(q *request, res *kwupstream.Result) {
 	copyHeaders(q.w, res.Response.Header)
 	q.w.Header().Set("Content-Length", strconv.Itoa(len(res.Body)))
-	q.w.WriteHeader(res.Response.StatusCode)
+	q.writeHead(res.Response.StatusCode)
 	if _, err := q.w.Write(res.Body); err != nil {
 		g.abortUndelivered(q)
 	}
--- a/io/kwevent/catalogue.go
+++ b/io/kwevent/catalogue.go
@@ -40,6 +40,7 @@
 	EndpointLimited     ID = 228
 	RequestLimitOdd     ID = 229
 	RequestHedged       ID = 230
+	RequestPanicked     ID = 231
 	SessionStarted      ID = 301
 	SessionEnded        ID = 302
 	StageStarted        ID = 303
@@ -145,6 +146,7 @@
 	{EndpointLimited, "endpoint-limited", levelInfo, "An endpoint has named, changed or ended a limit on the requests a second that it takes from all entries together."},
 	{RequestLimitOdd, "request-limit-odd", levelInfo, "The limit that an endpoint named was ignored or bounded."},
 	{RequestHedged, "request-hedged", levelInfo, "A second attempt was sent beside one that takes longer than most of its class; the first answer counts."},
+	{RequestPanicked, "request-panicked", levelInfo, "The handling of a request panicked; it failed alone, and may have run."},
 	{SessionStarted, "session-started", levelDetail, "The first stage of a chain began an attempt."},
 	{SessionEnded, "session-ended", levelDetail, "The first stage of a chain ended an attempt."},
 	{StageStarted, "stage-started", levelDetail, "A later stage of a chain began an attempt."},
