--- a/io/kwagent/cut_stream_test.go
+++ b/io/kwagent/cut_stream_test.go
@@ -1,9 +1,6 @@
 package kwagent
 
 import (
-	"bufio"
-	"io"
-	"net"
 	"net/http"
 	"testing"
 
@@ -15,25 +12,10 @@
 func TestStreamCutWithinAnEventIsNotWhole(t *testing.T) {
 	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
 	for body, whole := range map[string]bool{"id: 1\ndata: x\n\n": true, "id: 1\r\ndata: x\r\n\r\n": true, "id: 1\ndata: x\n\nid: 2\nda": false, "id: 1\ndata: x\n": false, "": false} {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		go func() {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			defer func() { _ = c.Close() }()
-			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-				_, _ = io.WriteString(c, head+body)
-			}
-		}()
-		r := newTestRole("http://" + l.Addr().String())
+		r := newTestRole(serveConns(t, answerOnce(head+body)))
 		response, _, err := r.roundTrip(t.Context(), newTransport(true), kwagentproto.Call{Request: "a", Method: http.MethodGet, Path: "/x"})
 		if got := err == nil; got != whole || whole && string(response.Body) != body {
 			t.Errorf("%q: got whole %v (%v), want %v", body, got, err, whole)
 		}
-		_ = l.Close()
 	}
 }
--- a/io/kwagent/early_reset_test.go
+++ b/io/kwagent/early_reset_test.go
@@ -1,7 +1,6 @@
 package kwagent
 
 import (
-	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -14,8 +13,8 @@
 	"knapweedproxy/io/kwagentproto"
 )
 
-// serveBytes returns the URL of a service that reads a part of each request, answers with some bytes and resets the connection.
-func serveBytes(t *testing.T, read int64, answer string) string {
+// serveConns returns the URL of a service that handles each connection by a function and closes it.
+func serveConns(t *testing.T, handle func(c *net.TCPConn)) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -30,9 +29,7 @@
 			}
 			go func() {
 				defer func() { _ = c.Close() }()
-				_, _ = io.CopyN(io.Discard, bufio.NewReader(c), read)
-				_, _ = io.WriteString(c, answer)
-				_ = c.(*net.TCPConn).SetLinger(0)
+				handle(c.(*net.TCPConn))
 			}()
 		}
 	}()
@@ -48,7 +45,11 @@
 func TestEarlyResetIsNoEnd(t *testing.T) {
 	const plays = 16
 	for _, upload := range []int{1 << 20, 4 << 20} {
-		r := newTestRole(serveBytes(t, 32<<10, "HTTP/1.1 200 OK\r\n\r\npart"))
+		r := newTestRole(serveConns(t, func(c *net.TCPConn) {
+			_, _ = io.CopyN(io.Discard, c, 32<<10)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\npart")
+			_ = c.SetLinger(0)
+		}))
 		for range plays {
 			req := kwagentproto.Call{Request: "a", Method: http.MethodPost, Path: "/x", Body: make([]byte, upload)}
 			if response, _, err := r.roundTrip(t.Context(), newTransport(true), req); err == nil {
--- a/io/kwdirectentry/early_reset_test.go
+++ b/io/kwdirectentry/early_reset_test.go
@@ -14,26 +14,11 @@
 // resetEarly runs a server that reads 32 KB of each request, answers and resets the connection.
 func resetEarly(t *testing.T, answer string) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				_, _ = io.CopyN(io.Discard, c, 32<<10)
-				_, _ = io.WriteString(c, answer)
-				_ = c.(*net.TCPConn).SetLinger(0)
-			}()
-		}
-	}()
-	return l.Addr().String()
+	return serveConns(t, func(c net.Conn) {
+		_, _ = io.CopyN(io.Discard, c, 32<<10)
+		_, _ = io.WriteString(c, answer)
+		_ = c.(*net.TCPConn).SetLinger(0)
+	})
 }
 
 // TestEarlyResetsReachNoCaller guards against a part of a body without a length that callers got as whole, when a server answers a long upload
--- a/io/kwdirectentry/relay_test.go
+++ b/io/kwdirectentry/relay_test.go
@@ -109,9 +109,8 @@
 	return g
 }
 
-// serveRaw runs a server whose responses are the raw bytes that answer writes; it closes the connection once answer
-// returns false.
-func serveRaw(tb testing.TB, answer func(w io.Writer, id string) (keepOpen bool)) string {
+// serveConns runs a server that handles each connection by a function and closes it.
+func serveConns(tb testing.TB, handle func(c net.Conn)) string {
 	tb.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -126,22 +125,31 @@
 			}
 			go func() {
 				defer func() { _ = c.Close() }()
-				r := bufio.NewReader(c)
-				for {
-					req, err := http.ReadRequest(r)
-					if err != nil {
-						return
-					}
-					if _, err := io.Copy(io.Discard, req.Body); err != nil || !answer(c, req.Header.Get("Id")) {
-						return
-					}
-				}
+				handle(c)
 			}()
 		}
 	}()
 	return l.Addr().String()
 }
 
+// serveRaw runs a server whose responses are the raw bytes that answer writes; it closes the connection once answer
+// returns false.
+func serveRaw(tb testing.TB, answer func(w io.Writer, id string) (keepOpen bool)) string {
+	tb.Helper()
+	return serveConns(tb, func(c net.Conn) {
+		r := bufio.NewReader(c)
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			if _, err := io.Copy(io.Discard, req.Body); err != nil || !answer(c, req.Header.Get("Id")) {
+				return
+			}
+		}
+	})
+}
+
 // post sends a request through the gateway and returns the status and the body, or the error in its place.
 func post(tb testing.TB, client *http.Client, g *Gateway, path, id string) (int, string) {
 	tb.Helper()
