Keep lost attempts out of a stream that is resumed

Change: the others count as lost once a stream has won, and later attempts have a channel of their own.

--- a/io/kwdirectentry/plain_stream_test.go
+++ b/io/kwdirectentry/plain_stream_test.go
@@ -182,3 +182,48 @@
 		server.Close()
 	}
 }
+
+// TestLostAttemptsDoNotDisturbAResumedStream guards against the end of an attempt that has lost the race for the first event: read as the result
+// of a later one, it put its sound server out of use, or ended the stream.
+func TestLostAttemptsDoNotDisturbAResumedStream(t *testing.T) {
+	const hedgeDelay = 20 * time.Millisecond
+	for _, answersLate := range []bool{false, true} {
+		var arrivals atomic.Int32
+		var servers []string
+		for range 3 {
+			servers = append(servers, serveRaw(t, func(w io.Writer, id string) bool {
+				head := "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+				switch arrivals.Add(1) {
+				case 1:
+					time.Sleep(4 * hedgeDelay)
+					if answersLate {
+						_, _ = io.WriteString(w, head+"f\r\nid: 1\ndata: x\n\n\r\n0\r\n\r\n")
+					}
+					time.Sleep(4 * hedgeDelay)
+				case 2:
+					_, _ = io.WriteString(w, head+"f\r\nid: 1\ndata: x\n\n\r\n")
+					time.Sleep(8 * hedgeDelay)
+				default:
+					time.Sleep(2 * hedgeDelay)
+					_, _ = io.WriteString(w, head+"f\r\nid: 2\ndata: y\n\n\r\n0\r\n\r\n")
+				}
+				return false
+			}))
+		}
+		g := newTestGateway(t, "127.0.0.1:1", "127.0.0.1:1")
+		setServers(g, nil, servers)
+		addPlainStreams(g)
+		setRoutes(g, func(r *kwdeclaration.Route) { r.MaxAttempts = 4 })
+		allowHedges(g, "records", "/resumed/", hedgeDelay)
+		status, body := post(t, &http.Client{Timeout: 5 * time.Second}, g, "/resumed/x", "q1")
+		if want := "id: 1\ndata: x\n\nid: 2\ndata: y\n\n"; status != http.StatusOK || body != want {
+			t.Errorf("the slow server answers late %v: got %d %q after %d sends, want %q", answersLate, status, body, arrivals.Load(), want)
+		}
+		if got := g.metrics.hedgesSent.Count(); got != 1 {
+			t.Errorf("the slow server answers late %v: got %d hedges, want 1", answersLate, got)
+		}
+		if got := countEvents(g, "endpoint-ejected"); got != 1 {
+			t.Errorf("the slow server answers late %v: got %d servers ejected, want the one that broke off alone", answersLate, got)
+		}
+	}
+}
--- a/io/kwdirectentry/unary.go
+++ b/io/kwdirectentry/unary.go
@@ -67,12 +67,24 @@
 	defer endAttempts()
 	for g.startUnary(attemptsCtx, u) && !g.awaitUnary(attemptsCtx, u) {
 	}
-	if u.stream != nil && !u.stream.take(ctx) {
+	if u.stream == nil {
+		return
+	}
+	u.loseOthers()
+	if !u.stream.take(ctx) {
 		u.stream, u.attempts.response = nil, nil
 		u.attempts.lastErr = kwcode.New(kwcode.StreamCut, "endpoint %s: %v", u.answeredBy, context.Cause(ctx))
 	}
 }
 
+// loseOthers counts the attempts that have lost against a stream. If it breaks off, their results must not count for those that follow.
+func (u *unaryState) loseOthers() {
+	u.attempts.mayHaveRun += u.inProgress
+	u.inProgress = 0
+	u.results = make(chan unaryResult, cap(u.results))
+	clear(u.awaited)
+}
+
 // liveEndpoints returns the live endpoints of the request's service in the present view, since those of its arrival may have left.
 func (g *Gateway) liveEndpoints(q *request) []kwmembership.Announcement {
 	return g.view.Load().live[q.service]
@@ -214,7 +226,7 @@
 		g.scheduler.finishUnary(endpoint.ID, reportedInFlight)
 	}
 	streaming := q.route.Kind == kwdeclaration.Streaming
-	lastEventID := cmp.Or(u.lastEventID, q.meta.LastEventID)
+	lastEventID, results := cmp.Or(u.lastEventID, q.meta.LastEventID), u.results
 	g.goBackground(func() {
 		res := g.safely(upstreamReq.ID, func() (res unaryResult) {
 			opened := g.upstreamPool.Open(ctx, endpoint.Address, fresh, upstreamReq, g.deps.Dialect)
@@ -236,7 +248,7 @@
 			}
 			end(res.Err == nil && !res.Meta.NotRun, reportedInFlight)
 		}
-		u.results <- res
+		results <- res
 	})
 }
 
