Keep open heads of callers as bytes, within one memory

Callers saw: entries ended for lack of memory when clients sent heads over the limit, without end, or many that stayed open; answers to others ended with them.

Cause: the library parses a head as it arrives. A head of short names takes some twenty times its bytes, and each head was bounded (64 KB) but not all of them together.

Change: core/kwclient finds the end of heads and bodies without parsing, and decides whose connection gives way; io/kwguard keeps an open head as bytes and hands it to the library once it is whole. Bytes and the cost of parsing come from one memory for heads, a sixteenth of the process's. An open head without room is closed; a whole one closes older open ones, or is refused with 503, not run; beyond the limit it gets 431 (1026).

--- a/core/kwbuffer/budget.go
+++ b/core/kwbuffer/budget.go
@@ -50,6 +50,14 @@
 	return &Account{budget: b}
 }
 
+// OpenReclaiming is Open for an account that calls reclaim when it is refused to grow, without a lock held. Reclaim ends another account, or
+// returns false if none is worth less than this one.
+func (b *Budget) OpenReclaiming(reclaim func() bool) *Account {
+	a := b.Open()
+	a.reclaim = reclaim
+	return a
+}
+
 // HasRoom reports whether more may be begun. Those that have begun may still grow to their share.
 func (b *Budget) HasRoom() bool {
 	b.mu.Lock()
@@ -74,6 +82,8 @@
 	budget *Budget
 	held   int64
 	closed bool
+	// reclaim is nil unless the account makes room for itself.
+	reclaim func() bool
 }
 
 // Grow takes n bytes more. While the budget is used up, it refuses an account that would exceed an even share of it: so that what is
@@ -82,6 +92,14 @@
 	if a == nil || n <= 0 {
 		return nil
 	}
+	err := a.grow(n)
+	for err != nil && a.reclaim != nil && a.reclaim() {
+		err = a.grow(n)
+	}
+	return err
+}
+
+func (a *Account) grow(n int64) error {
 	b := a.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/core/kwcode/code.go
+++ b/core/kwcode/code.go
@@ -52,6 +52,7 @@
 	RequestQuarantined Code = 1023
 	EndpointLimit      Code = 1024
 	BuffersFull        Code = 1025
+	HeadTooLarge       Code = 1026
 	StreamCut          Code = 2001
 	LookupFailed       Code = 2002
 	OutcomeUnknown     Code = 3001
@@ -130,6 +131,7 @@
 	{RequestQuarantined, "request-quarantined", http.StatusServiceUnavailable, NotRun, "Servers crash under this request whenever it comes, so it is kept from them."},
 	{EndpointLimit, "endpoint-limit", http.StatusServiceUnavailable, NotRun, "Every endpoint that could serve the request is at the limit of requests that it has named."},
 	{BuffersFull, "buffers-full", http.StatusServiceUnavailable, NotRun, "The process has no memory left to buffer the request or its answer."},
+	{HeadTooLarge, "head-too-large", http.StatusRequestHeaderFieldsTooLarge, NotRun, "The head of the request is over the size limit."},
 	{StreamCut, "stream-cut", http.StatusBadGateway, Ran, "The stream ended with an error after part of the answer was produced."},
 	{LookupFailed, "lookup-failed", http.StatusBadGateway, Ran, "The idempotent call failed on every endpoint that was tried."},
 	{OutcomeUnknown, "outcome-unknown", http.StatusBadGateway, Unknown, "The call may have run; it will not run again until an operator settles it."},
--- /dev/null
+++ b/io/kwdirectentry/callers.go
@@ -0,0 +1,33 @@
+package kwdirectentry
+
+import (
+	"math"
+	"net"
+
+	"knapweedproxy/core/kwbuffer"
+	"knapweedproxy/io/kwguard"
+)
+
+// openGuards creates the guard of the listener for callers.
+func (g *Gateway) openGuards() {
+	heads := kwbuffer.New(g.cfg.Capacity.HeadBytes())
+	registerHeadMetrics(g.deps.Metrics, heads)
+	g.callers = kwguard.New(kwguard.Config{
+		Listener: "callers", MaxConnections: math.MaxInt, Heads: heads, Limits: g.callerLimits,
+		Metrics: g.deps.Metrics, Events: g.deps.Events,
+	})
+}
+
+// callerLimits returns the limits of the declaration in force. Connections may be idle for longer than it says, never for less.
+func (g *Gateway) callerLimits() kwguard.Limits {
+	out := kwguard.Limits{HeadBytes: maxHeaderBytes, HeadTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	v := g.view.Load()
+	if v.index == nil {
+		return out
+	}
+	out.IdleTimeout = max(idleTimeout, v.index.Declaration.Limits.IdleTimeout)
+	return out
+}
+
+// acceptCallers returns the listener by which the server for callers accepts the connections of another one.
+func (g *Gateway) acceptCallers(l net.Listener) net.Listener { return g.callers.Wrap(l) }
--- a/io/kwdirectentry/config.go
+++ b/io/kwdirectentry/config.go
@@ -7,6 +7,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"knapweedproxy/core/kwbuffer"
+	"knapweedproxy/core/kwclient"
 	"knapweedproxy/core/kwdeclaration"
 	"knapweedproxy/core/kwid"
 	"knapweedproxy/core/kwqueue"
@@ -39,6 +40,8 @@
 	ReturnReserve float64
 	// HedgeShare limits hedged requests to a share of the requests of each service while the declaration names no limit; 0 hedges none.
 	HedgeShare float64
+	// Capacity is what the process has for its clients' connections and heads.
+	Capacity kwclient.Capacity
 }
 
 const (
@@ -65,11 +68,12 @@
 	maxResponseBytes = 8 << 20
 	// defaultMaxBodyBytes bounds a request body if the declaration sets no limit.
 	defaultMaxBodyBytes = 4 << 20
-	// headerTimeout bounds the time in which a caller sends its request header.
+	// headerTimeout bounds the time in which a caller sends its request header if the declaration sets no limit, and that until a new
+	// connection brings one.
 	headerTimeout = 10 * time.Second
 	// idleTimeout closes idle caller connections, unless the declaration lets callers reuse them for longer.
 	idleTimeout = 60 * time.Second
-	// maxHeaderBytes bounds a caller's request header.
+	// maxHeaderBytes bounds a caller's request header if the declaration sets no limit.
 	maxHeaderBytes = 64 << 10
 	// viewWaitTimeout bounds how long a request waits for a valid view: callers abandon a stream after two seconds
 	// without an event.
--- a/io/kwdirectentry/gateway.go
+++ b/io/kwdirectentry/gateway.go
@@ -16,6 +16,7 @@
 	"knapweedproxy/core/kwretry"
 	"knapweedproxy/io/kwdirectproto"
 	"knapweedproxy/io/kwevent"
+	"knapweedproxy/io/kwguard"
 	"knapweedproxy/io/kwtask"
 	"knapweedproxy/io/kwtcprpc"
 	"knapweedproxy/io/kwtime"
@@ -45,10 +46,12 @@
 	leader         *kwtcprpc.LeaderClient
 	listener       net.Listener
 	readyListener  net.Listener
-	server         *http.Server
-	readyServer    *http.Server
-	metrics        gatewayMetrics
-	viewChanged    notifier
+	// callers bounds what callers can make the entry keep.
+	callers     *kwguard.Guard
+	server      *http.Server
+	readyServer *http.Server
+	metrics     gatewayMetrics
+	viewChanged notifier
 	// needsWholeDeclaration is set after a declaration could not be taken over; only watchControl uses it.
 	needsWholeDeclaration bool
 	started               time.Time
@@ -98,23 +101,18 @@
 }
 
 func (g *Gateway) openListeners() error {
-	listener, err := net.Listen("tcp", g.cfg.Listen)
+	listener, err := kwguard.Listen(g.cfg.Listen)
 	if err != nil {
-		return kwcode.New(kwcode.ListenFailed, "%v", err)
+		return err
 	}
-	readyListener, err := net.Listen("tcp", g.cfg.ReadyListen)
+	readyListener, err := kwguard.Listen(g.cfg.ReadyListen)
 	if err != nil {
 		_ = listener.Close()
-		return kwcode.New(kwcode.ListenFailed, "%v", err)
+		return err
 	}
 	g.listener, g.readyListener = listener, readyListener
-	g.server = &http.Server{
-		Handler:           http.HandlerFunc(g.serveHTTP),
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ConnState:         trackIdle,
-	}
+	g.openGuards()
+	g.server = g.callers.Server(http.HandlerFunc(g.serveHTTP))
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+g.cfg.ReadyPath, g.handleReady)
 	g.readyServer = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
--- a/io/kwdirectentry/metrics.go
+++ b/io/kwdirectentry/metrics.go
@@ -13,6 +13,11 @@
 	_ = r.Register("buffers.refused", metrics.NewFunctionalGauge(func() int64 { return buffers.Usage().Refusals }))
 }
 
+// registerHeadMetrics adds the bytes that callers' heads hold.
+func registerHeadMetrics(r metrics.Registry, heads *kwbuffer.Budget) {
+	_ = r.Register("heads.bytes", metrics.NewFunctionalGauge(func() int64 { return heads.Usage().Used }))
+}
+
 // gatewayMetrics holds the counters and timers of an entry.
 type gatewayMetrics struct {
 	served     metrics.Counter
--- a/io/kwevent/catalogue.go
+++ b/io/kwevent/catalogue.go
@@ -10,6 +10,7 @@
 	ProcessStopped      ID = 103
 	SettingsReloaded    ID = 104
 	LogLinesDropped     ID = 105
+	ClientsRefused      ID = 106
 	RequestAdmitted     ID = 201
 	RequestRefused      ID = 202
 	ChainChosen         ID = 203
@@ -116,6 +117,7 @@
 	{ProcessStopped, "process-stopped", levelInfo, "A role has stopped."},
 	{SettingsReloaded, "settings-reloaded", levelInfo, "A process has read its settings file again."},
 	{LogLinesDropped, "log-lines-dropped", levelInfo, "Log lines were dropped since standard output did not keep up."},
+	{ClientsRefused, "clients-refused", levelInfo, "A listener has closed or refused connections of clients since its last such event."},
 	{RequestAdmitted, "request-admitted", levelDetail, "An entry admitted a caller request."},
 	{RequestRefused, "request-refused", levelInfo, "An entry refused a caller request that has not run."},
 	{ChainChosen, "chain-chosen", levelDetail, "An entry chose the stages of an attempt."},
