Apply the declared limits of heads

Callers saw: with max_header_bytes above 64 KB declared, a head within it got 431, which is final; with a smaller one, and with header_timeout_ms, nothing changed.

Cause: both were decoded and used nowhere. The library's server takes its limits at its start, before there is a declaration.

Change: the guard asks for the limits in force with each head.

Measured: TestDeclaredLimitsOfHeads on fails with "head of twice 4096 bytes: got status 200, want 431", "head of exactly 131072 bytes: got status 431, want 200" and "open head: got status 0 after 10.0s"; it passes now, the limit changing from 4 to 128, 64 and 16 KB. A head of exactly the limit is served under each; a refused one does not run.

--- a/io/kwdirectentry/callers.go
+++ b/io/kwdirectentry/callers.go
@@ -25,7 +25,14 @@
 	if v.index == nil {
 		return out
 	}
-	out.IdleTimeout = max(idleTimeout, v.index.Declaration.Limits.IdleTimeout)
+	declared := v.index.Declaration.Limits
+	if declared.MaxHeaderBytes > 0 {
+		out.HeadBytes = declared.MaxHeaderBytes
+	}
+	if declared.HeaderTimeout > 0 {
+		out.HeadTimeout = declared.HeaderTimeout
+	}
+	out.IdleTimeout = max(idleTimeout, declared.IdleTimeout)
 	return out
 }
 
