--- a/io/kwdirectentry/callers.go
+++ b/io/kwdirectentry/callers.go
@@ -8,7 +8,7 @@
 	"knapweedproxy/io/kwguard"
 )
 
-// openGuards creates the guard of the listener for callers.
+// openGuards creates the guards of the listeners, which share the memory for heads.
 func (g *Gateway) openGuards() {
 	heads := kwbuffer.New(g.cfg.Capacity.HeadBytes())
 	registerHeadMetrics(g.deps.Metrics, heads)
@@ -16,6 +16,9 @@
 		Listener: "callers", MaxConnections: math.MaxInt, Heads: heads, Limits: g.callerLimits,
 		Metrics: g.deps.Metrics, Events: g.deps.Events,
 	})
+	pages := kwguard.PageConfig("readiness", g.cfg.Capacity, heads)
+	pages.Metrics, pages.Events = g.deps.Metrics, g.deps.Events
+	g.readiness = kwguard.New(pages)
 }
 
 // callerLimits returns the limits of the declaration in force. Connections may be idle for longer than it says, never for less.
--- a/io/kwdirectentry/gateway.go
+++ b/io/kwdirectentry/gateway.go
@@ -46,12 +46,12 @@
 	leader         *kwtcprpc.LeaderClient
 	listener       net.Listener
 	readyListener  net.Listener
-	// callers bounds what callers can make the entry keep.
-	callers     *kwguard.Guard
-	server      *http.Server
-	readyServer *http.Server
-	metrics     gatewayMetrics
-	viewChanged notifier
+	// callers and readiness bound what the clients of the listeners can make the entry keep.
+	callers, readiness *kwguard.Guard
+	server             *http.Server
+	readyServer        *http.Server
+	metrics            gatewayMetrics
+	viewChanged        notifier
 	// needsWholeDeclaration is set after a declaration could not be taken over; only watchControl uses it.
 	needsWholeDeclaration bool
 	started               time.Time
@@ -115,7 +115,7 @@
 	g.server = g.callers.Server(http.HandlerFunc(g.serveHTTP))
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+g.cfg.ReadyPath, g.handleReady)
-	g.readyServer = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	g.readyServer = g.readiness.Server(mux)
 	return nil
 }
 
@@ -129,7 +129,7 @@
 	g.goBackground(func() { g.watchControl(g.ctx) })
 	g.goBackground(g.sweepIdleConnections)
 	g.goBackground(func() { g.serve(g.server, g.acceptCallers(g.listener)) })
-	g.goBackground(func() { g.serve(g.readyServer, g.readyListener) })
+	g.goBackground(func() { g.serve(g.readyServer, g.readiness.Wrap(g.readyListener)) })
 }
 
 // goBackground runs a function in a goroutine that Stop waits for.
