Bound the connections of clients by descriptors and memory

Operators saw: clients that open connections and keep them take all descriptors; ordinary requests go unanswered, and nothing is left for servers and control.

Cause: nothing counted connections, and max_fds was not read.

--- a/io/kwdirectentry/callers.go
+++ b/io/kwdirectentry/callers.go
@@ -1,7 +1,6 @@
 package kwdirectentry
 
 import (
-	"math"
 	"net"
 
 	"knapweedproxy/core/kwbuffer"
@@ -13,7 +12,7 @@
 	heads := kwbuffer.New(g.cfg.Capacity.HeadBytes())
 	registerHeadMetrics(g.deps.Metrics, heads)
 	g.callers = kwguard.New(kwguard.Config{
-		Listener: "callers", MaxConnections: math.MaxInt, Heads: heads, Limits: g.callerLimits,
+		Listener: "callers", MaxConnections: g.cfg.Capacity.MaxTrafficConnections(), Heads: heads, Limits: g.callerLimits,
 		Metrics: g.deps.Metrics, Events: g.deps.Events,
 	})
 	pages := kwguard.PageConfig("readiness", g.cfg.Capacity, heads)
--- a/io/kwguard/guard.go
+++ b/io/kwguard/guard.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -237,9 +236,9 @@
 }
 
 // PageConfig returns the configuration of a listener for readiness checks or metrics, whose clients send a few lines now and then.
-func PageConfig(listener string, _ kwclient.Capacity, heads *kwbuffer.Budget) Config {
+func PageConfig(listener string, capacity kwclient.Capacity, heads *kwbuffer.Budget) Config {
 	return Config{
-		Listener: listener, MaxConnections: math.MaxInt, Heads: heads,
+		Listener: listener, MaxConnections: capacity.MaxPageConnections(), Heads: heads,
 		Limits: func() Limits {
 			return Limits{HeadBytes: pageHeadBytes, HeadTimeout: pageTimeout, IdleTimeout: pageIdleTimeout}
 		},
