Bound the time of bodies, and let the slowest give way

Callers saw: sound large bodies were refused with 503 for as long as others left theirs unfinished.

Cause: nothing looked at the deadline while a body was read, so that a request without its body stayed in progress with all that it held; the memory for bodies belonged to who came first; a body that nobody read held its connection for good.

When the memory is used up, the slowest body that takes longer than a second is closed and its memory given to the one that asks.

--- a/core/kwcode/code.go
+++ b/core/kwcode/code.go
@@ -53,6 +53,7 @@
 	EndpointLimit      Code = 1024
 	BuffersFull        Code = 1025
 	HeadTooLarge       Code = 1026
+	BodyTimeout        Code = 1027
 	StreamCut          Code = 2001
 	LookupFailed       Code = 2002
 	OutcomeUnknown     Code = 3001
@@ -132,6 +133,7 @@
 	{EndpointLimit, "endpoint-limit", http.StatusServiceUnavailable, NotRun, "Every endpoint that could serve the request is at the limit of requests that it has named."},
 	{BuffersFull, "buffers-full", http.StatusServiceUnavailable, NotRun, "The process has no memory left to buffer the request or its answer."},
 	{HeadTooLarge, "head-too-large", http.StatusRequestHeaderFieldsTooLarge, NotRun, "The head of the request is over the size limit."},
+	{BodyTimeout, "body-timeout", http.StatusRequestTimeout, NotRun, "The request body did not arrive before the deadline."},
 	{StreamCut, "stream-cut", http.StatusBadGateway, Ran, "The stream ended with an error after part of the answer was produced."},
 	{LookupFailed, "lookup-failed", http.StatusBadGateway, Ran, "The idempotent call failed on every endpoint that was tried."},
 	{OutcomeUnknown, "outcome-unknown", http.StatusBadGateway, Unknown, "The call may have run; it will not run again until an operator settles it."},
--- a/io/kwdirectentry/request.go
+++ b/io/kwdirectentry/request.go
@@ -9,6 +9,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"os"
 	"runtime/debug"
 	"strings"
 	"time"
@@ -163,7 +164,7 @@
 		g.reject(q, err)
 		return
 	}
-	q.bodyBuffers, q.buffers = g.buffers.Open(), g.buffers.Open()
+	q.bodyBuffers, q.buffers = g.buffers.OpenReclaiming(g.callers.Reclaim), g.buffers.Open()
 	defer q.bodyBuffers.Close()
 	defer q.buffers.Close()
 	if err := q.readBody(); err != nil {
@@ -281,6 +282,8 @@
 	if q.r.ContentLength > limit {
 		return kwcode.New(kwcode.BodyTooLarge, "the body has %d bytes, the limit is %d", q.r.ContentLength, limit)
 	}
+	// The deadline bounds the body too. The server resets it once the body is whole.
+	_ = http.NewResponseController(q.w).SetReadDeadline(q.deadline)
 	// The end of a drain interrupts the read; the read's own error would say nothing of that.
 	stop := context.AfterFunc(q.r.Context(), func() { _ = http.NewResponseController(q.w).SetReadDeadline(time.Now()) })
 	defer stop()
@@ -299,6 +302,10 @@
 	if errors.As(err, &tooLarge) {
 		return kwcode.New(kwcode.BodyTooLarge, "the body exceeds %d bytes", limit)
 	}
+	// The library's own errors do not always say that the deadline has passed.
+	if errors.Is(err, os.ErrDeadlineExceeded) || q.remaining() <= 0 {
+		return kwcode.New(kwcode.BodyTimeout, "the body did not arrive before the deadline")
+	}
 	return kwcode.New(kwcode.MalformedRequest, "reading the body: %v", err)
 }
 
--- a/io/kwguard/conn.go
+++ b/io/kwguard/conn.go
@@ -29,6 +29,8 @@
 	// a connection that is closed with unread bytes is reset, and the refusal may be lost.
 	refusalTimeout = 500 * time.Millisecond
 	refusalBytes   = 256 << 10
+	// ignoredBodyTimeout bounds the body of a request that is answered before it has come, so that its connection can be kept.
+	ignoredBodyTimeout = 10 * time.Second
 	// noRoomRetryAfter is the Retry-After time of a request whose head finds no memory: those of others are answered by then.
 	noRoomRetryAfter = time.Second
 )
@@ -279,6 +281,10 @@
 		return
 	}
 	c.body = body
+	if c.guard.cfg.RequestTimeout == 0 {
+		// The handler may never look at the body, or set a deadline of its own.
+		_ = c.Conn.SetReadDeadline(time.Now().Add(ignoredBodyTimeout))
+	}
 	c.guard.connections.BeginUpload(c.entry, time.Now())
 }
 
