End the delivery of answers that nobody reads

Cause: writes to callers had no deadline.

Change: a write ends 2 s after the deadline of the request, or after the answer began where that is later, so that late answers are still delivered.

Measured: TestAnswersThatNobodyReads on: requests with an answer of 6 MB in progress 10 s after a deadline of two; none now. Its case of events passed before too.

--- a/io/kwdirectentry/config.go
+++ b/io/kwdirectentry/config.go
@@ -75,6 +75,8 @@
 	idleTimeout = 60 * time.Second
 	// maxHeaderBytes bounds a caller's request header if the declaration sets no limit.
 	maxHeaderBytes = 64 << 10
+	// deliveryTimeout is how long after the deadline of its request a caller may leave an answer unread.
+	deliveryTimeout = 2 * time.Second
 	// viewWaitTimeout bounds how long a request waits for a valid view: callers abandon a stream after two seconds
 	// without an event.
 	viewWaitTimeout = 1500 * time.Millisecond
--- a/io/kwdirectentry/request.go
+++ b/io/kwdirectentry/request.go
@@ -83,8 +83,15 @@
 	headSent bool
 }
 
-// writeHead writes the head of the answer.
+// writeHead writes the head of the answer. From now on a caller that does not read holds up the write, for deliveryTimeout beyond the deadline
+// of its request at most.
 func (q *request) writeHead(status int) {
+	end := time.Now()
+	if q.deadline.After(end) {
+		end = q.deadline
+	}
+	// It fails only once the connection is closed, which the write will tell.
+	_ = http.NewResponseController(q.w).SetWriteDeadline(end.Add(deliveryTimeout))
 	q.w.WriteHeader(status)
 	q.headSent = true
 }
--- a/io/kwdirectentry/slow_caller_test.go
+++ b/io/kwdirectentry/slow_caller_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -81,6 +82,39 @@
 	}
 }
 
+// TestAnswersThatNobodyReads guards against requests that stay in progress, with their answers, since their callers read nothing.
+func TestAnswersThatNobodyReads(t *testing.T) {
+	event := "id: 1\ndata: " + strings.Repeat("x", 60_000) + "\n\n"
+	answers := map[string]struct{ path, head, piece string }{
+		"events":         {"/notes/x", "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", fmt.Sprintf("%x\r\n%s\r\n", len(event), event)},
+		"a large answer": {"/lookups/x", "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 6000000\r\n\r\n", strings.Repeat("y", 60_000)},
+	}
+	for name, a := range answers {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			server := serveRaw(t, func(w io.Writer, id string) bool {
+				_, err := fmt.Fprintf(w, a.head, id)
+				for range 100 {
+					if err != nil {
+						return false
+					}
+					_, err = io.WriteString(w, a.piece)
+				}
+				return false
+			})
+			g := newTestGateway(t, server, server)
+			declare(g, func(d *kwdeclaration.Declaration) {
+				for i := range d.Routes {
+					d.Routes[i].Timeout = 2 * time.Second
+				}
+			})
+			callSlowly(t, g, "GET "+a.path+" HTTP/1.1\r\nHost: h\r\nId: r\r\n\r\n")
+			awaitTrue(t, "the requests are in progress", func() bool { return g.inFlight.Load() > 0 })
+			awaitTrue(t, "no request is in progress", func() bool { return g.inFlight.Load() == 0 })
+		})
+	}
+}
+
 // TestBodyOfARejectedRequestEnds guards against connections that are held for good, since the body of a request that was rejected at once does
 // not arrive.
 func TestBodyOfARejectedRequestEnds(t *testing.T) {
--- a/io/kwguard/guard.go
+++ b/io/kwguard/guard.go
@@ -242,7 +242,7 @@
 		Limits: func() Limits {
 			return Limits{HeadBytes: pageHeadBytes, HeadTimeout: pageTimeout, IdleTimeout: pageIdleTimeout}
 		},
-		RequestTimeout: pageTimeout,
+		RequestTimeout: pageTimeout, AnswerTimeout: pageTimeout,
 	}
 }
 
