Read frames as they come, within one memory for calls

Cause: the buffer for a frame was allocated from its announced length; no deadline bounded its arrival, and nothing all frames or calls together.

Change: frames are read in pieces, from a memory for calls (a quarter of the process's), with 4 s for each piece. Connections are bounded as those of clients.

--- a/core/kwbuffer/budget.go
+++ b/core/kwbuffer/budget.go
@@ -65,6 +65,14 @@
 	return b.used < b.size
 }
 
+// Fits reports whether n bytes more would stay within the budget, or nothing else is held. It answers announcements of much that may never come:
+// they are refused before anything of them is read.
+func (b *Budget) Fits(n int64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.used == 0 || b.used+n <= b.size
+}
+
 // Usage is the state of a Budget: the bytes held, and how often an account was refused to grow.
 type Usage struct {
 	Used, Refusals int64
--- a/core/kwclient/capacity.go
+++ b/core/kwclient/capacity.go
@@ -18,6 +18,10 @@
 	// of readiness checks or metrics. What is left is for servers, control, the log's members and files.
 	trafficShare = 0.45
 	pageShare    = 0.025
+	// peerShare is the share of the descriptors of a control process for the connections of the system's other processes.
+	peerShare = 0.25
+	// peerMemoryParts is the part of the memory for their calls: a declaration, or a snapshot with one, in each of a few.
+	peerMemoryParts = 4
 	// minConnections keeps a listener reachable whatever the settings say.
 	minConnections = 8
 )
@@ -51,3 +55,9 @@
 
 // PageHeadBytes returns the memory for heads of a listener for metrics; 0 means unknown.
 func (c Capacity) PageHeadBytes() int64 { return c.MemoryBytes / pageHeadMemoryParts }
+
+// MaxPeerConnections returns how many connections the system's other processes may have to a control process.
+func (c Capacity) MaxPeerConnections() int { return c.connections(peerShare) }
+
+// PeerBytes returns the memory for their calls; 0 means unknown.
+func (c Capacity) PeerBytes() int64 { return c.MemoryBytes / peerMemoryParts }
--- a/io/kwdirectcontrol/config.go
+++ b/io/kwdirectcontrol/config.go
@@ -6,6 +6,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"knapweedproxy/core/kwclient"
 	"knapweedproxy/core/kwdeclaration"
 	"knapweedproxy/core/kwid"
 	"knapweedproxy/core/kwmembership"
@@ -35,6 +36,8 @@
 	Heartbeat time.Duration
 	// RetryBudget limits the retries that entries may borrow from the fleet's budget.
 	RetryBudget kwretry.LenderConfig
+	// Capacity is what the process has for the calls of other processes.
+	Capacity kwclient.Capacity
 }
 
 const (
--- a/io/kwdirectcontrol/server.go
+++ b/io/kwdirectcontrol/server.go
@@ -6,7 +6,11 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"knapweedproxy/core/kwadmission"
+	"knapweedproxy/core/kwbuffer"
+	"knapweedproxy/core/kwclient"
 	"knapweedproxy/core/kwcode"
 	"knapweedproxy/core/kwdeclaration"
 	"knapweedproxy/core/kwendpointlimit"
@@ -18,6 +22,7 @@
 	"knapweedproxy/io/kwcontrol"
 	"knapweedproxy/io/kwdirectproto"
 	"knapweedproxy/io/kwevent"
+	"knapweedproxy/io/kwguard"
 	"knapweedproxy/io/kwtcprpc"
 	"knapweedproxy/io/kwtime"
 	"knapweedproxy/io/kwwal"
@@ -73,7 +78,10 @@
 	s.placer = newPlacer(placerConfig{
 		Decoder: deps.Decoder, Engines: deps.Engines, Events: deps.Events, Run: s.background, ReportLeaving: s.reportOwnLeaver,
 	})
-	server, err := kwtcprpc.Listen(cfg.Address, map[kwtcprpc.Kind]kwtcprpc.Handler{
+	connections, calls := kwclient.NewConnections(cfg.Capacity.MaxPeerConnections()), kwbuffer.New(cfg.Capacity.PeerBytes())
+	kwguard.RegisterConnections(deps.Metrics, "internal", connections)
+	_ = deps.Metrics.Register("calls.bytes", metrics.NewFunctionalGauge(func() int64 { return calls.Usage().Used }))
+	server, err := kwtcprpc.Listen(kwtcprpc.ServerConfig{Address: cfg.Address, Traffic: traffic, Connections: connections, Buffers: calls, Handlers: map[kwtcprpc.Kind]kwtcprpc.Handler{
 		kwdirectproto.KindRaft:              s.handleRaft,
 		kwdirectproto.KindAddMember:         s.handleAddMember,
 		kwdirectproto.KindAnnounce:          s.handleAnnounce,
@@ -88,7 +96,7 @@
 		kwdirectproto.KindQuarantineTrial:   s.handleQuarantineTrial,
 		kwdirectproto.KindSaidLeaving:       s.handleSaidLeaving,
 		kwdirectproto.KindExchangeRecords:   s.discovery.handle,
-	}, traffic)
+	}})
 	if err != nil {
 		cancel()
 		return nil, err
--- a/io/kwdirectentry/declaration_change_test.go
+++ b/io/kwdirectentry/declaration_change_test.go
@@ -516,7 +516,7 @@
 // replay has the gateway fetch all views of a script.
 func (l *fakeLeader) replay(t *testing.T, g *Gateway) {
 	t.Helper()
-	control, err := kwtcprpc.Listen("127.0.0.1:0", map[kwtcprpc.Kind]kwtcprpc.Handler{kwdirectproto.KindWatch: l.handleWatch}, nil)
+	control, err := kwtcprpc.Listen(kwtcprpc.ServerConfig{Address: "127.0.0.1:0", Handlers: map[kwtcprpc.Kind]kwtcprpc.Handler{kwdirectproto.KindWatch: l.handleWatch}})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/io/kwdirectentry/hedge_share_test.go
+++ b/io/kwdirectentry/hedge_share_test.go
@@ -242,7 +242,7 @@
 			Declaration: &kwdirectproto.CompressedDeclaration{Number: kwdeclaration.Number(10 + i), Content: content},
 		})
 	}
-	control, err := kwtcprpc.Listen("127.0.0.1:0", map[kwtcprpc.Kind]kwtcprpc.Handler{kwdirectproto.KindWatch: leader.handleWatch}, nil)
+	control, err := kwtcprpc.Listen(kwtcprpc.ServerConfig{Address: "127.0.0.1:0", Handlers: map[kwtcprpc.Kind]kwtcprpc.Handler{kwdirectproto.KindWatch: leader.handleWatch}})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/io/kwdirectentry/held_requests_test.go
+++ b/io/kwdirectentry/held_requests_test.go
@@ -112,7 +112,7 @@
 func startControlStub(t *testing.T, g *Gateway, allowedTrials int) *controlStub {
 	t.Helper()
 	c := &controlStub{allowedTrials: allowedTrials}
-	server, err := kwtcprpc.Listen("127.0.0.1:0", map[kwtcprpc.Kind]kwtcprpc.Handler{
+	server, err := kwtcprpc.Listen(kwtcprpc.ServerConfig{Address: "127.0.0.1:0", Handlers: map[kwtcprpc.Kind]kwtcprpc.Handler{
 		kwdirectproto.KindEndpointCrashed: func(_ context.Context, body kwtcprpc.Body) (any, error) {
 			var req kwdirectproto.EndpointCrashed
 			if err := body.Decode(&req); err != nil {
@@ -141,7 +141,7 @@
 			}
 			return nil, nil
 		},
-	}, nil)
+	}})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/io/kwdirectentry/quarantine_test.go
+++ b/io/kwdirectentry/quarantine_test.go
@@ -129,7 +129,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			var reports atomic.Int64
 			reported := make(chan kwdirectproto.EndpointCrashed, 8)
-			control, err := kwtcprpc.Listen("127.0.0.1:0", map[kwtcprpc.Kind]kwtcprpc.Handler{
+			control, err := kwtcprpc.Listen(kwtcprpc.ServerConfig{Address: "127.0.0.1:0", Handlers: map[kwtcprpc.Kind]kwtcprpc.Handler{
 				kwdirectproto.KindEndpointCrashed: func(_ context.Context, body kwtcprpc.Body) (any, error) {
 					var req kwdirectproto.EndpointCrashed
 					if err := body.Decode(&req); err != nil {
@@ -139,7 +139,7 @@
 					reported <- req
 					return nil, nil
 				},
-			}, nil)
+			}})
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/io/kwguard/guard.go
+++ b/io/kwguard/guard.go
@@ -66,10 +66,15 @@
 
 // Listen opens a listener for clients, whose connections hold few unread bytes.
 func Listen(address string) (net.Listener, error) {
+	return ListenWith(address, kwclient.ReceiveBufferBytes)
+}
+
+// ListenWith opens a listener whose connections hold about so many unread bytes.
+func ListenWith(address string, receiveBufferBytes int) (net.Listener, error) {
 	cfg := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
 		return raw.Control(func(fd uintptr) {
 			// Without the option the connections work and may hold more. The kernel doubles the value for its own needs.
-			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, kwclient.ReceiveBufferBytes)
+			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBufferBytes)
 		})
 	}}
 	l, err := cfg.Listen(context.Background(), "tcp", address)
--- a/io/kwtcprpc/frame.go
+++ b/io/kwtcprpc/frame.go
@@ -10,6 +10,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"knapweedproxy/core/kwbuffer"
 	"knapweedproxy/core/kwcbor"
 	"knapweedproxy/core/kwcode"
 )
@@ -33,6 +34,8 @@
 	writeTimeout    = 2 * time.Second
 	writeChunkBytes = 64 << 10
 	readBufferBytes = 4 << 10
+	// pieceTimeout bounds the read of writeChunkBytes of a frame that has begun: the peer gives up its write before.
+	pieceTimeout = 2 * writeTimeout
 )
 
 // writeFrame returns the number of bytes written.
@@ -65,19 +68,45 @@
 	return written, nil
 }
 
-// readFrame returns a frame and the number of bytes that it took.
-func readFrame(r *bufio.Reader) (frame, int, error) {
+// frameReader reads frames from a connection. A frame costs what has arrived of it, and not what its length promises; a peer that sends nothing
+// of the rest for pieceTimeout is given up.
+type frameReader struct {
+	*bufio.Reader
+	// conn takes the deadlines; nil sets none.
+	conn net.Conn
+	// upload is told of large frames; it may be nil.
+	upload upload
+	// armed means that a deadline is set.
+	armed bool
+}
+
+// upload follows the arrival of a large frame.
+type upload interface {
+	// begin returns an error if there is no room for a frame of n bytes.
+	begin(n int) error
+	arrived(n int)
+}
+
+// read returns a frame and the number of bytes that it took.
+func (r *frameReader) read(buffers *kwbuffer.Account) (frame, int, error) {
 	var f frame
 	var prefix [lengthPrefixBytes]byte
-	if _, err := io.ReadFull(r, prefix[:]); err != nil {
+	// Between frames a connection may be silent for as long as its peer likes.
+	if _, err := r.Peek(1); err != nil {
+		return f, 0, err
+	}
+	if err := r.fill(prefix[:]); err != nil {
 		return f, 0, err
 	}
 	n := binary.BigEndian.Uint32(prefix[:])
 	if n > maxFrameBytes {
 		return f, 0, kwcode.New(kwcode.FrameTooLarge, "frame of %d bytes exceeds the limit of %d", n, maxFrameBytes)
 	}
-	data := make([]byte, n)
-	if _, err := io.ReadFull(r, data); err != nil {
+	data, err := r.readData(int(n), buffers)
+	if err != nil {
+		return f, 0, err
+	}
+	if err := r.disarm(); err != nil {
 		return f, 0, err
 	}
 	if err := kwcbor.Unmarshal(data, &f); err != nil {
@@ -85,3 +114,53 @@
 	}
 	return f, lengthPrefixBytes + len(data), nil
 }
+
+// readData reads n bytes in pieces, each of which is allocated once the one before it has come.
+func (r *frameReader) readData(n int, buffers *kwbuffer.Account) ([]byte, error) {
+	if n > writeChunkBytes && r.upload != nil {
+		if err := r.upload.begin(n); err != nil {
+			return nil, err
+		}
+	}
+	var pieces [][]byte
+	for left := n; left > 0; {
+		size := min(left, writeChunkBytes)
+		if err := buffers.Grow(int64(size)); err != nil {
+			return nil, err
+		}
+		piece := make([]byte, size)
+		if err := r.fill(piece); err != nil {
+			return nil, err
+		}
+		if r.upload != nil && n > writeChunkBytes {
+			r.upload.arrived(size)
+		}
+		pieces = append(pieces, piece)
+		left -= size
+	}
+	if len(pieces) == 1 {
+		return pieces[0], nil
+	}
+	return slices.Concat(pieces...), nil
+}
+
+// fill reads len(p) bytes, with a deadline if some of them have yet to arrive.
+func (r *frameReader) fill(p []byte) error {
+	if r.conn != nil && r.Buffered() < len(p) {
+		if err := r.conn.SetReadDeadline(time.Now().Add(pieceTimeout)); err != nil {
+			return err
+		}
+		r.armed = true
+	}
+	_, err := io.ReadFull(r.Reader, p)
+	return err
+}
+
+// disarm removes the deadline of a frame that is whole.
+func (r *frameReader) disarm() error {
+	if !r.armed {
+		return nil
+	}
+	r.armed = false
+	return r.conn.SetReadDeadline(time.Time{})
+}
--- a/io/kwtcprpc/pool.go
+++ b/io/kwtcprpc/pool.go
@@ -148,13 +148,14 @@
 }
 
 func (c *conn) readReplies() {
-	r := bufio.NewReaderSize(c, readBufferBytes)
+	// What control processes send is theirs to bound, and calls have deadlines of their own.
+	r := &frameReader{Reader: bufio.NewReaderSize(c, readBufferBytes)}
 	for {
 		if _, err := r.Peek(lengthPrefixBytes); err != nil {
 			return
 		}
 		c.receiving.Store(true)
-		f, n, err := readFrame(r)
+		f, n, err := r.read(nil)
 		if err != nil {
 			return
 		}
--- a/io/kwtcprpc/rpc_test.go
+++ b/io/kwtcprpc/rpc_test.go
@@ -24,7 +24,7 @@
 
 func startServer(t *testing.T, handlers map[Kind]Handler) *Server {
 	t.Helper()
-	s, err := Listen("127.0.0.1:0", handlers, nil)
+	s, err := Listen(ServerConfig{Address: "127.0.0.1:0", Handlers: handlers})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -170,7 +170,7 @@
 
 // TestServeRetriesWithoutFileDescriptors guards against a server that ends when accept fails with EMFILE.
 func TestServeRetriesWithoutFileDescriptors(t *testing.T) {
-	s, err := Listen("127.0.0.1:0", map[Kind]Handler{kindEcho: echo}, nil)
+	s, err := Listen(ServerConfig{Address: "127.0.0.1:0", Handlers: map[Kind]Handler{kindEcho: echo}})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -222,7 +222,7 @@
 func TestTrafficCountsBothSides(t *testing.T) {
 	names := map[Kind]string{kindEcho: "echo"}
 	server, client := metrics.NewRegistry(), metrics.NewRegistry()
-	s, err := Listen("127.0.0.1:0", map[Kind]Handler{kindEcho: echo}, NewTraffic(server, names))
+	s, err := Listen(ServerConfig{Address: "127.0.0.1:0", Handlers: map[Kind]Handler{kindEcho: echo}, Traffic: NewTraffic(server, names)})
 	if err != nil {
 		t.Fatal(err)
 	}
