Bound the log lines that clients cause at will

Operators saw: 64 clients that ask for unknown paths make an entry write 82 MB of log in 4 s; odd heartbeats make control write 107 MB.

Cause: a line for each refusal, with IDs and paths as long as clients like.

Texts in lines are cut at 8 KB. Requests that reach a route and a server have a line each, as before.

--- a/io/kwdirectcontrol/handlers.go
+++ b/io/kwdirectcontrol/handlers.go
@@ -111,16 +111,17 @@
 	if err != nil || result == kwmembership.Renewed || result == kwmembership.HeldAgain {
 		return err
 	}
-	id := kwevent.EndpointJoined
+	id, emit := kwevent.EndpointJoined, s.deps.Events.Emit
 	switch {
 	case result == kwmembership.Late:
-		id = kwevent.HeartbeatLate
+		// Whoever knows an ID can cause these two at will.
+		id, emit = kwevent.HeartbeatLate, s.deps.Events.EmitLimited
 	case result == kwmembership.Held:
-		id = kwevent.HeartbeatHeld
+		id, emit = kwevent.HeartbeatHeld, s.deps.Events.EmitLimited
 	case a.Leaving:
 		id = kwevent.EndpointLeaving
 	}
-	s.deps.Events.Emit(id, "", kwevent.F("endpoint", a.ID), kwevent.F("address", a.Address), kwevent.F("service", a.Service),
+	emit(id, "", kwevent.F("endpoint", a.ID), kwevent.F("address", a.Address), kwevent.F("service", a.Service),
 		kwevent.F("zone", a.Zone), kwevent.F("accelerator", a.Accelerator), kwevent.F("sequence", a.Sequence),
 		kwevent.F("born", a.StartedMillis), kwevent.F("from", a.Layers.From), kwevent.F("to", a.Layers.To))
 	return nil
--- a/io/kwdirectentry/request.go
+++ b/io/kwdirectentry/request.go
@@ -326,6 +326,19 @@
 	g.logEnd(kwevent.RequestRefused, q, kwcode.Describe(err.Code).Status, err)
 }
 
+// causedAtWill reports whether callers can cause the end of a request as often as they like, without an endpoint or a wait: the log must not grow
+// with them.
+func causedAtWill(q *request, err *kwcode.Error) bool {
+	if err == nil {
+		return false
+	}
+	switch err.Code {
+	case kwcode.NoRule, kwcode.Unauthenticated, kwcode.MalformedRequest, kwcode.BodyTooLarge, kwcode.BodyTimeout, kwcode.BuffersFull:
+		return true
+	}
+	return q.route == nil
+}
+
 // fail answers a request that may have run.
 func (g *Gateway) fail(q *request, err *kwcode.Error) {
 	g.metrics.failed.Inc(1)
@@ -393,6 +406,10 @@
 	if err != nil {
 		fields = append(fields, kwevent.F("code", int(err.Code)), kwevent.F("error", err.Error()), kwevent.F("retry-after-ms", err.RetryAfter.Milliseconds()))
 	}
+	if causedAtWill(q, err) {
+		g.deps.Events.EmitLimited(id, q.meta.ID, fields...)
+		return
+	}
 	g.deps.Events.Emit(id, q.meta.ID, fields...)
 }
 
--- a/io/kwevent/emitter.go
+++ b/io/kwevent/emitter.go
@@ -52,6 +52,8 @@
 	ring []Record
 	// next is the index of the oldest record once the ring is full.
 	next int
+	// limits bounds the events of EmitLimited.
+	limits limits
 }
 
 // New returns an Emitter.
@@ -84,14 +86,29 @@
 	}
 	values := []any{"event", int(info.ID), "node", string(record.Node)}
 	if record.Request != "" {
-		values = append(values, "request", string(record.Request))
+		values = append(values, "request", shorten(string(record.Request)))
 	}
 	for _, f := range record.Fields {
-		values = append(values, f.Key, f.Value)
+		value := f.Value
+		if text, ok := value.(string); ok {
+			value = shorten(text)
+		}
+		values = append(values, f.Key, value)
 	}
 	log.Info(info.Name, values...)
 }
 
+// maxLoggedBytes bounds a text in a log line: clients choose request IDs and paths of many kilobytes. A stack fits.
+const maxLoggedBytes = 8 << 10
+
+// shorten returns the beginning of a long text.
+func shorten(s string) string {
+	if len(s) <= maxLoggedBytes {
+		return s
+	}
+	return s[:maxLoggedBytes] + "..."
+}
+
 func (e *Emitter) store(record Record) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
