Guard the HTTP listeners of fleets with agents

Operators saw nothing yet: 64 clients with heads of 1 MB make the process of a demo fleet grow by 1,305 MB at the entry, and by 1,215 MB at the admin interface.

Cause: as at the platform's listeners, the library's limit for each head and no bound on all; bodies had no account.

Change: entries, the admin interface and health checks take their connections from guards, with the limits of a small VM; bodies have one memory each.

--- a/io/kwagent/health.go
+++ b/io/kwagent/health.go
@@ -10,7 +10,8 @@
 	"github.com/gin-gonic/gin"
 	"github.com/rcrowley/go-metrics"
 
-	"knapweedproxy/core/kwcode"
+	"knapweedproxy/core/kwclient"
+	"knapweedproxy/io/kwguard"
 )
 
 // healthServer serves health checks and metrics to operators.
@@ -21,7 +22,7 @@
 }
 
 const (
-	// healthTimeout bounds reading a request's header and shutting the server down.
+	// healthTimeout bounds shutting the server down.
 	healthTimeout = 5 * time.Second
 	// maxMissedAnnouncements is how many announce intervals may pass without an answer from control while the agent
 	// stays ready.
@@ -30,9 +31,9 @@
 
 // openHealth listens on the address; requests are answered once serve is called.
 func (r *Role) openHealth(address string) (*healthServer, error) {
-	listener, err := net.Listen("tcp", address)
+	listener, err := kwguard.Listen(address)
 	if err != nil {
-		return nil, kwcode.New(kwcode.ListenFailed, "%v", err)
+		return nil, err
 	}
 	gin.SetMode(gin.ReleaseMode)
 	router := gin.New()
@@ -42,8 +43,9 @@
 		c.Header("Content-Type", "application/json")
 		metrics.WriteJSONOnce(r.registry, c.Writer)
 	})
-	server := &http.Server{Handler: router, ReadHeaderTimeout: healthTimeout}
-	return &healthServer{listener: listener, server: server, closed: make(chan struct{})}, nil
+	guard := kwguard.New(kwguard.PageConfig("health", kwclient.Capacity{}, nil))
+	server := guard.Server(router)
+	return &healthServer{listener: guard.Wrap(listener), server: server, closed: make(chan struct{})}, nil
 }
 
 // serve answers requests until close is called; it stays up while the agent drains.
--- a/io/kwagententry/chat.go
+++ b/io/kwagententry/chat.go
@@ -3,19 +3,21 @@
 import (
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/gin-gonic/gin"
 
+	"knapweedproxy/core/kwbuffer"
 	"knapweedproxy/core/kwcode"
 	"knapweedproxy/core/kwid"
 	"knapweedproxy/core/kwlimit"
 	"knapweedproxy/core/kwsiteconfig"
 	"knapweedproxy/io/kwevent"
+	"knapweedproxy/io/kwupstream"
 )
 
 // ChatMessage is one message of a conversation.
@@ -80,8 +82,18 @@
 	return out.String()
 }
 
+// buffersFullRetryAfter is the Retry-After time of a request whose body finds no memory: those of others have ended by then.
+const buffersFullRetryAfter = time.Second
+
 func readBody(c *gin.Context) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, MaxBodyBytes))
+	account := c.MustGet(contextKeyBuffer).(*kwbuffer.Account)
+	body, err := kwupstream.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, MaxBodyBytes), c.Request.ContentLength, account)
+	if kwcode.Is(err, kwcode.BuffersFull) {
+		return nil, kwcode.FromError(err).After(buffersFullRetryAfter)
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, kwcode.New(kwcode.BodyTimeout, "%v", err)
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, kwcode.New(kwcode.BodyTooLarge, "the request body is larger than %d bytes", MaxBodyBytes)
--- a/io/kwagententry/http.go
+++ b/io/kwagententry/http.go
@@ -31,8 +31,11 @@
 // MaxBodyBytes is the largest request body, in bytes.
 const MaxBodyBytes = 1 << 20
 
-// contextKeyWorkspace is the key of the caller's workspace in the request context.
-const contextKeyWorkspace = "workspace"
+// Keys of the request context: the caller's workspace, and the account of the body.
+const (
+	contextKeyWorkspace = "workspace"
+	contextKeyBuffer    = "buffer"
+)
 
 // handler returns the routes of the HTTP interface.
 func (r *Role) handler() http.Handler {
@@ -44,7 +47,7 @@
 	router.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
 	router.GET("/readyz", r.onReady)
 	router.GET("/metrics", r.onMetrics)
-	api := router.Group("/", r.authenticate)
+	api := router.Group("/", r.authenticate, r.openBuffer)
 	api.GET("/v1/models", r.onModels)
 	api.POST("/v1/chat/completions", r.onChat)
 	api.Any("/services/:service/*path", r.onService)
@@ -112,6 +115,14 @@
 	c.Set(contextKeyWorkspace, w)
 }
 
+// openBuffer gives a request its share of the memory for bodies.
+func (r *Role) openBuffer(c *gin.Context) {
+	account := r.buffers.OpenReclaiming(r.guard.Reclaim)
+	defer account.Close()
+	c.Set(contextKeyBuffer, account)
+	c.Next()
+}
+
 func workspaceOf(c *gin.Context) kwsiteconfig.Workspace {
 	return c.MustGet(contextKeyWorkspace).(kwsiteconfig.Workspace)
 }
--- a/io/kwagententry/role.go
+++ b/io/kwagententry/role.go
@@ -12,7 +12,7 @@
 	"github.com/oklog/run"
 	"github.com/rcrowley/go-metrics"
 
-	"knapweedproxy/core/kwcode"
+	"knapweedproxy/core/kwbuffer"
 	"knapweedproxy/core/kwhlc"
 	"knapweedproxy/core/kwid"
 	"knapweedproxy/core/kwlimit"
@@ -20,6 +20,7 @@
 	"knapweedproxy/core/kwretry"
 	"knapweedproxy/io/kwcontrol"
 	"knapweedproxy/io/kwevent"
+	"knapweedproxy/io/kwguard"
 	"knapweedproxy/io/kwkeys"
 	"knapweedproxy/io/kwquic"
 	"knapweedproxy/io/kwtask"
@@ -74,6 +75,9 @@
 	control   *kwcontrol.LeaderClient
 	listener  net.Listener
 	server    *http.Server
+	// guard bounds what callers can make the process keep, buffers the bodies of their requests.
+	guard     *kwguard.Guard
+	buffers   *kwbuffer.Budget
 	limiter   *kwlimit.Limiter
 	forecasts forecasts
 	budget    *kwretry.Budget
@@ -109,6 +113,7 @@
 		budget:    kwretry.NewBudget(cfg.RetryBudget),
 		ejector:   kwretry.NewEjector(cfg.Ejector),
 		loads:     newEndpointLoads(),
+		buffers:   kwbuffer.New(0),
 		metrics:   metrics.NewRegistry(),
 		startedAt: time.Now(),
 		chooser:   kwmaxflow.NewChooser(cfg.ChainPolicy, cfg.ChainSeed),
@@ -120,20 +125,19 @@
 	if err != nil {
 		return nil, err
 	}
-	listener, err := net.Listen("tcp", cfg.HTTPListen)
+	listener, err := kwguard.Listen(cfg.HTTPListen)
 	if err != nil {
 		transport.Close()
-		return nil, kwcode.New(kwcode.ListenFailed, "%v", err)
+		return nil, err
 	}
 	r.transport = transport
-	r.listener = listener
+	r.guard = kwguard.New(kwguard.AgentFleetConfig("callers", deps.Events))
+	r.listener = r.guard.Wrap(listener)
 	r.control = kwcontrol.NewLeaderClient(transport, cfg.ControlAddresses)
-	r.server = &http.Server{Handler: r.handler(), ReadHeaderTimeout: readHeaderTimeout}
+	r.server = r.guard.Server(r.handler())
 	return r, nil
 }
 
-const readHeaderTimeout = 10 * time.Second
-
 // URL returns the base URL for callers.
 func (r *Role) URL() string { return "http://" + r.listener.Addr().String() }
 
--- a/io/kwcontrol/admin.go
+++ b/io/kwcontrol/admin.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/gin-gonic/gin"
+	"github.com/gin-gonic/gin/binding"
 	"github.com/rcrowley/go-metrics"
 
 	"knapweedproxy/core/kwcode"
@@ -20,6 +21,7 @@
 	"knapweedproxy/core/kwsiteconfig"
 	"knapweedproxy/core/kwstatemachine"
 	"knapweedproxy/io/kwevent"
+	"knapweedproxy/io/kwupstream"
 )
 
 // MaxAdminBodyBytes limits the body of an admin request.
@@ -187,9 +189,18 @@
 }
 
 // decodeBody decodes the request's JSON body into out; on failure it answers with an error and returns false.
-func decodeBody(c *gin.Context, out any) bool {
-	c.Request.Body = http.MaxBytesReader(c.Writer, c.Request.Body, MaxAdminBodyBytes)
-	if err := c.ShouldBindJSON(out); err != nil {
+func (r *Role) decodeBody(c *gin.Context, out any) bool {
+	account := r.adminBuffers.OpenReclaiming(r.adminGuard.Reclaim)
+	defer account.Close()
+	body, err := kwupstream.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, MaxAdminBodyBytes), c.Request.ContentLength, account)
+	if kwcode.Is(err, kwcode.BuffersFull) {
+		writeError(c, err)
+		return false
+	}
+	if err == nil {
+		err = binding.JSON.BindBody(body, out)
+	}
+	if err != nil {
 		writeError(c, kwcode.New(kwcode.MalformedRequest, "%v", err))
 		return false
 	}
@@ -198,7 +209,7 @@
 
 func (r *Role) onApplyConfig(c *gin.Context) {
 	var body ConfigBody
-	if !decodeBody(c, &body) {
+	if !r.decodeBody(c, &body) {
 		return
 	}
 	if body.ChangeID == "" {
@@ -276,7 +287,7 @@
 
 func (r *Role) onDrain(c *gin.Context) {
 	var body kwstatemachine.Drain
-	if !decodeBody(c, &body) {
+	if !r.decodeBody(c, &body) {
 		return
 	}
 	known := false
@@ -299,7 +310,7 @@
 // onMove starts moving the ownership of a workspace's writes to a declared site.
 func (r *Role) onMove(c *gin.Context) {
 	var body kwstatemachine.Move
-	if !decodeBody(c, &body) {
+	if !r.decodeBody(c, &body) {
 		return
 	}
 	declared := false
@@ -342,7 +353,7 @@
 
 func (r *Role) onSettle(c *gin.Context) {
 	var body kwstatemachine.Settle
-	if !decodeBody(c, &body) {
+	if !r.decodeBody(c, &body) {
 		return
 	}
 	if body.Verdict != kwstatemachine.VerdictRan && body.Verdict != kwstatemachine.VerdictNotRun {
--- a/io/kwcontrol/role.go
+++ b/io/kwcontrol/role.go
@@ -8,6 +8,7 @@
 
 	"github.com/oklog/run"
 
+	"knapweedproxy/core/kwbuffer"
 	"knapweedproxy/core/kwcode"
 	"knapweedproxy/core/kwhlc"
 	"knapweedproxy/core/kwid"
@@ -15,6 +16,7 @@
 	"knapweedproxy/core/kwstatemachine"
 	"knapweedproxy/io/kwagentproto"
 	"knapweedproxy/io/kwevent"
+	"knapweedproxy/io/kwguard"
 	"knapweedproxy/io/kwkeys"
 	"knapweedproxy/io/kwquic"
 	"knapweedproxy/io/kwwal"
@@ -58,9 +60,12 @@
 	peers         *PeerSender
 	transport     *kwquic.Node
 	adminListener net.Listener
-	adminServer   *http.Server
-	cancel        context.CancelFunc
-	done          chan error
+	// adminGuard bounds what operators can make the process keep, adminBuffers the bodies of their requests.
+	adminGuard   *kwguard.Guard
+	adminBuffers *kwbuffer.Budget
+	adminServer  *http.Server
+	cancel       context.CancelFunc
+	done         chan error
 }
 
 // New locks and opens the data folder and opens the listeners. The role serves once Start is called.
@@ -69,7 +74,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Role{cfg: cfg, deps: deps, unlockFolder: unlock, done: make(chan error, 1)}
+	r := &Role{cfg: cfg, deps: deps, unlockFolder: unlock, adminBuffers: kwbuffer.New(0), done: make(chan error, 1)}
 	if err := r.open(); err != nil {
 		unlock()
 		return nil, err
@@ -123,18 +128,19 @@
 	if err != nil {
 		return err
 	}
-	adminListener, err := net.Listen("tcp", r.cfg.AdminListen)
+	adminListener, err := kwguard.Listen(r.cfg.AdminListen)
 	if err != nil {
 		transport.Close()
-		return kwcode.New(kwcode.ListenFailed, "%v", err)
+		return err
 	}
 	r.transport = transport
-	r.adminListener = adminListener
-	r.adminServer = &http.Server{Handler: r.adminHandler(), ReadHeaderTimeout: adminTimeout}
+	r.adminGuard = kwguard.New(kwguard.AgentFleetConfig("admin", r.deps.Events))
+	r.adminListener = r.adminGuard.Wrap(adminListener)
+	r.adminServer = r.adminGuard.Server(r.adminHandler())
 	return nil
 }
 
-// adminTimeout bounds reading a request's headers, and the shutdown of the admin server.
+// adminTimeout bounds the shutdown of the admin server.
 const adminTimeout = 5 * time.Second
 
 func (r *Role) routes() []kwquic.Route {
--- a/io/kwguard/guard.go
+++ b/io/kwguard/guard.go
@@ -258,3 +258,22 @@
 	// pageIdleTimeout is longer than the time between two checks or two scrapes.
 	pageIdleTimeout = time.Minute
 )
+
+// AgentFleetConfig returns the configuration of a listener of a fleet with agents, whose processes know neither their memory nor their
+// descriptors: the limits are those of a small VM.
+func AgentFleetConfig(listener string, events *kwevent.Emitter) Config {
+	return Config{
+		Listener: listener, MaxConnections: kwclient.Capacity{}.MaxTrafficConnections(), Events: events,
+		Limits: func() Limits {
+			return Limits{HeadBytes: agentFleetHeadBytes, HeadTimeout: agentFleetHeadTimeout, IdleTimeout: pageIdleTimeout}
+		},
+		RequestTimeout: agentFleetRequestTimeout,
+	}
+}
+
+const (
+	agentFleetHeadBytes   = 64 << 10
+	agentFleetHeadTimeout = 10 * time.Second
+	// agentFleetRequestTimeout lets the largest body of an operator, 4 MB, pass over a slow link.
+	agentFleetRequestTimeout = 30 * time.Second
+)
