Let few refused connections wait until they are read

Seen in a trial with 16 clients that send three quarters of a body: an entry with 409 sockets, by reading most of them connections that the library had refused and kept for half a second without reading. What arrives there meanwhile counts as memory.

Change: no more than a sixteenth of a listener's connections wait like this; the oldest is closed for the next.

Measured: TestFewRefusedConnectionsStay: of 160 clients that are refused and read nothing 10 connections stay. The table had no such bound before.

--- a/core/kwclient/connections.go
+++ b/core/kwclient/connections.go
@@ -9,7 +9,7 @@
 // State is what a connection is kept for.
 type State uint8
 
-// The states in the order in which their connections are closed for others; those that are answered are never closed.
+// The states. Connections whose requests are answered are never closed for others.
 const (
 	// Refused is a connection whose client has got a refusal and has yet to read it.
 	Refused State = iota
@@ -24,6 +24,11 @@
 	states
 )
 
+const (
+	// refusedParts is the part of the connections that may wait until their refusals are read; what they send meanwhile is not.
+	refusedParts = 16
+)
+
 // Connections are the open connections of one listener. They answer a load of clients that open connections without end, or keep them open:
 // a new one takes the place of that whose loss costs least. They are safe for concurrent use.
 type Connections struct {
@@ -41,7 +46,7 @@
 	close   func()
 	state   State
 	element *list.Element
-	// since is when the body began to arrive, received how many bytes of it have come.
+	// since is when the connection came into its state, received how many bytes of a body have come.
 	since    time.Time
 	received int64
 }
@@ -57,7 +62,7 @@
 
 // Add admits a new connection, which calls close if it must give way later. Victim is a connection that the caller has to close first; nil
 // means none. Without room, all connections being answered, it admits none and returns nil.
-func (c *Connections) Add(close func()) (admitted, victim *Connection) {
+func (c *Connections) Add(now time.Time, close func()) (admitted, victim *Connection) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.count >= c.max {
@@ -68,7 +73,7 @@
 		c.remove(victim)
 		c.evicted++
 	}
-	admitted = &Connection{close: close, state: Opening}
+	admitted = &Connection{close: close, state: Opening, since: now}
 	admitted.element = c.byState[Opening].PushBack(admitted)
 	c.count++
 	return admitted, victim
@@ -80,31 +85,39 @@
 // leastLoss returns the connection whose loss costs least, or nil if all are answered.
 func (c *Connections) leastLoss() *Connection {
 	for s := Refused; s < Answering; s++ {
-		if first := c.byState[s].Front(); first != nil {
-			return first.Value.(*Connection)
+		if v := c.oldest(s); v != nil {
+			return v
 		}
 	}
 	return nil
 }
 
-// Set changes the state of a connection; one that has been removed stays so.
-func (c *Connections) Set(v *Connection, s State) {
+// oldest returns the connection that is in a state for longest, or nil.
+func (c *Connections) oldest(s State) *Connection {
+	if first := c.byState[s].Front(); first != nil {
+		return first.Value.(*Connection)
+	}
+	return nil
+}
+
+// Set changes the state of a connection; one that has been removed stays so. Victim is a connection that the caller has to close: of those that
+// wait until their refusal is read only a part stays.
+func (c *Connections) Set(v *Connection, s State, now time.Time) (victim *Connection) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if v.element == nil || v.state == s {
-		return
+		return nil
 	}
 	c.byState[v.state].Remove(v.element)
-	v.state = s
+	v.state, v.since, v.received = s, now, 0
 	v.element = c.byState[s].PushBack(v)
-}
-
-// BeginUpload is Set for a connection whose body begins to arrive.
-func (c *Connections) BeginUpload(v *Connection, now time.Time) {
-	c.Set(v, Uploading)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	v.since, v.received = now, 0
+	if c.byState[Refused].Len() <= c.max/refusedParts {
+		return nil
+	}
+	victim = c.oldest(Refused)
+	c.remove(victim)
+	c.evicted++
+	return victim
 }
 
 // Uploaded counts bytes of a body.
--- a/core/kwclient/connections_test.go
+++ b/core/kwclient/connections_test.go
@@ -6,27 +6,44 @@
 	"time"
 )
 
-// TestNewConnectionTakesTheLeastValuablePlace replays connections without end against a table with one connection of each state.
+// begin is when the tests begin.
+var begin = time.Unix(1000, 0)
+
+func noClose() {}
+
+// TestNewConnectionTakesTheLeastValuablePlace replays connections without end against a table with connections of each state.
 func TestNewConnectionTakesTheLeastValuablePlace(t *testing.T) {
-	c := NewConnections(int(states))
+	const each = refusedParts
+	c := NewConnections(int(states) * each)
 	byState := make(map[*Connection]State)
 	for s := states; s > 0; s-- {
-		v, _ := c.Add(func() {})
-		c.Set(v, s-1)
-		byState[v] = s - 1
-	}
-	for _, want := range []State{Refused, Opening, Idle, Uploading} {
-		admitted, victim := c.Add(func() {})
-		if got, ok := byState[victim]; !ok || got != want {
-			t.Fatalf("got a victim in state %d, want %d", got, want)
+		for range each {
+			v, _ := c.Add(begin, noClose)
+			byState[v] = s - 1
+			if victim := c.Set(v, s-1, begin); victim != nil {
+				byState[victim] = states
+				v, _ = c.Add(begin, noClose)
+				c.Set(v, Answering, begin)
+				byState[v] = Answering
+			}
 		}
-		c.Set(admitted, Answering)
 	}
-	if admitted, victim := c.Add(func() {}); admitted != nil || victim != nil {
-		t.Error("a connection was admitted although all are answered")
+	now := begin.Add(time.Minute)
+	last := Refused
+	for {
+		admitted, victim := c.Add(now, noClose)
+		if admitted == nil {
+			break
+		}
+		got, ok := byState[victim]
+		if !ok || got < last || got >= Answering {
+			t.Fatalf("got a victim in state %d after one in state %d", got, last)
+		}
+		last = got
+		c.Set(admitted, Answering, now)
 	}
-	if got, want := c.Usage(), (Usage{Open: int(states), Answering: int(states), Evicted: 4, Refused: 1}); got != want {
-		t.Errorf("got %+v, want %+v", got, want)
+	if got := c.Usage(); last != Uploading || got.Answering != int(states)*each || got.Refused != 1 {
+		t.Errorf("got %+v, the last victim in state %d, want all answered", got, last)
 	}
 }
 
@@ -34,8 +51,8 @@
 func TestOldestGivesWayFirst(t *testing.T) {
 	c := NewConnections(3)
 	var all []*Connection
-	for range 10 {
-		v, victim := c.Add(func() {})
+	for i := range 10 {
+		v, victim := c.Add(begin.Add(time.Duration(i)*time.Second), noClose)
 		all = append(all, v)
 		if n := len(all); n > 3 && victim != all[n-4] {
 			t.Fatalf("connection %d did not take the place of the oldest", n)
@@ -46,6 +63,19 @@
 	}
 }
 
+// TestFewRefusedConnectionsStay replays clients that are refused without end and read nothing.
+func TestFewRefusedConnectionsStay(t *testing.T) {
+	const limit = 10 * refusedParts
+	c := NewConnections(limit)
+	for range limit {
+		v, _ := c.Add(begin, noClose)
+		c.Set(v, Refused, begin)
+	}
+	if got, want := c.Usage().Open, limit/refusedParts; got != want {
+		t.Errorf("got %d open connections, want %d", got, want)
+	}
+}
+
 // TestTableHoldsItsBound replays any order of connections, changes of state and ends.
 func TestTableHoldsItsBound(t *testing.T) {
 	const limit = 20
@@ -69,7 +99,7 @@
 			}
 			switch rng.IntN(5) {
 			case 0, 1:
-				admitted, victim := c.Add(func() {})
+				admitted, victim := c.Add(now, noClose)
 				if victim != nil {
 					end(victim)
 				}
@@ -85,10 +115,8 @@
 					if s == Answering {
 						answering[v] = true
 					}
-					if s == Uploading {
-						c.BeginUpload(v, now)
-					} else {
-						c.Set(v, s)
+					if victim := c.Set(v, s, now); victim != nil {
+						end(victim)
 					}
 				}
 			case 3:
@@ -113,18 +141,17 @@
 // TestSlowestUploadGivesWay replays bodies of which a part arrives beside one that comes quickly.
 func TestSlowestUploadGivesWay(t *testing.T) {
 	c := NewConnections(10)
-	begin := time.Unix(1000, 0)
-	fast, _ := c.Add(func() {})
-	stalled, _ := c.Add(func() {})
-	c.BeginUpload(fast, begin)
-	c.BeginUpload(stalled, begin)
+	fast, _ := c.Add(begin, noClose)
+	stalled, _ := c.Add(begin, noClose)
+	c.Set(fast, Uploading, begin)
+	c.Set(stalled, Uploading, begin)
 	c.Uploaded(fast, 1<<20)
 	c.Uploaded(stalled, 1<<10)
 	if v := c.EvictSlowUpload(begin.Add(minUploadAge / 2)); v != nil {
 		t.Error("a body that has just begun was closed")
 	}
-	fresh, _ := c.Add(func() {})
-	c.BeginUpload(fresh, begin.Add(minUploadAge))
+	fresh, _ := c.Add(begin, noClose)
+	c.Set(fresh, Uploading, begin.Add(minUploadAge))
 	if v := c.EvictSlowUpload(begin.Add(minUploadAge)); v != stalled {
 		t.Error("another one than the slowest body was closed")
 	}
--- a/io/kwguard/conn.go
+++ b/io/kwguard/conn.go
@@ -106,7 +106,7 @@
 
 func (c *conn) uploaded(n int) {
 	if c.body.Ended() {
-		c.guard.connections.Set(c.entry, kwclient.Answering)
+		c.guard.set(c.entry, kwclient.Answering)
 		return
 	}
 	c.guard.connections.Uploaded(c.entry, n)
@@ -154,7 +154,7 @@
 
 // readOpenHead reads on until the head whose beginning is in the buffer is whole, and hands it on.
 func (c *conn) readOpenHead(p []byte) (int, error) {
-	c.guard.connections.Set(c.entry, kwclient.Opening)
+	c.guard.set(c.entry, kwclient.Opening)
 	if err := c.Conn.SetReadDeadline(time.Now().Add(c.guard.cfg.Limits().HeadTimeout)); err != nil {
 		return 0, err
 	}
@@ -258,7 +258,7 @@
 
 // refuse answers a request whose head has not been handed on, and waits for a moment until its client has read that.
 func (c *conn) refuse(reason *kwcode.Error) error {
-	c.guard.connections.Set(c.entry, kwclient.Refused)
+	c.guard.set(c.entry, kwclient.Refused)
 	c.closeAccount()
 	c.buf, c.ready = nil, 0
 	end := time.Now().Add(refusalTimeout)
@@ -277,7 +277,7 @@
 	body := kwclient.NewBody(r.ContentLength, r.ContentLength < 0)
 	if body.Ended() {
 		// The server may be reading ahead already, so c.body stays as it is: without a body.
-		c.guard.connections.Set(c.entry, kwclient.Answering)
+		c.guard.set(c.entry, kwclient.Answering)
 		return
 	}
 	c.body = body
@@ -285,7 +285,7 @@
 		// The handler may never look at the body, or set a deadline of its own.
 		_ = c.Conn.SetReadDeadline(time.Now().Add(ignoredBodyTimeout))
 	}
-	c.guard.connections.BeginUpload(c.entry, time.Now())
+	c.guard.set(c.entry, kwclient.Uploading)
 }
 
 // endRequest gives back what the head held.
@@ -299,7 +299,7 @@
 // beginIdle is called when the last request is answered and its connection is kept.
 func (c *conn) beginIdle() {
 	c.idle.Store(true)
-	c.guard.connections.Set(c.entry, kwclient.Idle)
+	c.guard.set(c.entry, kwclient.Idle)
 }
 
 // SetReadDeadline implements net.Conn. The idle timeout of http.Server cannot change while it serves, so the deadline that the server sets when
@@ -313,7 +313,7 @@
 
 // CloseWrite ends the answers to the client; the server waits for a moment before it closes the connection.
 func (c *conn) CloseWrite() error {
-	c.guard.connections.Set(c.entry, kwclient.Refused)
+	c.guard.set(c.entry, kwclient.Refused)
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite()
 	}
--- a/io/kwguard/guard.go
+++ b/io/kwguard/guard.go
@@ -142,6 +142,14 @@
 // reclaimTime is the time in which the handler of a connection that was closed gives back its memory.
 const reclaimTime = 5 * time.Millisecond
 
+// set changes the state of a connection, and closes the one that has to give way for it.
+func (g *Guard) set(v *kwclient.Connection, s kwclient.State) {
+	if victim := g.connections.Set(v, s, time.Now()); victim != nil {
+		victim.Close()
+		g.report.count(&g.report.evicted)
+	}
+}
+
 // evictOpening closes the connection whose head has been open for longest, and reports whether there was one besides except.
 func (g *Guard) evictOpening(except *kwclient.Connection) bool {
 	v := g.connections.EvictOpening(except)
@@ -167,7 +175,7 @@
 			return nil, err
 		}
 		c := &conn{Conn: raw, guard: l.guard}
-		admitted, victim := l.guard.connections.Add(c.abort)
+		admitted, victim := l.guard.connections.Add(time.Now(), c.abort)
 		if victim != nil {
 			victim.Close()
 			l.guard.report.count(&l.guard.report.evicted)
--- a/io/kwtcprpc/server.go
+++ b/io/kwtcprpc/server.go
@@ -99,7 +99,7 @@
 			}
 			return kwcode.New(kwcode.ListenFailed, "%v", err)
 		}
-		entry, victim := s.connections.Add(func() { _ = c.Close() })
+		entry, victim := s.connections.Add(time.Now(), func() { _ = c.Close() })
 		if victim != nil {
 			victim.Close()
 		}
@@ -223,7 +223,7 @@
 // begin implements upload.
 func (c *peerConn) begin(n int) error {
 	s := c.server
-	s.connections.BeginUpload(c.entry, time.Now())
+	s.connections.Set(c.entry, kwclient.Uploading, time.Now())
 	for !s.buffers.Fits(int64(n)) {
 		if !s.evictSlowFrame() {
 			return kwcode.New(kwcode.BuffersFull, "no room for a frame of %d bytes", n)
@@ -244,7 +244,7 @@
 	if c.calls == 0 {
 		state = kwclient.Idle
 	}
-	c.server.connections.Set(c.entry, state)
+	c.server.connections.Set(c.entry, state, time.Now())
 }
 
 // reply writes a reply, or closes the connection.
