Keep newcomers from giving way to the crowd that comes after them

Callers saw (trial, 4,000 clients that begin a body and send nothing of it, memory_mb 284, max_fds 4,100): "an ordinary request while the crowd stays: not within 15s: connection reset by peer".

Cause: open heads gave way before all others. With the table full of requests whose bodies arrive, each client that came closed the one connection that was still opening, often that of an ordinary caller.

Change: an open head gives way once it is 200 ms old, then idle connections, then the older of the oldest open head and the oldest body.

Measured: TestNewConnectionsOutliveCrowds fails without the change ("state 2: the caller gave way to the crowd"), passes with it.

--- a/core/kwclient/connections.go
+++ b/core/kwclient/connections.go
@@ -25,6 +25,8 @@
 )
 
 const (
+	// openingGrace is the time in which a new connection may bring its head before it gives way to others: some round trips.
+	openingGrace = 200 * time.Millisecond
 	// refusedParts is the part of the connections that may wait until their refusals are read; what they send meanwhile is not.
 	refusedParts = 16
 )
@@ -66,7 +68,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.count >= c.max {
-		if victim = c.leastLoss(); victim == nil {
+		if victim = c.leastLoss(now); victim == nil {
 			c.refused++
 			return nil, nil
 		}
@@ -82,14 +84,21 @@
 // Close closes the connection.
 func (v *Connection) Close() { v.close() }
 
-// leastLoss returns the connection whose loss costs least, or nil if all are answered.
-func (c *Connections) leastLoss() *Connection {
-	for s := Refused; s < Answering; s++ {
-		if v := c.oldest(s); v != nil {
-			return v
-		}
+// leastLoss returns the connection whose loss costs least, or nil if all are answered. A connection that has just come has time to send its head
+// before it counts as one that does not; without idle ones, it and those whose bodies arrive go by their age.
+func (c *Connections) leastLoss(now time.Time) *Connection {
+	refused, opening, idle, uploading := c.oldest(Refused), c.oldest(Opening), c.oldest(Idle), c.oldest(Uploading)
+	switch {
+	case refused != nil:
+		return refused
+	case opening != nil && now.Sub(opening.since) >= openingGrace:
+		return opening
+	case idle != nil:
+		return idle
+	case opening == nil || uploading != nil && uploading.since.Before(opening.since):
+		return uploading
 	}
-	return nil
+	return opening
 }
 
 // oldest returns the connection that is in a state for longest, or nil.
--- a/core/kwclient/connections_test.go
+++ b/core/kwclient/connections_test.go
@@ -63,6 +63,32 @@
 	}
 }
 
+// TestNewConnectionsOutliveCrowds replays crowds that fill the table with idle connections, or with requests whose bodies do not arrive, and come
+// again at once. A caller that has just come must not give way to the next of the crowd.
+func TestNewConnectionsOutliveCrowds(t *testing.T) {
+	const limit, turns = 50, 20
+	for _, state := range []State{Idle, Uploading} {
+		c := NewConnections(limit)
+		now := begin
+		join := func() (victim *Connection) {
+			now = now.Add(10 * time.Microsecond)
+			v, victim := c.Add(now, noClose)
+			c.Set(v, state, now)
+			return victim
+		}
+		for range 3 * limit {
+			join()
+		}
+		now = now.Add(10 * time.Microsecond)
+		caller, _ := c.Add(now, noClose)
+		for range turns {
+			if join() == caller {
+				t.Fatalf("state %d: the caller gave way to the crowd", state)
+			}
+		}
+	}
+}
+
 // TestFewRefusedConnectionsStay replays clients that are refused without end and read nothing.
 func TestFewRefusedConnectionsStay(t *testing.T) {
 	const limit = 10 * refusedParts
