A command that tries a listener with clients that don't behave

`knapweedproxy crowd HOST:PORT` plays nine kinds of crowds against a listener of an operator's own deployment, and checks that an ordinary request is answered while each stays and afterwards.

--- a/commands/root.go
+++ b/commands/root.go
@@ -46,6 +46,7 @@
 	Timeline timelineCmd `cmd:"" help:"Merge the events of all processes into one time line."`
 	Explain  explainCmd  `cmd:"" help:"Show the time line of one request from the logs of deployed processes."`
 	Soak     soakCmd     `cmd:"" help:"Inject faults into the deployed program, in separate processes on loopback, and check its promises."`
+	Crowd    crowdCmd    `cmd:"" help:"Play clients that do not behave against a listener of your own deployment, and check that it goes on."`
 	Bound    boundCmd    `cmd:"" help:"Estimate the request rate that the model servers of a deployment can serve, also after a loss."`
 	Deploy   deployCmd   `cmd:"" help:"Check the files with which the platform runs the system."`
 	Version  versionCmd  `cmd:"" help:"Show the version."`
