Let one refused client of a small listener read its refusal

Cause: a sixteenth of fewer than 16 connections is none, so that listeners for pages with few descriptors closed refused connections at once, and the refusal was lost. Change: one may always wait.

Measured: TestFewRefusedConnectionsStay with a limit of 8: 1 connection stays; by reading none did before.

--- a/core/kwclient/connections.go
+++ b/core/kwclient/connections.go
@@ -34,8 +34,8 @@
 // Connections are the open connections of one listener. They answer a load of clients that open connections without end, or keep them open:
 // a new one takes the place of that whose loss costs least. They are safe for concurrent use.
 type Connections struct {
-	mu  sync.Mutex
-	max int
+	mu    sync.Mutex
+	limit int
 	// byState holds the connections of each state, those first that are in it for longest.
 	byState [states]list.List
 	count   int
@@ -53,9 +53,9 @@
 	received int64
 }
 
-// NewConnections returns a table of at most max connections.
-func NewConnections(max int) *Connections {
-	c := &Connections{max: max}
+// NewConnections returns a table of at most limit connections.
+func NewConnections(limit int) *Connections {
+	c := &Connections{limit: limit}
 	for i := range c.byState {
 		c.byState[i].Init()
 	}
@@ -67,7 +67,7 @@
 func (c *Connections) Add(now time.Time, close func()) (admitted, victim *Connection) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.count >= c.max {
+	if c.count >= c.limit {
 		if victim = c.leastLoss(now); victim == nil {
 			c.refused++
 			return nil, nil
@@ -120,7 +120,7 @@
 	c.byState[v.state].Remove(v.element)
 	v.state, v.since, v.received = s, now, 0
 	v.element = c.byState[s].PushBack(v)
-	if c.byState[Refused].Len() <= c.max/refusedParts {
+	if c.byState[Refused].Len() <= max(1, c.limit/refusedParts) {
 		return nil
 	}
 	victim = c.oldest(Refused)
--- a/core/kwclient/connections_test.go
+++ b/core/kwclient/connections_test.go
@@ -91,14 +91,15 @@
 
 // TestFewRefusedConnectionsStay replays clients that are refused without end and read nothing.
 func TestFewRefusedConnectionsStay(t *testing.T) {
-	const limit = 10 * refusedParts
-	c := NewConnections(limit)
-	for range limit {
-		v, _ := c.Add(begin, noClose)
-		c.Set(v, Refused, begin)
-	}
-	if got, want := c.Usage().Open, limit/refusedParts; got != want {
-		t.Errorf("got %d open connections, want %d", got, want)
+	for limit, want := range map[int]int{10 * refusedParts: 10, refusedParts / 2: 1} {
+		c := NewConnections(limit)
+		for range limit {
+			v, _ := c.Add(begin, noClose)
+			c.Set(v, Refused, begin)
+		}
+		if got := c.Usage().Open; got != want {
+			t.Errorf("a limit of %d: got %d open connections, want %d", limit, got, want)
+		}
 	}
 }
 
