Give idle connections no part in the memory for calls

Cause, found on reading the change again: each connection of the internal port had an account while it waited for a frame, so that idle ones lowered the even share to which others are held once the memory is used up; a crowd of silent connections would have kept large frames out. Change: the account is opened with the first byte of a frame.

Measured: TestIdleConnectionsLeaveTheMemoryToFrames (50 idle connections) fails without the change, passes with it.

--- a/core/kwbuffer/budget.go
+++ b/core/kwbuffer/budget.go
@@ -42,6 +42,9 @@
 	return &Budget{size: size}
 }
 
+// Size returns the size of the budget in bytes.
+func (b *Budget) Size() int64 { return b.size }
+
 // Open returns an account for one request and its answers; the caller must close it.
 func (b *Budget) Open() *Account {
 	b.mu.Lock()
--- a/io/kwtcprpc/rpc_test.go
+++ b/io/kwtcprpc/rpc_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"knapweedproxy/core/kwbuffer"
 	"knapweedproxy/core/kwcode"
 )
 
@@ -299,3 +300,39 @@
 		}
 	}
 }
+
+// TestIdleConnectionsLeaveTheMemoryToFrames guards against idle connections that lower the even share of the memory for calls: large frames
+// would be refused for them while the memory is used up.
+func TestIdleConnectionsLeaveTheMemoryToFrames(t *testing.T) {
+	const idle = 50
+	budget := kwbuffer.New(1 << 20)
+	s, err := Listen(ServerConfig{Address: "127.0.0.1:0", Handlers: map[Kind]Handler{kindEcho: echo}, Buffers: budget})
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = s.Serve() }()
+	defer s.Close()
+	for range idle {
+		c, err := net.Dial("tcp", s.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = c.Close() }()
+	}
+	p := NewPool(nil)
+	defer p.Close()
+	var got string
+	if err := p.Call(t.Context(), s.Address(), kindEcho, "x", &got); err != nil || got != "x" {
+		t.Fatalf("got %q, %v, want x", got, err)
+	}
+	account := budget.Open()
+	defer account.Close()
+	if err := account.Grow(budget.Size() - 1); err != nil {
+		t.Fatal(err)
+	}
+	other := budget.Open()
+	defer other.Close()
+	if err := other.Grow(budget.Size() / 4); err != nil {
+		t.Errorf("beside %d idle connections: got %v, want a quarter of the memory", idle, err)
+	}
+}
--- a/io/kwtcprpc/server.go
+++ b/io/kwtcprpc/server.go
@@ -185,6 +185,10 @@
 	c.slots = make(chan struct{}, maxCallsInProgress)
 	r := &frameReader{Reader: bufio.NewReaderSize(c, readBufferBytes), conn: c, upload: c}
 	for {
+		// A connection without a frame has no part in the memory for calls.
+		if _, err := r.Peek(1); err != nil {
+			return
+		}
 		buffers := s.buffers.OpenReclaiming(s.evictSlowFrame)
 		f, n, err := r.read(buffers)
 		if err == nil {
