Bound the log lines of callers that leave or are rejected

Operators saw: callers with a key that ask for streams and leave made an entry write 4.2 MB of log in 4 s.

Change: callers that leave, and all requests that were rejected before anything was sent, share in the bound of 50 lines a second and 200 at once for each event; suppressed counts the rest.

--- a/io/kwdirectentry/request.go
+++ b/io/kwdirectentry/request.go
@@ -326,17 +326,10 @@
 	g.logEnd(kwevent.RequestRefused, q, kwcode.Describe(err.Code).Status, err)
 }
 
-// causedAtWill reports whether callers can cause the end of a request as often as they like, without an endpoint or a wait: the log must not grow
-// with them.
-func causedAtWill(q *request, err *kwcode.Error) bool {
-	if err == nil {
-		return false
-	}
-	switch err.Code {
-	case kwcode.NoRule, kwcode.Unauthenticated, kwcode.MalformedRequest, kwcode.BodyTooLarge, kwcode.BodyTimeout, kwcode.BuffersFull:
-		return true
-	}
-	return q.route == nil
+// causedAtWill reports whether callers can cause the end of a request as often as they like: they leave, or are rejected before anything was
+// sent. The log must not grow with them.
+func causedAtWill(id kwevent.ID, q *request) bool {
+	return id == kwevent.CallerGone || id == kwevent.RequestRefused && q.sends == 0
 }
 
 // fail answers a request that may have run.
@@ -406,7 +399,7 @@
 	if err != nil {
 		fields = append(fields, kwevent.F("code", int(err.Code)), kwevent.F("error", err.Error()), kwevent.F("retry-after-ms", err.RetryAfter.Milliseconds()))
 	}
-	if causedAtWill(q, err) {
+	if causedAtWill(id, q) {
 		g.deps.Events.EmitLimited(id, q.meta.ID, fields...)
 		return
 	}
