Wait for a leader in TestGracefulStops

The test looked for the leader once, in the moment of an election, and took the answer for an index. It waits for one for 10 s now and fails without one; what it checks of the stop is unchanged.

--- a/io/kwdemo/scenario_test.go
+++ b/io/kwdemo/scenario_test.go
@@ -215,7 +215,7 @@
 		"entry":   func(f *Fleet) { f.Entries[1].Stop() },
 		"agent":   func(f *Fleet) { f.Engines[0].Agent.Stop() },
 		"service": func(f *Fleet) { f.RecordsServers[0].Agent.Stop() },
-		"control": func(f *Fleet) { f.Controls[f.LeaderIndex()].Stop() },
+		"control": func(f *Fleet) { f.Controls[awaitLeader(t, f)].Stop() },
 	}
 	for name, stop := range stops {
 		t.Run(name, func(t *testing.T) {
@@ -260,6 +260,18 @@
 	}
 }
 
+// awaitLeader waits until a control process leads, and returns its index: there is none during an election.
+func awaitLeader(t *testing.T, f *Fleet) int {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if i := f.LeaderIndex(); i >= 0 {
+			return i
+		}
+	}
+	t.Fatal("no control process leads after 10s")
+	return -1
+}
+
 // TestDrainedEndpointGetsNoNewWork drains a stage and a records server, then checks that neither receives the requests
 // that follow.
 func TestDrainedEndpointGetsNoNewWork(t *testing.T) {
