--- a/review/standin-3/fleet.go
+++ b/review/standin-3/fleet.go
@@ -82,11 +82,33 @@
 }
 
 // stop ends all processes.
-func (f *fleet) stop() {
+func (f *fleet) stop() { f.each(func(p *process) { p.end() }) }
+
+// killAll kills all processes at once; they stay down until startAll, which is no first start any more.
+func (f *fleet) killAll() {
+	f.each(func(p *process) { p.holdDown(true) })
+	f.each(func(p *process) { p.signal(syscall.SIGKILL) })
+	f.each(func(p *process) { p.awaitExit() })
+	for _, m := range f.machines {
+		m.bootstrap = false
+	}
+}
+
+func (f *fleet) startAll() error {
+	var failed error
+	f.each(func(p *process) {
+		p.holdDown(false)
+		failed = cmp.Or(failed, p.start())
+	})
+	return failed
+}
+
+// each calls a function with every process.
+func (f *fleet) each(do func(*process)) {
 	for _, m := range f.machines {
 		for _, p := range []*process{m.entry, m.control} {
 			if p != nil {
-				p.end()
+				do(p)
 			}
 		}
 	}
@@ -186,14 +208,25 @@
 	}
 }
 
-// end kills the process and waits for its end.
-func (p *process) end() {
+// holdDown keeps the process from being started again after its end, or no longer does.
+func (p *process) holdDown(down bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.down = down
+}
+
+func (p *process) awaitExit() {
 	p.mu.Lock()
-	p.down = true
 	exited := p.exited
 	p.mu.Unlock()
-	p.signal(syscall.SIGKILL)
 	if exited != nil {
 		<-exited
 	}
 }
+
+// end kills the process and waits for its end.
+func (p *process) end() {
+	p.holdDown(true)
+	p.signal(syscall.SIGKILL)
+	p.awaitExit()
+}
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -25,7 +25,8 @@
 }
 
 var cases = map[string]func(*scene) result{
-	"no-tenants": noTenants,
+	"no-tenants":      noTenants,
+	"many-workspaces": manyWorkspaces,
 }
 
 func main() {
