--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -27,6 +27,7 @@
 var cases = map[string]func(*scene) result{
 	"no-tenants":      noTenants,
 	"many-workspaces": manyWorkspaces,
+	"incomplete-ping": incompletePing,
 }
 
 func main() {
