Decide in the index whether a key admits a request

The entry composed the decision from two lookups. Index.Admit makes it in one place, so that tests and fuzz targets of keys exercise what requests meet. No change of behaviour: TestAdmit holds for the lookups as they were.

--- a/core/kwdeclaration/declaration_test.go
+++ b/core/kwdeclaration/declaration_test.go
@@ -75,17 +75,35 @@
 			t.Errorf("route of %s%s: got %q, want %q", c.host, c.path, got, c.want)
 		}
 	}
-	if w := x.WorkspaceByKey("k2"); w == nil || w.Name != "crews" {
-		t.Errorf("workspace of k2: got %v, want crews", w)
-	}
-	if w := x.WorkspaceByKey(""); w != nil {
-		t.Errorf("workspace of an empty key: got %v, want none", w)
-	}
-	if got := x.RequiresKey(x.Route("b.example", "/x")); got {
-		t.Errorf("a public route requires a key")
+}
+
+// TestAdmit replays callers with keys that are in force, that are not, and without one.
+func TestAdmit(t *testing.T) {
+	x := NewIndex(validDeclaration())
+	cases := []struct {
+		host, path, key, workspace string
+		want                       bool
+	}{
+		{"a.example", "/notes/1", "k2", "crews", true},
+		{"a.example", "/notes/1", "k3", "desk", true},
+		{"a.example", "/notes/1", "k4", "", false},
+		{"a.example", "/notes/1", "", "", false},
+		{"b.example", "/x", "k2", "", true},
+		{"b.example", "/x", "k4", "", true},
+		{"b.example", "/x", "", "", true},
 	}
-	if got := x.RequiresKey(x.Route("a.example", "/notes/1")); !got {
-		t.Errorf("a route that is not public requires no key")
+	for _, c := range cases {
+		w, got := x.Admit(x.Route(c.host, c.path), c.key)
+		if got != c.want {
+			t.Errorf("key %q at %s%s: got admitted %v, want %v", c.key, c.host, c.path, got, c.want)
+		}
+		name := ""
+		if w != nil {
+			name = string(w.Name)
+		}
+		if name != c.workspace {
+			t.Errorf("key %q at %s%s: got workspace %q, want %q", c.key, c.host, c.path, name, c.workspace)
+		}
 	}
 }
 
--- a/core/kwdeclaration/index.go
+++ b/core/kwdeclaration/index.go
@@ -85,9 +85,14 @@
 	return nil
 }
 
-// WorkspaceByKey returns the workspace that owns a key, or nil.
-func (x *Index) WorkspaceByKey(key string) *Workspace {
-	return x.workspaces[key]
+// Admit decides by its key whether a request to a route may run, for callers that go on sending after their keys were taken away. The
+// workspace of the key is nil where none is required.
+func (x *Index) Admit(r *Route, key string) (w *Workspace, ok bool) {
+	if !x.RequiresKey(r) {
+		return nil, true
+	}
+	w = x.workspaces[key]
+	return w, w != nil
 }
 
 // Service returns a declared service, or nil.
--- a/io/kwdirectentry/request.go
+++ b/io/kwdirectentry/request.go
@@ -240,11 +240,11 @@
 	// A pointer into the declaration would keep all of it as long as the request lasts.
 	ownRoute := *route
 	q.route = &ownRoute
-	if q.view.index.RequiresKey(route) {
-		workspace := q.view.index.WorkspaceByKey(q.meta.Credential)
-		if workspace == nil {
-			return kwcode.New(kwcode.Unauthenticated, "the key belongs to no workspace")
-		}
+	workspace, admitted := q.view.index.Admit(route, q.meta.Credential)
+	if !admitted {
+		return kwcode.New(kwcode.Unauthenticated, "the key belongs to no workspace")
+	}
+	if workspace != nil {
 		ownWorkspace := *workspace
 		ownWorkspace.Keys = nil
 		q.workspace = &ownWorkspace
