Require keys by an empty list of workspaces

Cause: the decoder made the same declaration of an empty list as of none (reflect.DeepEqual of both: true), and Index.RequiresKey asked whether there are workspaces. Evidence: control processes gave back the operator's bytes with "tenants":[]; decoder and index alone, without a process, admitted all.

Change: a declaration says by KeyCheck whether keys are required. Fixtures of tests that meant "no list" say KeyIgnored now; their checks are unchanged.

--- a/core/kwdeclaration/check.go
+++ b/core/kwdeclaration/check.go
@@ -102,6 +102,9 @@
 }
 
 func (d *Declaration) checkWorkspaces() error {
+	if d.KeyCheck == KeyIgnored && len(d.Workspaces) > 0 {
+		return kwcode.New(kwcode.SettingsBadValue, "%d workspaces are declared, whose keys are ignored", len(d.Workspaces))
+	}
 	owners := make(map[string]kwid.WorkspaceName)
 	for _, w := range d.Workspaces {
 		if w.Name == "" {
--- a/core/kwdeclaration/declaration.go
+++ b/core/kwdeclaration/declaration.go
@@ -136,11 +136,34 @@
 	Priority *int
 }
 
+// KeyCheck says whether requests need the key of a workspace.
+type KeyCheck uint8
+
+const (
+	// KeyRequired admits requests to routes that are not public only with the key of a workspace, also if there is no workspace. It is the
+	// zero value, so that a declaration opens its routes only where it says so.
+	KeyRequired KeyCheck = iota
+	// KeyIgnored admits all requests: the declaration has no list of workspaces, which is not the same as an empty one.
+	KeyIgnored
+)
+
+// String returns the name that log lines use.
+func (c KeyCheck) String() string {
+	switch c {
+	case KeyRequired:
+		return "required"
+	case KeyIgnored:
+		return "ignored"
+	}
+	return "unknown"
+}
+
 // Declaration is one complete version of the declaration.
 type Declaration struct {
 	Number     Number
 	Routes     []Route
 	Services   []Service
 	Workspaces []Workspace
+	KeyCheck   KeyCheck
 	Limits     Limits
 }
--- a/core/kwdeclaration/declaration_test.go
+++ b/core/kwdeclaration/declaration_test.go
@@ -40,6 +40,9 @@
 		{"shared key", func(d *Declaration) { d.Workspaces[1].Keys = []string{"k1"} }, kwcode.SettingsDuplicate},
 		{"share of hedged requests above 1", func(d *Declaration) { share := 1.1; d.Limits.HedgeShare = &share }, kwcode.SettingsBadValue},
 		{"negative share of hedged requests", func(d *Declaration) { share := -0.1; d.Limits.HedgeShare = &share }, kwcode.SettingsBadValue},
+		{"workspaces whose keys are ignored", func(d *Declaration) { d.KeyCheck = KeyIgnored }, kwcode.SettingsBadValue},
+		{"keys required of no workspace", func(d *Declaration) { d.Workspaces = nil }, 0},
+		{"keys ignored without workspaces", func(d *Declaration) { d.KeyCheck, d.Workspaces = KeyIgnored, nil }, 0},
 		{"service twice", func(d *Declaration) { d.Services[1].Name = "llm" }, kwcode.SettingsDuplicate},
 	}
 	for _, c := range cases {
--- a/core/kwdeclaration/index.go
+++ b/core/kwdeclaration/index.go
@@ -63,7 +63,7 @@
 
 func (x *Index) only(name kwid.ServiceName) *Index {
 	out := &Index{
-		Declaration: &Declaration{Number: x.Declaration.Number, Limits: x.Declaration.Limits},
+		Declaration: &Declaration{Number: x.Declaration.Number, KeyCheck: x.Declaration.KeyCheck, Limits: x.Declaration.Limits},
 		services:    make(map[kwid.ServiceName]*Service),
 		classes:     map[kwid.ServiceName]PriorityClasses{name: x.classes[name]},
 	}
@@ -105,9 +105,9 @@
 	return x.classes[name]
 }
 
-// RequiresKey reports whether the route's requests need a key: the route is not public and some workspace is declared.
+// RequiresKey reports whether the route's requests need a key: the declaration requires keys, and the route is not public.
 func (x *Index) RequiresKey(r *Route) bool {
-	return len(x.Declaration.Workspaces) > 0 && !r.Public
+	return x.Declaration.KeyCheck != KeyIgnored && !r.Public
 }
 
 // PickService picks a target service by weight. draw is uniform in [0, 1) and the same for all attempts of a request.
--- a/io/kwdirectentry/admission_test.go
+++ b/io/kwdirectentry/admission_test.go
@@ -25,18 +25,22 @@
 		name       string
 		routes     []kwdeclaration.Route
 		workspaces []kwdeclaration.Workspace
-		want       []int
+		// keyCheck is KeyIgnored for declarations without a list of workspaces.
+		keyCheck kwdeclaration.KeyCheck
+		want     []int
 	}{
-		{"different priorities", []kwdeclaration.Route{route(streams, 2, false), route(streams, 0, false)}, nil, []int{0, 2}},
-		{"equal priorities", []kwdeclaration.Route{route(streams, 2, false), route(streams, 2, false)}, nil, nil},
-		{"calls of another priority", []kwdeclaration.Route{route(streams, 2, false), route(kwdeclaration.Idempotent, 0, false)}, nil, nil},
-		{"workspace with a priority", []kwdeclaration.Route{route(streams, 2, false)}, []kwdeclaration.Workspace{{Priority: &urgent}, {}}, []int{0, 2}},
-		{"workspaces of one priority", []kwdeclaration.Route{route(streams, 2, false), route(streams, 1, false)}, []kwdeclaration.Workspace{{Priority: &same}}, nil},
-		{"public route", []kwdeclaration.Route{route(streams, 2, true)}, []kwdeclaration.Workspace{{Priority: &urgent}}, nil},
+		{"different priorities", []kwdeclaration.Route{route(streams, 2, false), route(streams, 0, false)}, nil, kwdeclaration.KeyIgnored, []int{0, 2}},
+		{"equal priorities", []kwdeclaration.Route{route(streams, 2, false), route(streams, 2, false)}, nil, kwdeclaration.KeyIgnored, nil},
+		{"calls of another priority", []kwdeclaration.Route{route(streams, 2, false), route(kwdeclaration.Idempotent, 0, false)}, nil, kwdeclaration.KeyIgnored, nil},
+		{"workspace with a priority", []kwdeclaration.Route{route(streams, 2, false)}, []kwdeclaration.Workspace{{Priority: &urgent}, {}}, kwdeclaration.KeyRequired, []int{0, 2}},
+		{"workspaces of one priority", []kwdeclaration.Route{route(streams, 2, false), route(streams, 1, false)}, []kwdeclaration.Workspace{{Priority: &same}}, kwdeclaration.KeyRequired, nil},
+		{"public route", []kwdeclaration.Route{route(streams, 2, true)}, []kwdeclaration.Workspace{{Priority: &urgent}}, kwdeclaration.KeyRequired, nil},
+		{"keys of no workspace", []kwdeclaration.Route{route(streams, 2, false), route(streams, 0, false)}, nil, kwdeclaration.KeyRequired, nil},
+		{"public routes beside keys of no workspace", []kwdeclaration.Route{route(streams, 2, true), route(streams, 0, true), route(streams, 1, false)}, nil, kwdeclaration.KeyRequired, []int{0, 2}},
 	} {
 		v := emptyView()
 		v.index = kwdeclaration.NewIndex(&kwdeclaration.Declaration{
-			Services: []kwdeclaration.Service{{Name: "llm", Engine: engine}, {Name: "records"}}, Routes: c.routes, Workspaces: c.workspaces,
+			Services: []kwdeclaration.Service{{Name: "llm", Engine: engine}, {Name: "records"}}, Routes: c.routes, Workspaces: c.workspaces, KeyCheck: c.keyCheck,
 		})
 		if got := classesOf(v); !reflect.DeepEqual(got["llm"], c.want) || got["records"] != nil {
 			t.Errorf("%s: got %v, want %v for llm alone", c.name, got, c.want)
--- a/io/kwdirectentry/declaration_change_test.go
+++ b/io/kwdirectentry/declaration_change_test.go
@@ -171,8 +171,9 @@
 			changeRoutes(d, func(r *kwdeclaration.Route) { r.MaxAttempts, r.Resumable = 1, false })
 		},
 		"workspaces declared": func(d *kwdeclaration.Declaration) {
-			d.Workspaces = []kwdeclaration.Workspace{{Name: "w", Keys: []string{"k"}}}
+			d.KeyCheck, d.Workspaces = kwdeclaration.KeyRequired, []kwdeclaration.Workspace{{Name: "w", Keys: []string{"k"}}}
 		},
+		"keys required of no workspace": func(d *kwdeclaration.Declaration) { d.KeyCheck = kwdeclaration.KeyRequired },
 		"fewer slots": func(d *kwdeclaration.Declaration) {
 			changeEngine(d, func(e *kwdeclaration.Engine) { e.Slots = 2 })
 		},
@@ -345,7 +346,9 @@
 // under the declaration that ends their wait, or rejected with a promise that they have not run.
 func TestRequestsThatWaitForAView(t *testing.T) {
 	key := func(keys ...string) func(d *kwdeclaration.Declaration) {
-		return func(d *kwdeclaration.Declaration) { d.Workspaces = []kwdeclaration.Workspace{{Name: "w", Keys: keys}} }
+		return func(d *kwdeclaration.Declaration) {
+			d.KeyCheck, d.Workspaces = kwdeclaration.KeyRequired, []kwdeclaration.Workspace{{Name: "w", Keys: keys}}
+		}
 	}
 	cases := []struct {
 		name       string
@@ -355,6 +358,7 @@
 	}{
 		{"no change", key("k"), http.StatusOK, "ok"},
 		{"key removed", key("other"), http.StatusUnauthorized, "unauthenticated"},
+		{"all workspaces removed", func(d *kwdeclaration.Declaration) { d.KeyCheck = kwdeclaration.KeyRequired }, http.StatusUnauthorized, "unauthenticated"},
 		{"route removed", func(d *kwdeclaration.Declaration) { d.Routes = nil }, http.StatusNotFound, "no-rule"},
 		{"timeout shorter than the wait", func(d *kwdeclaration.Declaration) {
 			changeRoutes(d, func(r *kwdeclaration.Route) { r.Timeout = time.Millisecond })
--- a/io/kwdirectentry/relay_test.go
+++ b/io/kwdirectentry/relay_test.go
@@ -85,6 +85,7 @@
 	v := emptyView()
 	v.index = kwdeclaration.NewIndex(&kwdeclaration.Declaration{
 		Number:   1,
+		KeyCheck: kwdeclaration.KeyIgnored,
 		Services: []kwdeclaration.Service{{Name: "llm", Engine: engine}, {Name: "records"}},
 		Routes: []kwdeclaration.Route{
 			route("/notes/", kwdeclaration.Streaming, "llm"), route("/alerts/", kwdeclaration.AtMostOnce, "records"), route("/lookups/", kwdeclaration.Idempotent, "records"),
--- a/io/kwdirectentry/replaced_declaration_test.go
+++ b/io/kwdirectentry/replaced_declaration_test.go
@@ -45,6 +45,7 @@
 func TestRequestsKeepNoKeysOfTheirWorkspace(t *testing.T) {
 	g := newTestGateway(t, "", "")
 	declare(g, func(d *kwdeclaration.Declaration) {
+		d.KeyCheck = kwdeclaration.KeyRequired
 		d.Workspaces = []kwdeclaration.Workspace{{Name: "first", Keys: []string{"other"}}, {Name: "own", Keys: []string{"k"}}}
 	})
 	r := httptest.NewRequest(http.MethodPost, "/lookups/x", nil)
--- a/io/kwdirectentry/scheduler_test.go
+++ b/io/kwdirectentry/scheduler_test.go
@@ -33,7 +33,7 @@
 		PrefillTokensPerSecond: 100_000, TypicalPromptTokens: 700, TypicalAnswerTokens: 200,
 		Accelerators: []kwdeclaration.Accelerator{{Name: "fast", MemoryMB: 50_000, StepTimeFactor: 2, PrefillTimeFactor: 3}, {Name: "slow", MemoryMB: 50_000, StepTimeFactor: 12, PrefillTimeFactor: 8}},
 	}
-	d := &kwdeclaration.Declaration{Number: 1, Services: []kwdeclaration.Service{{Name: testService, Engine: engine}}}
+	d := &kwdeclaration.Declaration{Number: 1, KeyCheck: kwdeclaration.KeyIgnored, Services: []kwdeclaration.Service{{Name: testService, Engine: engine}}}
 	f := &schedulerFixture{
 		scheduler: newScheduler(Config{Zone: "a", Queue: kwqueue.DefaultConfig(), Ejector: kwretry.DefaultEjectorConfig()}),
 		route:     &kwdeclaration.Route{Name: "r", Kind: kwdeclaration.Streaming, Resumable: true, LatencyObjective: 500 * time.Millisecond, EventGapObjective: 200 * time.Millisecond},
@@ -358,7 +358,7 @@
 	urgent, background := *f.route, *f.route
 	urgent.Targets, background.Targets = target, target
 	urgent.Priority, background.Priority, background.LatencyObjective = 1, 2, 1200*time.Millisecond
-	f.view.index = kwdeclaration.NewIndex(&kwdeclaration.Declaration{Number: 1, Routes: []kwdeclaration.Route{urgent, background}})
+	f.view.index = kwdeclaration.NewIndex(&kwdeclaration.Declaration{Number: 1, KeyCheck: kwdeclaration.KeyIgnored, Routes: []kwdeclaration.Route{urgent, background}})
 	last := 3
 	for _, c := range []struct {
 		workspace *kwdeclaration.Workspace
