Admit nobody by an empty key

What callers saw: with a workspace that has an empty string among its keys, everyone who sends no key, "Bearer " or another scheme was served; an unknown key got 401.

Cause: a request without a key and one with an empty key are the same empty string, and the index looked it up like any key. A null among the keys is decoded as an empty string too.

Change: the index holds no empty key.

--- a/core/kwdeclaration/index.go
+++ b/core/kwdeclaration/index.go
@@ -13,7 +13,7 @@
 	Declaration *Declaration
 	// routes holds the routes of each host, the longest prefix first.
 	routes map[string][]*Route
-	// workspaces holds the workspace of each key.
+	// workspaces holds the workspace of each key; an empty key admits nobody.
 	workspaces map[string]*Workspace
 	services   map[kwid.ServiceName]*Service
 	classes    map[kwid.ServiceName]PriorityClasses
@@ -39,7 +39,10 @@
 	}
 	for i := range d.Workspaces {
 		for _, key := range d.Workspaces[i].Keys {
-			x.workspaces[key] = &d.Workspaces[i]
+			// A request without a key must not pass for one with an empty key.
+			if key != "" {
+				x.workspaces[key] = &d.Workspaces[i]
+			}
 		}
 	}
 	for i := range d.Services {
