Log and export a switch of the check of keys

Change: entries log key-check-applied (232) and the leader key-check-declared (439), with the number of the declaration and the states before and after it, also for the first one of a process.

--- a/core/kwdeclaration/index.go
+++ b/core/kwdeclaration/index.go
@@ -108,6 +108,14 @@
 	return x.classes[name]
 }
 
+// KeyCheck returns the name of the declaration's check of keys, "none" if the index is nil.
+func (x *Index) KeyCheck() string {
+	if x == nil {
+		return "none"
+	}
+	return x.Declaration.KeyCheck.String()
+}
+
 // RequiresKey reports whether the route's requests need a key: the declaration requires keys, and the route is not public.
 func (x *Index) RequiresKey(r *Route) bool {
 	return x.Declaration.KeyCheck != KeyIgnored && !r.Public
--- a/io/kwdirectcontrol/placer.go
+++ b/io/kwdirectcontrol/placer.go
@@ -167,13 +167,22 @@
 		var decl *kwdeclaration.Declaration
 		if decl, err = p.cfg.Decoder.Decode(content); err == nil {
 			p.invalidateChangedEngines(decl)
-			p.index = kwdeclaration.NewIndex(decl)
+			index := kwdeclaration.NewIndex(decl)
+			p.reportKeyCheck(index)
+			p.index = index
 			return
 		}
 	}
 	p.cfg.Events.Emit(kwevent.DeclarationFailed, "", kwevent.F("number", d.Number), kwevent.F("error", err.Error()))
 }
 
+// reportKeyCheck logs whether a new declaration has requests need keys, if that is a change.
+func (p *placer) reportKeyCheck(next *kwdeclaration.Index) {
+	if before, after := p.index.KeyCheck(), next.KeyCheck(); before != after {
+		p.cfg.Events.Emit(kwevent.KeyCheckDeclared, "", kwevent.F("number", next.Declaration.Number), kwevent.F("before", before), kwevent.F("after", after))
+	}
+}
+
 // invalidateChangedEngines discards the last plans of the services whose engine differs in a new declaration, so that
 // their fleets are planned again.
 func (p *placer) invalidateChangedEngines(d *kwdeclaration.Declaration) {
--- a/io/kwdirectentry/metrics.go
+++ b/io/kwdirectentry/metrics.go
@@ -44,6 +44,8 @@
 	limitRefused metrics.Counter
 	// panicked counts the requests whose handling panicked.
 	panicked metrics.Counter
+	// keysIgnored is 1 while the declaration in force admits requests without keys, else 0.
+	keysIgnored metrics.Gauge
 }
 
 func newGatewayMetrics(r metrics.Registry) gatewayMetrics {
@@ -76,5 +78,6 @@
 		returned:     metrics.GetOrRegisterCounter("requests.returned", r),
 		limitRefused: metrics.GetOrRegisterCounter("requests.limit-refused", r),
 		panicked:     metrics.GetOrRegisterCounter("requests.panicked", r),
+		keysIgnored:  metrics.GetOrRegisterGauge("keys.ignored", r),
 	}
 }
--- a/io/kwdirectentry/view.go
+++ b/io/kwdirectentry/view.go
@@ -119,6 +119,7 @@
 	g.applyHeldRequests(reply)
 	g.reportReplaced(old, next)
 	g.view.Store(next)
+	g.reportKeyCheck(old, next)
 	g.scheduler.applyView(next, loads)
 	g.applyLoans(begin, reply.Limits)
 	g.scheduler.applyAdmission(time.Now(), reply.Admission)
@@ -140,6 +141,21 @@
 	return nil
 }
 
+// reportKeyCheck logs and exports whether requests need keys, if the view has changed it.
+func (g *Gateway) reportKeyCheck(old, next *view) {
+	before, after := old.index.KeyCheck(), next.index.KeyCheck()
+	if before == after {
+		return
+	}
+	ignored := int64(0)
+	if next.index.Declaration.KeyCheck == kwdeclaration.KeyIgnored {
+		ignored = 1
+	}
+	g.metrics.keysIgnored.Update(ignored)
+	g.deps.Events.Emit(kwevent.KeyCheckApplied, "", kwevent.F("number", next.declarationNumber), kwevent.F("before", before), kwevent.F("after", after),
+		kwevent.F("before-number", old.declarationNumber))
+}
+
 // mergeView applies the leader's reply to a view. While a new leader still gathers heartbeats, endpoints that it has
 // not heard from are kept.
 func (g *Gateway) mergeView(old *view, reply kwdirectproto.View) (*view, error) {
--- a/io/kwevent/catalogue.go
+++ b/io/kwevent/catalogue.go
@@ -42,6 +42,7 @@
 	RequestLimitOdd     ID = 229
 	RequestHedged       ID = 230
 	RequestPanicked     ID = 231
+	KeyCheckApplied     ID = 232
 	SessionStarted      ID = 301
 	SessionEnded        ID = 302
 	StageStarted        ID = 303
@@ -93,6 +94,7 @@
 	RedundancyChanged   ID = 436
 	LeaderFound         ID = 437
 	HeartbeatHeld       ID = 438
+	KeyCheckDeclared    ID = 439
 	PeerRefused         ID = 501
 	KeyExpires          ID = 502
 )
@@ -149,6 +151,7 @@
 	{RequestLimitOdd, "request-limit-odd", levelInfo, "The limit that an endpoint named was ignored or bounded."},
 	{RequestHedged, "request-hedged", levelInfo, "A second attempt was sent beside one that takes longer than most of its class; the first answer counts."},
 	{RequestPanicked, "request-panicked", levelInfo, "The handling of a request panicked; it failed alone, and may have run."},
+	{KeyCheckApplied, "key-check-applied", levelInfo, "An entry serves by a declaration that requires keys or ignores them, and the one before it did not, or there was none."},
 	{SessionStarted, "session-started", levelDetail, "The first stage of a chain began an attempt."},
 	{SessionEnded, "session-ended", levelDetail, "The first stage of a chain ended an attempt."},
 	{StageStarted, "stage-started", levelDetail, "A later stage of a chain began an attempt."},
@@ -200,6 +203,7 @@
 	{RedundancyChanged, "redundancy-changed", levelInfo, "The leader found that more or fewer voters answer it than before, or that the log has another number of voters."},
 	{LeaderFound, "leader-found", levelInfo, "A control process learned from another one, or from the replicated log, which process leads."},
 	{HeartbeatHeld, "heartbeat-held", levelInfo, "A heartbeat of an endpoint whose service is not declared is kept aside, and takes no ID or address."},
+	{KeyCheckDeclared, "key-check-declared", levelInfo, "The leader has a declaration that requires keys or ignores them, and the one that it had before did not, or it had none."},
 	{PeerRefused, "peer-refused", levelInfo, "A connection or frame from a peer was refused."},
 	{KeyExpires, "key-expires", levelInfo, "The process's certificate expires soon."},
 }
