Admit no operator by an empty admin token

What callers saw: with the digest of an empty token in admin-token-sha256, the admin API let in who sends no Authorization header.

Cause: the token was hashed and compared also where there is none. TestEmptyAdminTokenAdmitsNobody before the fix:

Authorization "": got status 200, want 401 Authorization "Bearer ": got status 200, want 401

Change and result: an empty token is refused before the comparison; the test passes.

--- a/io/kwcontrol/admin.go
+++ b/io/kwcontrol/admin.go
@@ -117,8 +117,8 @@
 	c.AbortWithStatusJSON(status, ErrorReply{Error: NewErrorDetail(codedErr)})
 }
 
-// checkToken admits operators by bearer token. Without a configured token it admits everyone who can reach the
-// listener.
+// checkToken admits operators by bearer token, never by an empty one. Without a configured token it admits everyone who can
+// reach the listener.
 func (r *Role) checkToken(c *gin.Context) {
 	if r.cfg.AdminTokenSHA256 == "" {
 		return
@@ -126,7 +126,7 @@
 	token, _ := strings.CutPrefix(c.GetHeader("Authorization"), "Bearer ")
 	sum := sha256.Sum256([]byte(token))
 	tokenSHA256 := hex.EncodeToString(sum[:])
-	if subtle.ConstantTimeCompare([]byte(tokenSHA256), []byte(r.cfg.AdminTokenSHA256)) != 1 {
+	if token == "" || subtle.ConstantTimeCompare([]byte(tokenSHA256), []byte(r.cfg.AdminTokenSHA256)) != 1 {
 		writeError(c, kwcode.New(kwcode.Unauthenticated, "the admin token is wrong"))
 	}
 }
