Admit no caller of a fleet with agents by an empty token

What callers saw: with the digest of an empty token at a workspace, the handler admitted "Bearer " with nothing after it. Over HTTP/1.1 the library cuts the blank, so that callers got 401 (by reading); other transports need not.

Cause: the empty token was hashed and looked up like any other. TestEmptyTokensAdmitNobody before the fix:

digest of an empty token, Authorization "Bearer ": got status 200, want 401

The other rows, no workspaces, an empty list and no digest, held and are kept by the test.

Change and result: an empty token has no workspace; the test passes.

--- a/io/kwagententry/view.go
+++ b/io/kwagententry/view.go
@@ -345,8 +345,11 @@
 	return nil
 }
 
-// workspaceByToken finds the workspace of a bearer token.
+// workspaceByToken finds the workspace of a bearer token; an empty one has none.
 func (v *view) workspaceByToken(token string) (kwsiteconfig.Workspace, bool) {
+	if token == "" {
+		return kwsiteconfig.Workspace{}, false
+	}
 	sum := sha256.Sum256([]byte(token))
 	w, ok := v.workspaces[hex.EncodeToString(sum[:])]
 	return w, ok
