Give routes that nobody can call no class of priority

What callers saw: with keys required and no workspace, public streams could wait for as long as the objective of less urgent streams that nobody can request, instead of being rejected by their own.

Cause: priority classes counted the routes that need a key whether or not there is a workspace. TestRoutesWithoutCallersHaveNoClass before the fix:

public streams: got a wait objective of 1.2s, want 500ms got 2 classes, want 1

Change and result: such routes are left out while there is no workspace; the test passes, TestWaitObjective holds unchanged.

--- a/core/kwdeclaration/declaration.go
+++ b/core/kwdeclaration/declaration.go
@@ -167,3 +167,6 @@
 	KeyCheck   KeyCheck
 	Limits     Limits
 }
+
+// RequiresKey reports whether the route's requests need a key: the declaration requires keys, and the route is not public.
+func (d *Declaration) RequiresKey(r *Route) bool { return d.KeyCheck != KeyIgnored && !r.Public }
--- a/core/kwdeclaration/index.go
+++ b/core/kwdeclaration/index.go
@@ -116,10 +116,8 @@
 	return x.Declaration.KeyCheck.String()
 }
 
-// RequiresKey reports whether the route's requests need a key: the declaration requires keys, and the route is not public.
-func (x *Index) RequiresKey(r *Route) bool {
-	return x.Declaration.KeyCheck != KeyIgnored && !r.Public
-}
+// RequiresKey reports whether the route's requests need a key.
+func (x *Index) RequiresKey(r *Route) bool { return x.Declaration.RequiresKey(r) }
 
 // PickService picks a target service by weight. draw is uniform in [0, 1) and the same for all attempts of a request.
 func (r *Route) PickService(draw float64) kwid.ServiceName {
--- a/core/kwdeclaration/priority_classes.go
+++ b/core/kwdeclaration/priority_classes.go
@@ -37,7 +37,8 @@
 // Len returns how many priorities there are.
 func (p PriorityClasses) Len() int { return len(p.classes) }
 
-// priorityClasses returns the classes of each service. A workspace with a priority of its own has it on every route that needs a key.
+// priorityClasses returns the classes of each service. A workspace with a priority of its own has it on every route that needs a key; without
+// workspaces, such a route has no requests.
 func priorityClasses(d *Declaration) map[kwid.ServiceName]PriorityClasses {
 	longest := make(map[kwid.ServiceName]map[int]time.Duration)
 	add := func(r *Route, priority int) {
@@ -54,9 +55,12 @@
 	}
 	for i := range d.Routes {
 		r := &d.Routes[i]
+		if d.RequiresKey(r) && len(d.Workspaces) == 0 {
+			continue
+		}
 		add(r, r.Priority)
 		for _, w := range d.Workspaces {
-			if w.Priority != nil && !r.Public {
+			if w.Priority != nil && d.RequiresKey(r) {
 				add(r, *w.Priority)
 			}
 		}
--- a/core/kwdeclaration/priority_classes_test.go
+++ b/core/kwdeclaration/priority_classes_test.go
@@ -34,3 +34,25 @@
 		t.Errorf("position of priority 4: got %d, want %d", got, want)
 	}
 }
+
+// TestRoutesWithoutCallersHaveNoClass guards against public requests that wait for as long as streams would which nobody can request: keys are
+// required, and there is no workspace.
+func TestRoutesWithoutCallersHaveNoClass(t *testing.T) {
+	const ms = time.Millisecond
+	target := []Target{{Service: "s", Weight: 1}}
+	d := &Declaration{Routes: []Route{
+		{Kind: Streaming, Priority: 1, LatencyObjective: 500 * ms, Public: true, Targets: target},
+		{Kind: Streaming, Priority: 2, LatencyObjective: 1200 * ms, Targets: target},
+	}}
+	classes := NewIndex(d).PriorityClasses("s")
+	if got, want := classes.WaitObjective(1), 500*ms; got != want {
+		t.Errorf("public streams: got a wait objective of %v, want %v", got, want)
+	}
+	if got, want := classes.Len(), 1; got != want {
+		t.Errorf("got %d classes, want %d", got, want)
+	}
+	d.KeyCheck = KeyIgnored
+	if got, want := NewIndex(d).PriorityClasses("s").WaitObjective(1), 1200*ms; got != want {
+		t.Errorf("public streams where keys are ignored: got a wait objective of %v, want %v", got, want)
+	}
+}
