--- a/core/kwdeclaration/declaration_test.go
+++ b/core/kwdeclaration/declaration_test.go
@@ -110,6 +110,19 @@
 	}
 }
 
+// TestForServiceKeepsKeyCheck guards against a part of a declaration that requires no key because it lacks the workspaces.
+func TestForServiceKeepsKeyCheck(t *testing.T) {
+	for _, check := range []KeyCheck{KeyRequired, KeyIgnored} {
+		d := validDeclaration()
+		d.KeyCheck, d.Workspaces = check, nil
+		x := NewIndex(d)
+		route := x.Route("a.example", "/notes/1")
+		if got, want := x.ForService("llm").RequiresKey(route), check == KeyRequired; got != want {
+			t.Errorf("keys %v: got a key required %v, want %v", check, got, want)
+		}
+	}
+}
+
 func TestPickServiceFollowsWeights(t *testing.T) {
 	r := &validDeclaration().Routes[1]
 	count := 0
