--- a/core/kwmembership/roster_test.go
+++ b/core/kwmembership/roster_test.go
@@ -79,6 +79,35 @@
 	}
 }
 
+// TestMissingStartReplacesNoStart guards against a heartbeat or deregistration that does not say when its process started and counts as one of a
+// later process.
+func TestMissingStartReplacesNoStart(t *testing.T) {
+	now := time.Unix(100, 0)
+	r := NewRoster(rosterCfg)
+	r.Announce(now, heartbeat("e1", "x:1", 10, 1))
+	for name, a := range map[string]Announcement{
+		"its ID":                  heartbeat("e1", "x:1", 0, 9),
+		"its ID, another address": heartbeat("e1", "x:2", 0, 9),
+		"its address":             heartbeat("e2", "x:1", 0, 9),
+	} {
+		if got := r.Announce(now, a); got != Late {
+			t.Errorf("heartbeat without a start, %s: got %q, want %q", name, got, Late)
+		}
+	}
+	if got := r.Announce(now, heartbeat("e1", "x:1", 10, 2)); got != Renewed {
+		t.Errorf("heartbeat of the known process: got %q, want %q", got, Renewed)
+	}
+	if !r.Deregister(now, "e1", 0) || stateOfEndpoint(t, r, "e1") != Gone {
+		t.Errorf("deregistration without a start: got state %q, want %q", stateOfEndpoint(t, r, "e1"), Gone)
+	}
+	if got := r.Announce(now, heartbeat("e1", "x:1", 10, 3)); got != Late {
+		t.Errorf("heartbeat of the process that left: got %q, want %q", got, Late)
+	}
+	if got := r.Announce(now, heartbeat("e1", "x:1", 11, 1)); got != Accepted {
+		t.Errorf("heartbeat of the next process: got %q, want %q", got, Accepted)
+	}
+}
+
 func TestRosterExpires(t *testing.T) {
 	now := time.Unix(100, 0)
 	r := NewRoster(rosterCfg)
--- a/io/kwdirectentry/declared_limits_test.go
+++ b/io/kwdirectentry/declared_limits_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"knapweedproxy/core/kwdeclaration"
+	"knapweedproxy/io/kwguard"
 )
 
 // TestDeclaredLimitsOfHeads guards against limits of a declaration that are decoded and used nowhere. A head of exactly the limit is served
@@ -62,3 +63,41 @@
 		}
 	}
 }
+
+// TestMissingLimitsKeepThoseOfTheEntry guards against limits that a declaration does not have and that count as 0, or as none at all.
+func TestMissingLimitsKeepThoseOfTheEntry(t *testing.T) {
+	runs := 0
+	g := newTestGateway(t, "127.0.0.1:1", serveRaw(t, func(w io.Writer, id string) bool {
+		runs++
+		_, _ = io.WriteString(w, strings.Replace(unaryAnswer, "%s", id, 1))
+		return true
+	}))
+	address, _ := g.Addresses()
+	if got, want := g.callerLimits(), (kwguard.Limits{HeadBytes: maxHeaderBytes, HeadTimeout: headerTimeout, IdleTimeout: idleTimeout}); got != want {
+		t.Errorf("limits of heads and connections: got %+v, want %+v", got, want)
+	}
+	for size, want := range map[int]int{defaultMaxBodyBytes: http.StatusOK, defaultMaxBodyBytes + 1: http.StatusRequestEntityTooLarge} {
+		for _, hasLength := range []bool{true, false} {
+			req, err := http.NewRequest(http.MethodGet, "http://"+address+"/lookups/x", strings.NewReader(strings.Repeat("x", size)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			req.Host = "h"
+			req.Header.Set("Id", "r")
+			if !hasLength {
+				req.ContentLength = -1
+			}
+			resp, err := http.DefaultClient.Do(req)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = resp.Body.Close()
+			if resp.StatusCode != want {
+				t.Errorf("body of %d bytes, length known %v: got status %d, want %d", size, hasLength, resp.StatusCode, want)
+			}
+		}
+	}
+	if runs != 2 {
+		t.Errorf("got %d runs, want 2", runs)
+	}
+}
