Give no class of priority to workspaces without a key

Seen: with a list of workspaces that has no usable key, public streams wait for the objective of streams that nobody can request, and a workspace that lost its last key still counts as a priority under admission control.

Cause: asked whether there are workspaces.

Change: Workspace.HasKey decides it, for the classes of the index and for those under admission control.

--- a/core/kwdeclaration/declaration.go
+++ b/core/kwdeclaration/declaration.go
@@ -1,6 +1,7 @@
 package kwdeclaration
 
 import (
+	"slices"
 	"time"
 
 	"knapweedproxy/core/kwid"
@@ -136,6 +137,11 @@
 	Priority *int
 }
 
+// HasKey reports whether requests can come from the workspace: it has a key that is not empty.
+func (w *Workspace) HasKey() bool {
+	return slices.ContainsFunc(w.Keys, func(key string) bool { return key != "" })
+}
+
 // KeyCheck says whether requests need the key of a workspace.
 type KeyCheck uint8
 
--- a/core/kwdeclaration/priority_classes.go
+++ b/core/kwdeclaration/priority_classes.go
@@ -37,8 +37,8 @@
 // Len returns how many priorities there are.
 func (p PriorityClasses) Len() int { return len(p.classes) }
 
-// priorityClasses returns the classes of each service. A workspace with a priority of its own has it on every route that needs a key; without
-// workspaces, such a route has no requests.
+// priorityClasses returns the classes of each service. A workspace with a priority of its own has it on every route that needs a key. Such a
+// route has no requests if no workspace has a key.
 func priorityClasses(d *Declaration) map[kwid.ServiceName]PriorityClasses {
 	longest := make(map[kwid.ServiceName]map[int]time.Duration)
 	add := func(r *Route, priority int) {
@@ -53,14 +53,15 @@
 			longest[t.Service][priority] = max(longest[t.Service][priority], objective)
 		}
 	}
+	hasCallers := slices.ContainsFunc(d.Workspaces, func(w Workspace) bool { return w.HasKey() })
 	for i := range d.Routes {
 		r := &d.Routes[i]
-		if d.RequiresKey(r) && len(d.Workspaces) == 0 {
+		if d.RequiresKey(r) && !hasCallers {
 			continue
 		}
 		add(r, r.Priority)
 		for _, w := range d.Workspaces {
-			if w.Priority != nil && d.RequiresKey(r) {
+			if w.Priority != nil && d.RequiresKey(r) && w.HasKey() {
 				add(r, *w.Priority)
 			}
 		}
--- a/io/kwdirectentry/admission.go
+++ b/io/kwdirectentry/admission.go
@@ -53,18 +53,20 @@
 	return classes
 }
 
-// prioritiesOf returns the priorities that requests of a route may have: its own, or that of a workspace with one.
+// prioritiesOf returns the priorities that requests of a route may have: its own, or that of a workspace with one. Workspaces without a key
+// have no requests.
 func prioritiesOf(index *kwdeclaration.Index, r *kwdeclaration.Route) []int {
 	if !index.RequiresKey(r) {
 		return []int{r.Priority}
 	}
 	var out []int
 	for i := range index.Declaration.Workspaces {
+		w := &index.Declaration.Workspaces[i]
 		priority := r.Priority
-		if own := index.Declaration.Workspaces[i].Priority; own != nil {
-			priority = *own
+		if w.Priority != nil {
+			priority = *w.Priority
 		}
-		if !slices.Contains(out, priority) {
+		if !slices.Contains(out, priority) && w.HasKey() {
 			out = append(out, priority)
 		}
 	}
--- a/io/kwdirectentry/admission_test.go
+++ b/io/kwdirectentry/admission_test.go
@@ -17,6 +17,7 @@
 func TestClassesUnderAdmission(t *testing.T) {
 	engine := &kwdeclaration.Engine{Layers: 8}
 	urgent, same := 0, 2
+	key := []string{"k"}
 	route := func(kind kwdeclaration.CallKind, priority int, public bool) kwdeclaration.Route {
 		return kwdeclaration.Route{Kind: kind, Priority: priority, Public: public, Targets: []kwdeclaration.Target{{Service: "llm", Weight: 1}, {Service: "records", Weight: 1}}}
 	}
@@ -32,9 +33,10 @@
 		{"different priorities", []kwdeclaration.Route{route(streams, 2, false), route(streams, 0, false)}, nil, kwdeclaration.KeyIgnored, []int{0, 2}},
 		{"equal priorities", []kwdeclaration.Route{route(streams, 2, false), route(streams, 2, false)}, nil, kwdeclaration.KeyIgnored, nil},
 		{"calls of another priority", []kwdeclaration.Route{route(streams, 2, false), route(kwdeclaration.Idempotent, 0, false)}, nil, kwdeclaration.KeyIgnored, nil},
-		{"workspace with a priority", []kwdeclaration.Route{route(streams, 2, false)}, []kwdeclaration.Workspace{{Priority: &urgent}, {}}, kwdeclaration.KeyRequired, []int{0, 2}},
-		{"workspaces of one priority", []kwdeclaration.Route{route(streams, 2, false), route(streams, 1, false)}, []kwdeclaration.Workspace{{Priority: &same}}, kwdeclaration.KeyRequired, nil},
-		{"public route", []kwdeclaration.Route{route(streams, 2, true)}, []kwdeclaration.Workspace{{Priority: &urgent}}, kwdeclaration.KeyRequired, nil},
+		{"workspace with a priority", []kwdeclaration.Route{route(streams, 2, false)}, []kwdeclaration.Workspace{{Keys: key, Priority: &urgent}, {Keys: key}}, kwdeclaration.KeyRequired, []int{0, 2}},
+		{"workspaces of one priority", []kwdeclaration.Route{route(streams, 2, false), route(streams, 1, false)}, []kwdeclaration.Workspace{{Keys: key, Priority: &same}}, kwdeclaration.KeyRequired, nil},
+		{"public route", []kwdeclaration.Route{route(streams, 2, true)}, []kwdeclaration.Workspace{{Keys: key, Priority: &urgent}}, kwdeclaration.KeyRequired, nil},
+		{"workspace with a priority and no key", []kwdeclaration.Route{route(streams, 2, false)}, []kwdeclaration.Workspace{{Keys: []string{""}, Priority: &urgent}, {Keys: key}}, kwdeclaration.KeyRequired, nil},
 		{"keys of no workspace", []kwdeclaration.Route{route(streams, 2, false), route(streams, 0, false)}, nil, kwdeclaration.KeyRequired, nil},
 		{"public routes beside keys of no workspace", []kwdeclaration.Route{route(streams, 2, true), route(streams, 0, true), route(streams, 1, false)}, nil, kwdeclaration.KeyRequired, []int{0, 2}},
 	} {
