Wait for a leader in TestLeaderLoss

The test looked for the leader once and took the answer "none" for an index, as TestGracefulStops did before.

--- a/io/kwdemo/path_test.go
+++ b/io/kwdemo/path_test.go
@@ -448,7 +448,7 @@
 		if !write("before") {
 			b.Fatal("got no answer before the leader crashed, want one")
 		}
-		f.Controls[f.LeaderIndex()].Kill()
+		f.Controls[awaitLeader(b, f)].Kill()
 		begin := time.Now()
 		if err := WaitFor("a write to be answered", func() bool { return write("after") }); err != nil {
 			b.Fatal(err)
--- a/io/kwdemo/scenario_test.go
+++ b/io/kwdemo/scenario_test.go
@@ -261,14 +261,14 @@
 }
 
 // awaitLeader waits until a control process leads, and returns its index: there is none during an election.
-func awaitLeader(t *testing.T, f *Fleet) int {
-	t.Helper()
+func awaitLeader(tb testing.TB, f *Fleet) int {
+	tb.Helper()
 	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		if i := f.LeaderIndex(); i >= 0 {
 			return i
 		}
 	}
-	t.Fatal("no control process leads after 10s")
+	tb.Fatal("no control process leads after 10s")
 	return -1
 }
 
@@ -476,7 +476,7 @@
 	var wg sync.WaitGroup
 	for i := range 60 {
 		if i == 20 {
-			f.Controls[f.LeaderIndex()].Kill()
+			f.Controls[awaitLeader(t, f)].Kill()
 		}
 		wg.Go(func() {
 			body := fmt.Sprintf("alert-%d", i)
