Probe the connections of TestCloseBesideAccept after a second

Cause: a listener that closes can drop the packet that completes a connection (ListenDrops of the kernel), so that its client has one that the server never saw. It ends with the first keep-alive probe, 15 s later by default, several times in the test's 300 rounds. Change: the test's clients probe after 1 s. What is asked is the same: each connection ends within 20 s.

--- a/io/kwtcprpc/rpc_test.go
+++ b/io/kwtcprpc/rpc_test.go
@@ -276,13 +276,16 @@
 	const (
 		rounds, dialers = 300, 4
 		closedWithin    = 20 * time.Second
+		// A listener that closes can drop the packet that completes a connection; only a probe tells its client.
+		probeAfter = time.Second
 	)
+	dialer := net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeAfter, Interval: probeAfter}}
 	for range rounds {
 		s := startServer(t, map[Kind]Handler{kindEcho: echo})
 		var wg sync.WaitGroup
 		for range dialers {
 			wg.Go(func() {
-				c, err := net.Dial("tcp", s.Address())
+				c, err := dialer.Dial("tcp", s.Address())
 				if err != nil {
 					return
 				}
